Lay out the workspace and the checked vocabulary

Every other crate is an empty shell with its dependencies fixed, so that parallel work doesn't fight over the lock file.

--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Nothing here yet.
--- /dev/null
+++ b/crates/standins/src/bin/geranium-standin-platform.rs
@@ -0,0 +1,2 @@
+//! Nothing here yet.
+fn main() {}
--- /dev/null
+++ b/crates/tests/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Tests across programs, one module a subject.
