Spread configuration and membership as one state machine

Cause: nodes need the version in force and each other's rows without a front tier, a store of ours or a watch per node. What it is: FleetCore, driven by the node's control thread, with links by rendezvous hashing, digests that repair, suspicion with indirect checks, a start gate for empty nodes and a budget on platform calls.

--- /dev/null
+++ b/crates/spread/src/core_platform.rs
@@ -0,0 +1,84 @@
+//! What the platform reported.
+
+use std::time::Duration;
+
+use geranium_model::{PresetVersion, ResultCode};
+
+use crate::{
+    ConfigMark, FleetAction, FleetCore, InForceRead, PlatformCall, PlatformReport,
+    config_state::ConfigSource,
+};
+
+impl FleetCore {
+    /// Takes in the outcome of a platform call.
+    pub fn platform_report(
+        &mut self,
+        now: Duration,
+        report: PlatformReport,
+        out: &mut Vec<FleetAction>,
+    ) {
+        // Not a sign that this node ran all the time: the platform's thread
+        // may have queued it. The next tick notes the time.
+        match report {
+            PlatformReport::InForce {
+                watched,
+                revision,
+                record,
+            } => {
+                self.desk.answered(watched, Some(revision));
+                self.on_record(now, record, out);
+            }
+            PlatformReport::Unchanged { revision } => self.desk.answered(true, Some(revision)),
+            PlatformReport::Content { digest, bytes } => {
+                self.desk.answered(false, None);
+                self.on_content(digest, bytes.as_deref(), out);
+            }
+            PlatformReport::Seeds { data_centre, value } => {
+                self.desk.answered(false, None);
+                self.on_seeds(&data_centre, value.as_deref(), out);
+            }
+            PlatformReport::SeedsWritten { .. } => self.desk.answered(false, None),
+            PlatformReport::Failed { call } => self.on_failed(now, &call),
+        }
+        self.flush(out);
+    }
+
+    fn on_record(&mut self, now: Duration, record: InForceRead, out: &mut Vec<FleetAction>) {
+        match record {
+            InForceRead::Absent => self.config.gate.platform_vote(now, PresetVersion::NONE),
+            InForceRead::Record(in_force) => {
+                let version = in_force.version;
+                self.config.gate.platform_vote(now, version);
+                self.hear_version(in_force, ConfigSource::Platform, out);
+            }
+            InForceRead::Malformed { reason } => {
+                self.config.gate.platform_vote(now, PresetVersion::NONE);
+                self.counters.bad_documents += 1;
+                let version = self
+                    .config
+                    .mark()
+                    .map_or(PresetVersion::NONE, |mark| mark.version);
+                let tag = crate::name_key(&reason);
+                if self.config.first_report(ConfigMark { version, tag }) {
+                    let code = ResultCode::InForceMalformed;
+                    out.push(FleetAction::ConfigRefused {
+                        version,
+                        code,
+                        reason,
+                    });
+                }
+            }
+        }
+        self.try_adopt(out);
+    }
+
+    fn on_failed(&mut self, now: Duration, call: &PlatformCall) {
+        self.counters.platform_failures += 1;
+        self.desk.failed(now, call.is_watch(), &mut self.rng);
+        match call {
+            PlatformCall::ReadInForce => self.config.gate.platform_failed(),
+            PlatformCall::ReadContent(_) => self.desk.queue(call.clone()),
+            _ => {}
+        }
+    }
+}
