Add the stand-in backend server

Cause: tests and the demo need a backend server whose runs can be counted without the nodes' own word, and which misbehaves on demand.

It listens with TCP_NODELAY set before listen, runs at most its slots' worth at a time, sheds beyond them as not run, heeds deadlines and cancellation, and announces itself each second.

--- /dev/null
+++ b/crates/standins/src/backend/backend_server.rs
@@ -0,0 +1,247 @@
+//! The server's threads.
+
+use std::{
+    io,
+    net::SocketAddr,
+    process,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use serde_json::json;
+use snafu::{ResultExt, Whatever};
+use tiny_http::{Request, Server};
+
+use super::{
+    Announcement, BackendOptions, FaultSettings, RequestDirections, RunEnd, RunRecord,
+    backend_state::BackendState,
+    call_head::CallHead,
+    nodelay_listener,
+    request_target::RequestTarget,
+    run_answer::{answer_given_up, answer_json, answer_run, answer_shed},
+    work_wait::{WorkEnd, work_through},
+};
+
+/// Workers beyond the slots, which refuse and answer questions when all slots
+/// are in use.
+const SPARE_WORKERS: usize = 4;
+/// Time between heartbeats to the node.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Time between tries while the node hasn't taken an announcement.
+const HEARTBEAT_RETRY: Duration = Duration::from_millis(100);
+/// A drained server stays this long after its last run, so that its node has
+/// read the last answer.
+const DRAIN_LINGER: Duration = Duration::from_millis(300);
+/// Exit status of a process that a request crashed.
+const CRASH_EXIT: i32 = 86;
+
+/// A stand-in backend server that is listening.
+///
+/// Dropping it stops it at once; [`BackendServer::drain`] finishes what runs.
+#[derive(Debug)]
+pub struct BackendServer {
+    address: SocketAddr,
+    state: Arc<BackendState>,
+    stopping: Arc<AtomicBool>,
+    server: ServerHandle,
+    workers: Vec<JoinHandle<()>>,
+}
+
+struct ServerHandle(Arc<Server>);
+
+impl std::fmt::Debug for ServerHandle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_tuple("ServerHandle")
+            .field(&self.0.server_addr())
+            .finish()
+    }
+}
+
+impl BackendServer {
+    /// Listens, starts the workers and the heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address is taken or the journal can't be
+    /// opened.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use clap::Parser;
+    /// use geranium_standins::backend::{BackendOptions, BackendServer};
+    ///
+    /// let arguments = ["backend", "--service", "prices", "--instance", "prices-1"];
+    /// let server = BackendServer::start(BackendOptions::parse_from(arguments))?;
+    /// assert!(server.records().is_empty());
+    /// # Ok::<(), snafu::Whatever>(())
+    /// ```
+    pub fn start(options: BackendOptions) -> Result<Self, Whatever> {
+        let listen = options.listen;
+        let listener =
+            nodelay_listener(listen).with_whatever_context(|_| format!("listening on {listen}"))?;
+        let address = listener
+            .local_addr()
+            .whatever_context("reading the own address")?;
+        let server = Server::from_listener(listener, None).map_err(io::Error::other);
+        let server = Arc::new(server.whatever_context("starting the HTTP server")?);
+        let state = Arc::new(BackendState::open(options).whatever_context("opening the journal")?);
+        let stopping = Arc::new(AtomicBool::new(false));
+        let mut workers: Vec<_> = (0..usize::from(state.options.slots) + SPARE_WORKERS)
+            .map(|_| {
+                let (server, state) = (Arc::clone(&server), Arc::clone(&state));
+                let stopping = Arc::clone(&stopping);
+                thread::spawn(move || serve_all(&server, &state, &stopping))
+            })
+            .collect();
+        if let Some(admin) = state.options.announce_to {
+            let (state, stopping) = (Arc::clone(&state), Arc::clone(&stopping));
+            workers.push(thread::spawn(move || {
+                heartbeat(&state, admin, address, &stopping);
+            }));
+        }
+        Ok(Self {
+            address,
+            state,
+            stopping,
+            server: ServerHandle(server),
+            workers,
+        })
+    }
+
+    /// Returns the address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the journal so far.
+    pub fn records(&self) -> Vec<RunRecord> {
+        self.state.journal.records()
+    }
+
+    /// Refuses new work, tells the node, and waits until nothing runs.
+    pub fn drain(&self) {
+        self.state.drain();
+        self.workers
+            .iter()
+            .for_each(|worker| worker.thread().unpark());
+        while self.state.gate.running() > 0 {
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(DRAIN_LINGER);
+    }
+}
+
+impl Drop for BackendServer {
+    fn drop(&mut self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        for worker in &self.workers {
+            worker.thread().unpark();
+            self.server.0.unblock();
+        }
+    }
+}
+
+/// Tells the node once a second where the backend server is.
+fn heartbeat(state: &BackendState, admin: SocketAddr, address: SocketAddr, stopping: &AtomicBool) {
+    let mut announcement = Announcement::of_start(&state.options, address);
+    while !stopping.load(Ordering::SeqCst) {
+        announcement.draining = state.is_draining();
+        let taken = announcement.send(admin);
+        thread::park_timeout(if taken { HEARTBEAT } else { HEARTBEAT_RETRY });
+    }
+}
+
+fn serve_all(server: &Server, state: &BackendState, stopping: &AtomicBool) {
+    while !stopping.load(Ordering::SeqCst) {
+        if let Ok(request) = server.recv() {
+            serve(request, state);
+        }
+    }
+}
+
+fn serve(request: Request, state: &BackendState) {
+    match RequestTarget::from(request.url()) {
+        RequestTarget::Journal => answer_json(request, 200, &state.journal.records()),
+        RequestTarget::Faults => serve_faults(request, state),
+        RequestTarget::Cancel(request_id) => {
+            let cancelled = state.running.cancel(&request_id);
+            let status = if cancelled { 200 } else { 404 };
+            answer_json(request, status, &json!({ "cancelled": cancelled }));
+        }
+        _ if state.faults().frozen => state.parked.push(request),
+        RequestTarget::Health => serve_health(request, state),
+        RequestTarget::Work(directions) => serve_work(request, state, &directions),
+    }
+}
+
+fn serve_health(request: Request, state: &BackendState) {
+    let healthy = state.faults().false_health.unwrap_or(!state.is_draining());
+    let health = json!({
+        "healthy": healthy,
+        "load": state.reported_load(),
+        "slots": state.options.slots,
+    });
+    answer_json(request, if healthy { 200 } else { 503 }, &health);
+}
+
+fn serve_faults(mut request: Request, state: &BackendState) {
+    if request.method().as_str() == "GET" {
+        answer_json(request, 200, &state.faults());
+        return;
+    }
+    match serde_json::from_reader::<_, FaultSettings>(request.as_reader()) {
+        Ok(faults) => {
+            let thawed = !faults.frozen;
+            state.set_faults(faults);
+            answer_json(request, 200, &state.faults());
+            if thawed {
+                state
+                    .parked
+                    .take_all()
+                    .into_iter()
+                    .for_each(|parked| serve(parked, state));
+            }
+        }
+        Err(error) => answer_json(request, 400, &json!({ "error": error.to_string() })),
+    }
+}
+
+fn serve_work(mut request: Request, state: &BackendState, directions: &RequestDirections) {
+    let Ok(call) = CallHead::read(&mut request) else {
+        return;
+    };
+    let refused = state.faults().shed_all || state.is_draining() || call.is_overdue();
+    let slot = if refused { None } else { state.gate.enter() };
+    let Some(_slot) = slot else {
+        state.journal.shed(&call, &directions.path);
+        answer_shed(request, state);
+        return;
+    };
+    let run = state.journal.start(&call, &directions.path);
+    let cancellation = state.running.insert(run, &call.request_id);
+    if directions.crash {
+        process::exit(CRASH_EXIT);
+    }
+    let work = state.work_time(directions);
+    match work_through(work, &call, directions, &cancellation) {
+        WorkEnd::GivenUp => {
+            state.journal.end(run, RunEnd::Cancelled);
+            answer_given_up(request, state);
+        }
+        WorkEnd::Done => {
+            let how = if directions.die_mid_body {
+                RunEnd::Broke
+            } else {
+                RunEnd::Ran
+            };
+            state.journal.end(run, how);
+            answer_run(request, state, &call, directions, &cancellation);
+        }
+    }
+    state.running.remove(run);
+}
--- /dev/null
+++ b/crates/standins/tests/backend/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the stand-in backend server.
+
+mod announcing;
+mod answers;
+mod caller;
+mod crash;
+mod faults;
+mod slots;
