Add the open-loop load tool

Cause: promises towards callers must be judged by what callers receive.

Latency counts from the intended start, gaps are exponential, and each answer is checked for its own request id, path, body digest, length and content. Orders take a ticket and go again through other nodes with it while their fate is open. check_journals holds outcomes against the backend servers' journals; a run that was given up counts as a run.

Ruled out: ureq's own resolver. It starts a thread for each call that has a timeout (resolver.rs, resolve_async), also on kept-alive connections, which would stand in every latency; addresses are parsed instead.

--- /dev/null
+++ b/crates/load/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the load tool.
+
+mod answers;
+mod journals;
+mod mixes;
+mod responder;
