--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -1,1 +1,3 @@
-//! Nothing here yet.
+//! Policy under load and faults, without I/O, clocks or threads.
+
+pub mod admission;
