Add picking, retry, poison and once to the decisions

Cause: the node needs a first usable shape of these four to be wired. Before: nothing. Conclusion: the interfaces may be wired; proofs follow.

--- /dev/null
+++ b/crates/decisions/src/picking/member_grade.rs
@@ -0,0 +1,23 @@
+//! How fit a backend server is for the next request.
+
+/// Fitness, best first; a pick falls back grade by grade.
+///
+/// The order states the floor of ejection: with nobody fit, a slow backend
+/// server is better than a full one, and a full one, which refuses without
+/// running, is better than one that breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum MemberGrade {
+    /// Takes its share.
+    Fit,
+    /// Ejected because its answers are slow.
+    Slow,
+    /// Refused work, and its retry-after hasn't passed.
+    Refusing,
+    /// Ejected because it breaks, or just found unreachable.
+    Broken,
+}
+
+impl MemberGrade {
+    /// Every grade, best first.
+    pub(super) const ALL: [Self; 4] = [Self::Fit, Self::Slow, Self::Refusing, Self::Broken];
+}
--- /dev/null
+++ b/crates/decisions/src/poison/poison_register.rs
@@ -0,0 +1,177 @@
+//! The register itself.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use geranium_model::{CrashRow, FleetPolicy, Incarnation, InstanceName};
+
+use super::{
+    completion_credit::CompletionCredit, poison_verdict::PoisonVerdict,
+    suspect_record::SuspectRecord,
+};
+
+/// Rows kept. A bad release that crashes a data centre's 160 backend servers
+/// with twelve requests each makes 1,920; about 150 bytes a row.
+const ROWS_MAX: usize = 4_096;
+/// Divisor of the hold for requests that were always in company and crashed
+/// no server more than the limit asks: one of a dozen is guilty, and a wrong
+/// guess costs one more crash in a minute's time.
+const COMPANY_HOLD_DIVISOR: u32 = 10;
+
+type CrashId = (InstanceName, Incarnation);
+
+/// Counts crashes per request and says which to refuse.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use geranium_decisions::poison::{PoisonRegister, PoisonVerdict};
+/// use geranium_model::{CrashRow, FleetPolicy, Incarnation};
+///
+/// let mut register = PoisonRegister::new(FleetPolicy::default());
+/// let crash = |instance: &str| CrashRow {
+///     fingerprint: 7,
+///     instance: instance.parse().unwrap(),
+///     announced: Incarnation::new(1),
+/// };
+/// let now = Duration::from_secs(1);
+/// assert!(register.record(now, crash("till-1")));
+/// assert!(!register.record(now, crash("till-1")));
+/// assert_eq!(register.verdict(now, 7), PoisonVerdict::Suspect);
+/// register.record(now, crash("till-2"));
+/// assert!(matches!(register.verdict(now, 7), PoisonVerdict::Refused { .. }));
+/// ```
+#[derive(Debug)]
+pub struct PoisonRegister {
+    policy: FleetPolicy,
+    rows: VecDeque<(Duration, CrashRow)>,
+    crashes: HashMap<CrashId, Vec<u64>>,
+    suspects: HashMap<u64, SuspectRecord>,
+    credit: CompletionCredit,
+}
+
+impl PoisonRegister {
+    /// Makes an empty register.
+    pub fn new(policy: FleetPolicy) -> Self {
+        Self {
+            policy,
+            rows: VecDeque::new(),
+            crashes: HashMap::new(),
+            suspects: HashMap::new(),
+            credit: CompletionCredit::new(),
+        }
+    }
+
+    /// Changes the limits, as a new preset says.
+    pub fn set_policy(&mut self, policy: FleetPolicy) {
+        self.policy = policy;
+    }
+
+    /// Takes in a row and reports whether it was new.
+    pub fn record(&mut self, now: Duration, row: CrashRow) -> bool {
+        self.expire(now);
+        let crash = self.crashes.entry(crash_of(&row)).or_default();
+        if crash.contains(&row.fingerprint) {
+            return false;
+        }
+        crash.push(row.fingerprint);
+        let suspect = self.suspects.entry(row.fingerprint);
+        let suspect = suspect.or_insert(SuspectRecord::new(now));
+        suspect.crashed(now);
+        if self.credit.pay(row.fingerprint) {
+            suspect.pay();
+        }
+        self.rows.push_back((now, row));
+        if self.rows.len() > ROWS_MAX {
+            self.forget_oldest();
+        }
+        true
+    }
+
+    /// Notes that a request was answered well by a backend server.
+    pub fn completed(&mut self, fingerprint: u64) {
+        self.credit.completed(fingerprint);
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return;
+        };
+        if suspect.unpaid() > 0 && self.credit.pay(fingerprint) {
+            suspect.pay();
+        }
+    }
+
+    /// Says whether a request may run.
+    pub fn verdict(&self, now: Duration, fingerprint: u64) -> PoisonVerdict {
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return PoisonVerdict::Clear;
+        };
+        let age = suspect.age(now);
+        if suspect.unpaid() == 0 || age >= self.memory() {
+            return PoisonVerdict::Clear;
+        }
+        let hold = self.hold_of(fingerprint, suspect);
+        if suspect.unpaid() < u32::from(self.policy.poison_crashes) || age >= hold {
+            return PoisonVerdict::Suspect;
+        }
+        PoisonVerdict::Refused {
+            retry_after: hold.saturating_sub(age),
+        }
+    }
+
+    /// Returns the rows in memory, for repair between nodes.
+    pub fn rows(&self) -> impl Iterator<Item = &CrashRow> {
+        self.rows.iter().map(|(_, row)| row)
+    }
+
+    fn memory(&self) -> Duration {
+        Duration::from_secs(self.policy.poison_hold_s.into())
+    }
+
+    fn hold_of(&self, fingerprint: u64, suspect: &SuspectRecord) -> Duration {
+        let beyond = suspect.unpaid() > u32::from(self.policy.poison_crashes);
+        if beyond || self.was_alone(fingerprint) {
+            self.memory()
+        } else {
+            self.memory() / COMPANY_HOLD_DIVISOR
+        }
+    }
+
+    fn was_alone(&self, fingerprint: u64) -> bool {
+        self.crashes.values().any(|crash| crash == &[fingerprint])
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let memory = self.memory();
+        while let Some((at, _)) = self.rows.front() {
+            if now.saturating_sub(*at) < memory {
+                break;
+            }
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((_, row)) = self.rows.pop_front() else {
+            return;
+        };
+        let id = crash_of(&row);
+        if let Some(crash) = self.crashes.get_mut(&id) {
+            crash.retain(|&fingerprint| fingerprint != row.fingerprint);
+            if crash.is_empty() {
+                self.crashes.remove(&id);
+            }
+        }
+        if let Some(suspect) = self.suspects.get_mut(&row.fingerprint) {
+            suspect.forget_one();
+            if suspect.crashes() == 0 {
+                self.suspects.remove(&row.fingerprint);
+            }
+        }
+    }
+}
+
+fn crash_of(row: &CrashRow) -> CrashId {
+    (row.instance.clone(), row.announced)
+}
