--- /dev/null
+++ b/crates/platform/src/memory/memory_state.rs
@@ -0,0 +1,111 @@
+//! What the store in memory holds.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{CasAnswer, Entry, LeaseId, Revision, WatchAnswer};
+
+/// The newest event of a key.
+#[derive(Debug, Clone)]
+struct KeyRecord {
+    revision: Revision,
+    value: Option<Vec<u8>>,
+    lease: Option<LeaseId>,
+}
+
+/// A compare-and-swap on its way.
+#[derive(Debug, Clone)]
+pub struct PendingWrite {
+    pub key: String,
+    pub expected: Revision,
+    pub value: Vec<u8>,
+    pub lease: Option<LeaseId>,
+}
+
+/// Keys, revision and leases.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryState {
+    revision: u64,
+    keys: BTreeMap<String, KeyRecord>,
+    leases: BTreeSet<LeaseId>,
+}
+
+impl MemoryState {
+    pub fn entry(&self, key: &str) -> Option<Entry> {
+        let record = self.keys.get(key)?;
+        Some(Entry {
+            key: key.to_owned(),
+            value: record.value.clone()?,
+            revision: record.revision,
+        })
+    }
+
+    pub fn entries(&self, prefix: &str) -> Vec<Entry> {
+        self.keys
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter_map(|(key, _)| self.entry(key))
+            .collect()
+    }
+
+    pub fn event_after(&self, key: &str, after: Revision) -> Option<WatchAnswer> {
+        let record = self.keys.get(key)?;
+        let revision = record.revision;
+        (revision > after).then(|| match self.entry(key) {
+            Some(entry) => WatchAnswer::Changed(entry),
+            None => WatchAnswer::Deleted { revision },
+        })
+    }
+
+    /// Applies a write, or returns `None` when its lease isn't known.
+    pub fn apply(&mut self, write: PendingWrite) -> Option<CasAnswer> {
+        let current = self.entry(&write.key);
+        let found = current
+            .as_ref()
+            .map_or(Revision::NONE, |entry| entry.revision);
+        if found != write.expected {
+            return Some(CasAnswer::Conflict { current });
+        }
+        if write
+            .lease
+            .is_some_and(|lease| !self.leases.contains(&lease))
+        {
+            return None;
+        }
+        let revision = self.next_revision();
+        let record = KeyRecord {
+            revision,
+            value: Some(write.value),
+            lease: write.lease,
+        };
+        self.keys.insert(write.key, record);
+        Some(CasAnswer::Swapped { revision })
+    }
+
+    pub fn grant(&mut self) -> LeaseId {
+        let newest = self.leases.last().map_or(0, |lease| lease.get());
+        let lease = LeaseId::new(newest + 1);
+        self.leases.insert(lease);
+        lease
+    }
+
+    pub fn is_alive(&self, lease: LeaseId) -> bool {
+        self.leases.contains(&lease)
+    }
+
+    /// Ends a lease and deletes its keys.
+    pub fn end(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        let revision = self.next_revision();
+        for record in self.keys.values_mut() {
+            if record.lease == Some(lease) && record.value.is_some() {
+                record.value = None;
+                record.revision = revision;
+            }
+        }
+    }
+
+    fn next_revision(&mut self) -> Revision {
+        self.revision += 1;
+        Revision::new(self.revision)
+    }
+}
