Add the platform stand-in and one conformance test for both stores

Cause: the adapter needs a platform that can be down, slow, stale, over its rate or lose an answer after the write took effect.

Before: the adapter had never spoken to anything.

Left: an idle watch whose caller left is counted as waiting for up to 120 s, because only a write shows that the connection is gone.

--- /dev/null
+++ b/crates/tests/tests/platform/main.rs
@@ -0,0 +1,4 @@
+//! The platform adapter and its fake against one set of expectations.
+
+mod conformance;
+mod faults;
