--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,7 @@
-//! Stand-ins for what geraniumspring doesn't own, for tests and the demo.
+//! Small stand-ins for what the users run, for tests and the demo.
 //!
-//! [`backend`] takes the place of a user's backend server.
+//! [`platform`] takes the place of the platform's key-value service, and
+//! [`backend`] that of a user's backend server.
 
 pub mod backend;
+pub mod platform;
