Add the fleet library and the demo

Cause: promises about a fleet need whole fleets of real processes, started and ended the same way by the demo, experiments and tests.

FleetRun starts a stand-in platform and a node with its backend server for each instance, and ends all of them by process id when dropped. The demo runs both users' deployments side by side, switches presets under load, kills and returns nodes and a backend server, and judges by callers, the backend servers' journals and polled versions.

Ruled out: free ports from the range of outgoing connections, one of which could take a port before its process listens. PR_SET_PDEATHSIG: it follows the thread that started a process, not the rig.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,2 +1,20 @@
-//! Nothing here yet.
-fn main() {}
+//! Demo and experiments with whole fleets.
+
+use std::process::ExitCode;
+
+use clap::Parser;
+use geranium_rig::{RigCommand, RigOptions, demo};
+
+fn main() -> ExitCode {
+    let result = match RigOptions::parse().command {
+        RigCommand::Demo(options) => demo::run_demo(&options),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("geranium-rig: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/rig_error.rs
@@ -0,0 +1,71 @@
+//! Errors of the rig.
+
+use std::{io, path::PathBuf, time::Duration};
+
+use snafu::Snafu;
+
+/// Something that kept a fleet from running.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum RigError {
+    /// A program hasn't been built.
+    #[snafu(display("program {} is missing: build the workspace's binaries", path.display()))]
+    MissingProgram {
+        /// Where it was expected.
+        path: PathBuf,
+    },
+    /// A program can't be started or signalled.
+    #[snafu(display("process {name}: {source}"))]
+    Process {
+        /// The process.
+        name: String,
+        /// The operating system's error.
+        source: io::Error,
+    },
+    /// A file can't be read or written.
+    #[snafu(display("file {}: {source}", path.display()))]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The operating system's error.
+        source: io::Error,
+    },
+    /// The rig was asked to terminate.
+    #[snafu(display("terminated"))]
+    Terminated,
+    /// No port is free.
+    #[snafu(display("no free port on loopback"))]
+    NoPort,
+    /// Something didn't happen in time.
+    #[snafu(display("{what} didn't happen within {} s: {state}", limit.as_secs()))]
+    Timeout {
+        /// What was waited for.
+        what: String,
+        /// How long.
+        limit: Duration,
+        /// How far it got.
+        state: String,
+    },
+    /// The operators' client refused a command.
+    #[snafu(display("geranium-ctl {command}: {answer}"))]
+    Operator {
+        /// The command.
+        command: String,
+        /// What it printed.
+        answer: String,
+    },
+    /// A preset can't be read.
+    #[snafu(display("preset {}: {reason}", path.display()))]
+    Preset {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The load or a journal is unusable.
+    #[snafu(context(false), display("{source}"))]
+    Load {
+        /// What the load tool says.
+        source: geranium_load::LoadError,
+    },
+}
