Answer work of no length without waiting

Cause: a run of 0 ms still waited on the cancellation channel, and the timer's slack stood in every latency measured against the stand-in.

--- a/crates/standins/src/backend/work_wait.rs
+++ b/crates/standins/src/backend/work_wait.rs
@@ -27,6 +27,9 @@
         std::thread::sleep(left.unwrap_or_default().max(work));
         return WorkEnd::Done;
     }
+    if work.is_zero() {
+        return WorkEnd::Done;
+    }
     let finish = Instant::now() + work;
     let until = call
         .deadline
