Check versions in answers, and send hot keys

Cause: polling a node's status every 20 ms can miss a version that it fell back to between two looks.

Each answer names the version that routed it. older_versions finds tries sent after a newer version had arrived from the same node; answers that crossed prove nothing and don't count. The first caller and the others are reported apart, and keys can be skewed like callers.

--- a/crates/load/src/arrival_schedule.rs
+++ b/crates/load/src/arrival_schedule.rs
@@ -17,6 +17,8 @@
     pub entry: usize,
     /// Number of its caller.
     pub caller: u32,
+    /// Number of the key that it touches.
+    pub key: u32,
     /// Index of the target of its first try.
     pub target: usize,
     /// Seed of its content.
@@ -69,11 +71,12 @@
         found.expect("the draw is below the sum of the weights")
     }
 
-    fn pick_caller(&mut self) -> u32 {
-        if self.rng.random_bool(self.plan.hot_share) {
+    /// Picks one of `count`, the first with an extra share of `hot_share`.
+    fn pick_skewed(&mut self, count: u32, hot_share: f64) -> u32 {
+        if self.rng.random_bool(hot_share) {
             return 0;
         }
-        self.rng.random_range(0..self.plan.callers)
+        self.rng.random_range(0..count)
     }
 }
 
@@ -90,7 +93,8 @@
             number: self.number,
             at: self.at,
             entry: self.pick_entry(),
-            caller: self.pick_caller(),
+            caller: self.pick_skewed(self.plan.callers, self.plan.hot_share),
+            key: self.pick_skewed(self.plan.keys, self.plan.hot_key_share),
             target: self.rng.random_range(0..self.plan.targets.len()),
             seed: self.rng.random(),
         };
--- a/crates/load/src/call_sender.rs
+++ b/crates/load/src/call_sender.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    str::FromStr,
     time::{Duration, Instant},
 };
 
@@ -27,6 +28,7 @@
     pub(crate) ticket: Option<&'a str>,
     pub(crate) class: RequestClass,
     pub(crate) caller: &'a str,
+    pub(crate) key: &'a str,
     pub(crate) path: &'a str,
     /// Service to ask for tickets; empty where none is needed.
     pub(crate) service: &'a str,
@@ -40,12 +42,14 @@
 #[derive(Debug)]
 pub(crate) struct CallSender {
     agent: Agent,
+    load_started: Instant,
 }
 
 impl CallSender {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(load_started: Instant) -> Self {
         Self {
             agent: address_agent(),
+            load_started,
         }
     }
 
@@ -62,6 +66,8 @@
             status: None,
             outcome: None,
             code: None,
+            preset_version: None,
+            sent_us: started.duration_since(self.load_started).as_micros() as u64,
             latency_us: 0,
             verdict: AnswerVerdict::Broken,
         };
@@ -115,6 +121,7 @@
         .build()
         .header(headers::REQUEST_ID, &call.request_id)
         .header(headers::CALLER, call.caller)
+        .header(headers::FAIRNESS_KEY, call.key)
         .header(headers::DEADLINE_MS, call.patience.as_millis().to_string());
     match call.ticket {
         Some(ticket) => request.header(headers::TICKET, ticket),
@@ -124,8 +131,9 @@
 
 fn judge(mut answer: Response<Body>, call: &CallTry<'_>, record: &mut TryRecord) {
     record.status = Some(answer.status().as_u16());
-    record.outcome = text(answer.headers(), headers::OUTCOME).and_then(|text| text.parse().ok());
-    record.code = text(answer.headers(), headers::RESULT_CODE).and_then(|text| text.parse().ok());
+    record.outcome = parsed(answer.headers(), headers::OUTCOME);
+    record.code = parsed(answer.headers(), headers::RESULT_CODE);
+    record.preset_version = parsed(answer.headers(), headers::PRESET_VERSION);
     if !answer.status().is_success() {
         // The body is read to its end, so that the connection can be kept.
         answer.body_mut().read_to_vec().ok();
@@ -137,7 +145,7 @@
         };
         return;
     }
-    let replayed = text(answer.headers(), headers::REPLAYED).is_some();
+    let replayed = answer.headers().contains_key(headers::REPLAYED);
     let reader = answer.body_mut().as_reader();
     record.verdict = match call.file {
         Some(file) => file.judge(reader),
@@ -152,8 +160,8 @@
     };
 }
 
-fn text<'a>(head: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    head.get(name)?.to_str().ok()
+fn parsed<T: FromStr>(head: &HeaderMap, name: &str) -> Option<T> {
+    head.get(name)?.to_str().ok()?.parse().ok()
 }
 
 fn is_unreachable(error: &Error) -> bool {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -29,6 +29,7 @@
 mod request_tally;
 mod run_line;
 mod try_record;
+mod version_check;
 
 pub use added_latency::{AddedPlan, AddedReport, measure_added};
 pub use arrival_schedule::{Arrival, ArrivalSchedule};
@@ -44,3 +45,4 @@
 pub use pair_report::{PairReport, SpreadReport};
 pub use run_line::{RunHow, RunLine};
 pub use try_record::{AnswerVerdict, TryRecord};
+pub use version_check::older_versions;
--- a/crates/load/src/load_options.rs
+++ b/crates/load/src/load_options.rs
@@ -60,6 +60,12 @@
     /// Share of the requests that one caller sends besides its even share.
     #[arg(long, default_value_t = 0.0)]
     pub hot_share: f64,
+    /// Number of keys that requests touch.
+    #[arg(long, default_value_t = 1_000)]
+    pub keys: u32,
+    /// Share of the requests that touch one key besides its even share.
+    #[arg(long, default_value_t = 0.0)]
+    pub hot_key_share: f64,
     /// Requests under way at a time at most.
     #[arg(long, default_value_t = 64)]
     pub workers: usize,
@@ -91,6 +97,8 @@
             duration: Duration::from_secs_f64(options.seconds.max(0.0)),
             callers: options.callers,
             hot_share: options.hot_share,
+            keys: options.keys,
+            hot_key_share: options.hot_key_share,
             workers: options.workers,
             patience: Duration::from_millis(options.patience_ms),
             tries: options.tries,
--- a/crates/load/src/load_plan.rs
+++ b/crates/load/src/load_plan.rs
@@ -20,6 +20,11 @@
     /// Share of the requests that come from `caller-0` besides its even
     /// share, from 0 to 1.
     pub hot_share: f64,
+    /// Keys that requests touch, named `key-0` and up.
+    pub keys: u32,
+    /// Share of the requests that touch `key-0` besides its even share, from
+    /// 0 to 1.
+    pub hot_key_share: f64,
     /// Requests under way at a time at most; more wait, and the wait counts.
     pub workers: usize,
     /// Time after which a caller of short requests gives up.
@@ -51,6 +56,8 @@
             duration: Duration::from_secs(10),
             callers: 20,
             hot_share: 0.0,
+            keys: 1_000,
+            hot_key_share: 0.0,
             workers: 64,
             patience: Duration::from_secs(3),
             bulk_patience: Duration::from_secs(30),
@@ -71,14 +78,20 @@
             (weight > 0, "needs a mix with a weight above 0"),
             (self.rate > 0.0, "needs a rate above 0"),
             (self.callers > 0, "needs a caller"),
+            (self.keys > 0, "needs a key"),
             (self.workers > 0, "needs a worker"),
             (self.tries > 0, "needs a try"),
+            (is_share(self.hot_share), "needs a hot share from 0 to 1"),
             (
-                (0.0..=1.0).contains(&self.hot_share),
-                "needs a hot share from 0 to 1",
+                is_share(self.hot_key_share),
+                "needs a hot key share from 0 to 1",
             ),
         ];
         let broken = rules.into_iter().find(|(holds, _)| !holds);
         broken.map_or(Ok(()), |(_, rule)| Err(LoadError::BadPlan { rule }))
     }
 }
+
+fn is_share(value: f64) -> bool {
+    (0.0..=1.0).contains(&value)
+}
--- a/crates/load/src/load_report.rs
+++ b/crates/load/src/load_report.rs
@@ -16,6 +16,10 @@
     pub late_starts: u64,
     /// All classes together.
     pub total: ClassReport,
+    /// The first caller, which sends the hot share.
+    pub first_caller: ClassReport,
+    /// All other callers: what a hot one may not take from them.
+    pub other_callers: ClassReport,
     /// Each class, by name.
     pub classes: BTreeMap<String, ClassReport>,
 }
--- a/crates/load/src/load_run.rs
+++ b/crates/load/src/load_run.rs
@@ -54,7 +54,7 @@
     let started = Instant::now();
     let ended: Vec<EndedRequest> = thread::scope(|scope| {
         let workers: Vec<_> = (0..plan.workers)
-            .map(|_| scope.spawn(|| LoadWorker::new(plan, &run_name).run(&schedule, started)))
+            .map(|_| scope.spawn(|| LoadWorker::new(plan, &run_name, started).run(&schedule)))
             .collect();
         let ended = workers
             .into_iter()
@@ -75,11 +75,18 @@
 fn sum_up(ended: Vec<EndedRequest>, elapsed: Duration) -> LoadOutcome {
     let seconds = elapsed.as_secs_f64();
     let mut total = RequestTally::new();
+    let (mut first_caller, mut other_callers) = (RequestTally::new(), RequestTally::new());
     let mut classes: BTreeMap<String, RequestTally> = BTreeMap::new();
     let mut late_starts = 0;
     let mut tries = Vec::new();
     for (result, records) in ended {
         total.add(&result);
+        let caller = if result.hot {
+            &mut first_caller
+        } else {
+            &mut other_callers
+        };
+        caller.add(&result);
         let class = classes.entry(result.class.to_string());
         class.or_insert_with(RequestTally::new).add(&result);
         late_starts += u64::from(result.late_by > LATE_START);
@@ -92,6 +99,8 @@
         seconds,
         late_starts,
         total: total.report(seconds),
+        first_caller: first_caller.report(seconds),
+        other_callers: other_callers.report(seconds),
         classes: classes.collect(),
     };
     LoadOutcome { report, tries }
--- a/crates/load/src/load_worker.rs
+++ b/crates/load/src/load_worker.rs
@@ -23,15 +23,17 @@
 pub(crate) struct LoadWorker<'a> {
     plan: &'a LoadPlan,
     run_name: &'a str,
+    started: Instant,
     sender: CallSender,
 }
 
 impl<'a> LoadWorker<'a> {
-    pub(crate) fn new(plan: &'a LoadPlan, run_name: &'a str) -> Self {
+    pub(crate) fn new(plan: &'a LoadPlan, run_name: &'a str, started: Instant) -> Self {
         Self {
             plan,
             run_name,
-            sender: CallSender::new(),
+            started,
+            sender: CallSender::new(started),
         }
     }
 
@@ -40,11 +42,7 @@
     }
 
     /// Carries out arrivals until the schedule ends.
-    pub(crate) fn run(
-        &self,
-        schedule: &Mutex<ArrivalSchedule>,
-        started: Instant,
-    ) -> Vec<EndedRequest> {
+    pub(crate) fn run(&self, schedule: &Mutex<ArrivalSchedule>) -> Vec<EndedRequest> {
         let next = || {
             schedule
                 .lock()
@@ -53,7 +51,7 @@
         };
         let mut ended = Vec::new();
         while let Some(arrival) = next() {
-            let intended = started + arrival.at;
+            let intended = self.started + arrival.at;
             thread::sleep(intended.saturating_duration_since(Instant::now()));
             let late_by = intended.elapsed();
             let tries = self.carry_out(arrival);
@@ -82,6 +80,7 @@
     fn carry_out(&self, arrival: Arrival) -> Vec<TryRecord> {
         let entry = &self.plan.mix[arrival.entry];
         let caller = format!("caller-{}", arrival.caller);
+        let key = format!("key-{}", arrival.key);
         let body = format!("order {} of {caller}", arrival.number);
         let file = FileCheck {
             bytes: entry.bytes,
@@ -94,6 +93,7 @@
             ticket: None,
             class: entry.class,
             caller: &caller,
+            key: &key,
             path: &entry.path,
             service: &entry.service,
             body: None,
@@ -152,6 +152,7 @@
         let last = tries.last();
         RequestResult {
             class: self.plan.mix[arrival.entry].class,
+            hot: arrival.caller == 0,
             verdict: last.map(|record| record.verdict),
             code: last.and_then(|record| record.code),
             tries: tries.len(),
--- a/crates/load/src/request_tally.rs
+++ b/crates/load/src/request_tally.rs
@@ -16,6 +16,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct RequestResult {
     pub(crate) class: RequestClass,
+    /// Whether it came from the first caller, which may be a hot one.
+    pub(crate) hot: bool,
     /// Verdict on the last try; `None` when no ticket was to be had.
     pub(crate) verdict: Option<AnswerVerdict>,
     pub(crate) code: Option<u16>,
--- a/crates/load/src/try_record.rs
+++ b/crates/load/src/try_record.rs
@@ -68,6 +68,10 @@
     pub outcome: Option<Outcome>,
     /// Numbered result code that the node states.
     pub code: Option<u16>,
+    /// Version of the preset by which the node routed it.
+    pub preset_version: Option<u64>,
+    /// Microseconds from the start of the load to the send.
+    pub sent_us: u64,
     /// Microseconds from the send to the end of the answer.
     pub latency_us: u64,
     /// What the caller received.
--- a/crates/load/tests/all/journals.rs
+++ b/crates/load/tests/all/journals.rs
@@ -14,6 +14,8 @@
         status: Some(if outcome == Outcome::Ran { 200 } else { 503 }),
         outcome: Some(outcome),
         code: None,
+        preset_version: None,
+        sent_us: 0,
         latency_us: 1,
         verdict: AnswerVerdict::Whole,
     }
--- a/crates/load/tests/all/main.rs
+++ b/crates/load/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod journals;
 mod mixes;
 mod responder;
+mod versions;
--- a/crates/rig/src/demo/demo_report.rs
+++ b/crates/rig/src/demo/demo_report.rs
@@ -23,7 +23,7 @@
     /// Time from the return of killed nodes until they followed the newest
     /// version.
     pub return_convergence: Option<Duration>,
-    /// Sightings of an older version at any node.
+    /// Sightings of an older version at any node, by polling and in answers.
     pub older_versions: u64,
     /// What a node added to kept-alive calls during the load.
     pub added: PairReport,
--- a/crates/rig/src/demo/deployment_demo.rs
+++ b/crates/rig/src/demo/deployment_demo.rs
@@ -9,7 +9,7 @@
 
 use geranium_load::{
     AddedPlan, AddedReport, LoadOutcome, LoadPlan, MixEntry, check_journals, measure_added,
-    run_load,
+    older_versions, run_load,
 };
 use geranium_model::RequestClass;
 use geranium_standins::backend::termination_requested;
@@ -181,13 +181,14 @@
         watch: &StatusWatch,
         added: AddedReport,
     ) -> Result<DeploymentReport, RigError> {
+        let seen_by_callers = older_versions(&outcome.tries).len() as u64;
         Ok(DeploymentReport {
             findings: check_journals(&outcome.tries, &self.fleet.journals()?),
             name: self.layout.name,
             load: outcome.report.clone(),
             convergence,
             return_convergence,
-            older_versions: watch.findings().older_versions,
+            older_versions: watch.findings().older_versions + seen_by_callers,
             added: added.kept_alive,
         })
     }
