Serve a request end to end through separate processes

tiny_http isn't used on the callers' port: it holds a thread for each slow connection and ends a broken body as if it were whole.

--- /dev/null
+++ b/crates/node/src/callers/request_flow.rs
@@ -0,0 +1,400 @@
+//! A caller's request from its arrival to its final answer.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use geranium_decisions::{
+    once::{OnceTicket, RoutingDecision, TicketHistory, TicketRouting},
+    picking::{BackendKey, PickReport, PickResult},
+    poison::fingerprint,
+    retry::{HopDeadline, RetryCase, RetryDecision, RetryRule},
+};
+use geranium_model::{MemberRow, Outcome, PresetVersion, ResultCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Request, Response, body::Incoming, http::request::Parts};
+
+use super::{
+    attempt,
+    caller_answer::{AnswerMarks, passed_on, refused},
+    caller_request::CallerRequest,
+    front_state::FrontState,
+    part_body::PartBody,
+    stream_fetch,
+    ticket_flow::{self, TICKETS_PATH},
+};
+use crate::{
+    link::LinkError,
+    wire::{AnswerHead, BodyPart, PeerAnswer, PeerQuestion, PeerRequest, Refusal},
+};
+
+/// Advice while the node has no preset yet; it usually has one in a second.
+const NOT_READY_RETRY_MS: u32 = 1_000;
+/// Advice after a node could not be reached: by then its neighbours know.
+const UNREACHABLE_RETRY_MS: u32 = 500;
+
+/// Least time worth a retry: a try that can't be answered in it only adds load.
+const RETRY_TIME_MIN: Duration = Duration::from_millis(10);
+
+/// Limits on one request.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestLimits {
+    /// Largest body in bytes.
+    pub body_bytes_max: usize,
+    /// Time for the body to arrive.
+    pub body_timeout: Duration,
+}
+
+/// Answers one request.
+pub async fn answer(
+    state: Rc<FrontState>,
+    limits: RequestLimits,
+    request: Request<Incoming>,
+    peer: SocketAddr,
+) -> Response<PartBody> {
+    state.absorb_events();
+    let (parts, incoming) = request.into_parts();
+    let mut marks = AnswerMarks {
+        request_id: String::new(),
+        version: PresetVersion::NONE,
+        served_by: None,
+        leaving: state.is_leaving(),
+    };
+    let Some((version, preset)) = state.preset() else {
+        return refused(
+            Refusal::not_run(ResultCode::NotReady, NOT_READY_RETRY_MS),
+            &marks,
+        );
+    };
+    marks.version = version;
+    if parts.uri.path() == TICKETS_PATH {
+        return ticket_flow::mint(&state, &parts, peer, &marks).await;
+    }
+    let request = match CallerRequest::check(&parts, &preset, peer) {
+        Ok(request) => request,
+        Err(code) => return refused(Refusal::not_run(code, 0), &marks),
+    };
+    marks.request_id.clone_from(&request.request_id);
+    let body = match whole_body(&parts, incoming, limits).await {
+        Ok(body) => body,
+        Err(code) => return refused(Refusal::not_run(code, 0), &marks),
+    };
+    let flow = RequestFlow {
+        state: &state,
+        request: &request,
+        version,
+    };
+    let response = flow.run(body, &mut marks).await;
+    record(&state, &request, &response);
+    response
+}
+
+async fn whole_body(
+    parts: &Parts,
+    incoming: Incoming,
+    limits: RequestLimits,
+) -> Result<Bytes, ResultCode> {
+    let named = parts.headers.get(hyper::header::CONTENT_LENGTH);
+    let named: Option<usize> = named.and_then(|value| value.to_str().ok()?.parse().ok());
+    if named.is_some_and(|length| length > limits.body_bytes_max) {
+        return Err(ResultCode::BodyTooLarge);
+    }
+    let collected = Limited::new(incoming, limits.body_bytes_max).collect();
+    match tokio::time::timeout(limits.body_timeout, collected).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(ResultCode::BodyTooLarge)
+        }
+        Ok(Err(_)) => Err(ResultCode::BadRequest),
+        Err(_elapsed) => Err(ResultCode::RequestTimeout),
+    }
+}
+
+fn record(state: &FrontState, request: &CallerRequest, response: &Response<PartBody>) {
+    let header = |name: &str| response.headers().get(name)?.to_str().ok();
+    let outcome = header(geranium_model::headers::OUTCOME).and_then(|text| text.parse().ok());
+    let code = header(geranium_model::headers::RESULT_CODE)
+        .and_then(|text| ResultCode::from_repr(text.parse().ok()?));
+    state.metrics.request(
+        &request.service,
+        request.class,
+        code.unwrap_or(ResultCode::Ok),
+        outcome.unwrap_or(Outcome::MaybeRun),
+        response.status().as_u16(),
+        request.arrived.elapsed(),
+    );
+}
+
+/// How one try ended.
+enum TryEnd {
+    Answered(AnswerHead, BodyPart),
+    Refused(Refusal),
+}
+
+struct RequestFlow<'a> {
+    state: &'a Rc<FrontState>,
+    request: &'a CallerRequest,
+    version: PresetVersion,
+}
+
+impl RequestFlow<'_> {
+    async fn run(&self, body: Bytes, marks: &mut AnswerMarks) -> Response<PartBody> {
+        match &self.request.ticket {
+            Some(ticket) => self.run_once(ticket, body, marks).await,
+            None => self.run_repeatable(body, marks).await,
+        }
+    }
+
+    /// Sends a request with a ticket to the one node that may run it.
+    async fn run_once(
+        &self,
+        text: &str,
+        body: Bytes,
+        marks: &mut AnswerMarks,
+    ) -> Response<PartBody> {
+        let Ok(ticket) = text.parse::<OnceTicket>() else {
+            return refused(Refusal::not_run(ResultCode::BadTicket, 0), marks);
+        };
+        let row = self.state.member(&ticket.owner().instance);
+        let service = &self.request.service;
+        let history = TicketHistory::Unknown;
+        let decision = TicketRouting.decide(&ticket, service, row.as_ref(), history);
+        let (code, outcome, retry_after_ms) = match decision {
+            RoutingDecision::Send => (ResultCode::Ok, Outcome::MaybeRun, 0),
+            RoutingDecision::Final { code, outcome } => (code, outcome, 0),
+            RoutingDecision::AskAgain { code, outcome } => (code, outcome, UNREACHABLE_RETRY_MS),
+        };
+        let (RoutingDecision::Send, Some(target)) = (decision, row) else {
+            return refused(
+                Refusal {
+                    code,
+                    outcome,
+                    retry_after_ms,
+                },
+                marks,
+            );
+        };
+        let key = self.state.key_of(&target.instance);
+        self.state.metrics.attempt(false);
+        let end = match self.try_at(key, &target, &body, marks).await {
+            TryEnd::Refused(refusal) => TryEnd::Refused(unsure(refusal)),
+            answered @ TryEnd::Answered(..) => answered,
+        };
+        self.finish(end, &target, marks)
+    }
+
+    async fn run_repeatable(&self, body: Bytes, marks: &mut AnswerMarks) -> Response<PartBody> {
+        let mut tried: Vec<BackendKey> = Vec::new();
+        loop {
+            let picked = self.state.pick(&self.request.service, &tried);
+            let (key, target) = match picked {
+                Ok(picked) => picked,
+                Err(code) => {
+                    let refusal = Refusal::not_run(code, UNREACHABLE_RETRY_MS);
+                    return refused(refusal, marks);
+                }
+            };
+            self.state.metrics.attempt(!tried.is_empty());
+            let end = self.try_at(Some(key), &target, &body, marks).await;
+            let refusal = match &end {
+                TryEnd::Refused(refusal) => *refusal,
+                TryEnd::Answered(..) => return self.finish(end, &target, marks),
+            };
+            tried.push(key);
+            match self.retry(refusal, &tried) {
+                Some(after) => tokio::time::sleep(after).await,
+                None => return refused(refusal, marks),
+            }
+        }
+    }
+
+    fn retry(&self, refusal: Refusal, tries: &[BackendKey]) -> Option<Duration> {
+        let expected = RETRY_TIME_MIN;
+        let case = RetryCase {
+            outcome: refusal.outcome,
+            idempotent: self.request.is_idempotent(),
+            hops: self.request.hops - 1,
+            tries: tries.len() as u8,
+            // A request that was running when its backend server broke may be
+            // what broke it: sent on, it would take the next one down.
+            suspect: refusal.code == ResultCode::BackendBroke,
+            untried: self.state.pick(&self.request.service, tries).is_ok(),
+            left: self
+                .request
+                .deadline
+                .saturating_duration_since(Instant::now()),
+            expected,
+        };
+        let decision = self
+            .state
+            .with_budget(&self.request.service, |budget, rng| {
+                RetryRule.decide(&case, budget, rng)
+            })?;
+        match decision {
+            RetryDecision::Retry { after } => Some(after),
+            RetryDecision::Final => None,
+        }
+    }
+
+    async fn try_at(
+        &self,
+        key: Option<BackendKey>,
+        target: &MemberRow,
+        body: &Bytes,
+        marks: &mut AnswerMarks,
+    ) -> TryEnd {
+        marks.served_by = Some(target.instance.to_string());
+        let left = self
+            .request
+            .deadline
+            .saturating_duration_since(Instant::now());
+        let Some(next) = HopDeadline::new(left).next_hop(Duration::ZERO) else {
+            return TryEnd::Refused(Refusal::not_run(ResultCode::DeadlineBeforeRun, 0));
+        };
+        let left = next.left();
+        let question = PeerQuestion::Run(Box::new(self.peer_request(left, body)));
+        let started = Instant::now();
+        if let Some(key) = key {
+            self.state.sent(key);
+        }
+        let mut done = DoneOnDrop {
+            state: self.state,
+            key,
+            started,
+            report: None,
+        };
+        let answer = attempt::ask(self.state, target, question, started + left).await;
+        let (end, report) = judge(answer, started.elapsed());
+        done.report = Some(report);
+        drop(done);
+        if matches!(end, TryEnd::Answered(..)) {
+            self.state
+                .with_budget(&self.request.service, |budget, _| budget.succeeded());
+        }
+        end
+    }
+
+    fn peer_request(&self, left: Duration, body: &Bytes) -> PeerRequest {
+        let request = self.request;
+        let ticket = request.ticket.as_deref();
+        PeerRequest {
+            request_id: request.request_id.clone(),
+            from: self.state.own.clone(),
+            version: self.version,
+            service: request.service.clone(),
+            class: request.class,
+            deadline_ms: left.as_millis() as u32,
+            hops: request.hops,
+            caller: request.caller,
+            key: request.key,
+            ticket: request.ticket.clone(),
+            fingerprint: fingerprint(request.method.as_str(), &request.path, ticket, body),
+            method: request.method.as_str().to_owned(),
+            path: request.path.clone(),
+            headers: request.headers.clone(),
+            body: body.to_vec(),
+        }
+    }
+
+    fn finish(&self, end: TryEnd, target: &MemberRow, marks: &AnswerMarks) -> Response<PartBody> {
+        match end {
+            TryEnd::Refused(refusal) => refused(refusal, marks),
+            TryEnd::Answered(head, part) => {
+                let body = stream_fetch::body(self.state, target, &head, part);
+                match body {
+                    Some(body) => passed_on(&head, body, marks),
+                    None => refused(Refusal::maybe_run(ResultCode::AnswerBroken), marks),
+                }
+            }
+        }
+    }
+}
+
+/// Takes back "not run" where only this copy of a ticket is known of.
+///
+/// A caller may have sent the same ticket through another node before. Only
+/// the ticket's owner can say that none of the copies ran or ever will; what
+/// this node found out about its own copy proves less.
+const fn unsure(refusal: Refusal) -> Refusal {
+    let own_finding = matches!(
+        refusal.code,
+        ResultCode::NodeUnreachable | ResultCode::DeadlineBeforeRun
+    );
+    if own_finding {
+        Refusal {
+            outcome: Outcome::MaybeRun,
+            ..refusal
+        }
+    } else {
+        refusal
+    }
+}
+
+/// Reports a try to the picker even when its caller left in the middle.
+struct DoneOnDrop<'a> {
+    state: &'a FrontState,
+    key: Option<BackendKey>,
+    started: Instant,
+    report: Option<PickReport>,
+}
+
+impl Drop for DoneOnDrop<'_> {
+    fn drop(&mut self) {
+        // A caller that gave up says as much about the server as a timeout.
+        let cancelled = PickReport {
+            latency: self.started.elapsed(),
+            result: PickResult::TimedOut,
+            load: None,
+        };
+        if let Some(key) = self.key {
+            self.state
+                .done(key, self.report.take().unwrap_or(cancelled));
+        }
+    }
+}
+
+fn judge(answer: Result<PeerAnswer, LinkError>, latency: Duration) -> (TryEnd, PickReport) {
+    let mut load = None;
+    let (end, result) = match answer {
+        Ok(PeerAnswer::Answered { head, part }) => {
+            load = head.load;
+            (TryEnd::Answered(head, part), PickResult::Answered)
+        }
+        Ok(PeerAnswer::Refused(refusal)) => (TryEnd::Refused(refusal), refused_result(refusal)),
+        Ok(_) | Err(LinkError::Broke) => (
+            TryEnd::Refused(Refusal::maybe_run(ResultCode::NodeBroke)),
+            PickResult::Broke,
+        ),
+        Err(LinkError::NotSent) => {
+            let refusal = Refusal::not_run(ResultCode::NodeUnreachable, UNREACHABLE_RETRY_MS);
+            (TryEnd::Refused(refusal), PickResult::Unreachable)
+        }
+        Err(LinkError::TimedOut) => {
+            let refusal = Refusal::maybe_run(ResultCode::DeadlineWhileRunning);
+            (TryEnd::Refused(refusal), PickResult::TimedOut)
+        }
+    };
+    (
+        end,
+        PickReport {
+            latency,
+            result,
+            load,
+        },
+    )
+}
+
+fn refused_result(refusal: Refusal) -> PickResult {
+    match refusal.code {
+        ResultCode::DeadlineWhileRunning => PickResult::TimedOut,
+        ResultCode::BackendBroke | ResultCode::NodeBroke => PickResult::Broke,
+        ResultCode::NoBackend => PickResult::Unreachable,
+        _ => {
+            let retry_after = Duration::from_millis(u64::from(refusal.retry_after_ms));
+            PickResult::Refused { retry_after }
+        }
+    }
+}
