--- a/crates/decisions/src/once/ledger_verdict.rs
+++ b/crates/decisions/src/once/ledger_verdict.rs
@@ -19,6 +19,8 @@
     RanAnswerDropped,
     /// It was handed to the backend server and broke off; it never runs again.
     MaybeRan,
+    /// It never ran and never will: an earlier copy was answered "not run".
+    Retired,
     /// It is refused.
     Refuse(ResultCode),
 }
@@ -26,15 +28,14 @@
 impl LedgerVerdict {
     /// Returns what may be said about the request as a whole.
     ///
-    /// Guards against "not run" for a request that ran under the same ticket
-    /// and was forgotten since: a caller would order again. Only a refusal
-    /// that proves there was no run says so.
+    /// "Not run" holds for good, also against copies still on their way:
+    /// callers answer it with a new ticket. A ledger without room for a record
+    /// can't promise that, so its refusal leaves the question open and the
+    /// caller asks again with the same ticket.
     pub const fn outcome(&self) -> Outcome {
         match self {
             Self::Replay(_) | Self::RanAnswerDropped => Outcome::Ran,
-            Self::Refuse(
-                ResultCode::TicketReused | ResultCode::QueueFull | ResultCode::CallerOverShare,
-            ) => Outcome::NotRun,
+            Self::Retired | Self::Refuse(ResultCode::TicketReused) => Outcome::NotRun,
             Self::Run(_) | Self::Running | Self::MaybeRan | Self::Refuse(_) => Outcome::MaybeRun,
         }
     }
--- a/crates/decisions/src/once/ticket_ledger.rs
+++ b/crates/decisions/src/once/ticket_ledger.rs
@@ -51,7 +51,6 @@
     seal: Option<TicketSeal>,
     next_sequence: u64,
     latest: Duration,
-    forgotten_below: u64,
     records: BTreeMap<u64, TicketRecord>,
     per_caller: HashMap<CallerTag, usize>,
     answers: AnswerStore,
@@ -66,7 +65,6 @@
             seal: None,
             next_sequence: 0,
             latest: Duration::ZERO,
-            forgotten_below: 0,
             records: BTreeMap::new(),
             per_caller: HashMap::new(),
             answers: AnswerStore::default(),
@@ -96,9 +94,6 @@
             return LedgerVerdict::Refuse(code);
         }
         let sequence = ticket.sequence;
-        if sequence < self.forgotten_below {
-            return LedgerVerdict::Refuse(ResultCode::TicketExpired);
-        }
         match self.records.get(&sequence) {
             Some(record) if record.fingerprint != fingerprint => {
                 LedgerVerdict::Refuse(ResultCode::TicketReused)
@@ -108,22 +103,33 @@
         }
     }
 
-    /// Notes that an attempt is proved not to have run.
+    /// Notes that an attempt is proved not to have run, for another attempt.
     ///
-    /// The ticket may then be admitted again.
+    /// The ticket may be admitted again, so the caller must not be told "not
+    /// run"; for that there is [`TicketLedger::retire`].
     pub fn not_run(&mut self, run: RunKey) {
-        if let Some(record) = self.attempt_of(run)
-            && record.state == RecordState::Running
-        {
-            record.state = RecordState::NotRun;
-        }
+        self.give_back(run, RecordState::NotRun);
+    }
+
+    /// Notes that an attempt is proved not to have run, and ends the ticket.
+    ///
+    /// Guards against a second copy that is held up in a frozen node: the
+    /// caller was told "not run" and ordered anew, then the copy arrives and
+    /// would run as well. Reports whether the caller may be told "not run".
+    pub fn retire(&mut self, run: RunKey) -> bool {
+        self.give_back(run, RecordState::Retired)
+    }
+
+    fn give_back(&mut self, run: RunKey, state: RecordState) -> bool {
+        let record = self.attempt_of(run);
+        let running = record.filter(|record| record.state == RecordState::Running);
+        running.map(|record| record.state = state).is_some()
     }
 
     /// Notes a whole answer.
     ///
-    /// An answer that comes after [`TicketLedger::broke`] or even after
-    /// [`TicketLedger::not_run`] counts, as long as no later attempt began: it
-    /// shows that the attempt ran.
+    /// An answer that comes after [`TicketLedger::broke`] counts: it shows that
+    /// the attempt ran.
     pub fn finished(&mut self, run: RunKey, answer: StoredAnswer) {
         if let Some(record) = self.attempt_of(run)
             && record.state != RecordState::Ran
@@ -175,7 +181,6 @@
     }
 
     fn forget(&mut self, sequence: u64, record: TicketRecord) {
-        self.forgotten_below = sequence + 1;
         self.answers.drop_answer(sequence);
         if let Some(count) = self.per_caller.get_mut(&record.caller) {
             *count -= 1;
@@ -211,6 +216,7 @@
                 LedgerVerdict::Refuse(ResultCode::TicketExpired)
             }
             RecordState::NotRun => LedgerVerdict::Run(record.begin(sequence)),
+            RecordState::Retired => LedgerVerdict::Retired,
             RecordState::Running => LedgerVerdict::Running,
             RecordState::Broke => LedgerVerdict::MaybeRan,
             RecordState::Ran => match self.answers.get(sequence) {
@@ -221,6 +227,9 @@
     }
 
     fn first_use(&mut self, now: Duration, ticket: &OnceTicket, fingerprint: u64) -> LedgerVerdict {
+        // Guards against a second run of a ticket whose record is forgotten. A
+        // record outlives this age, and `latest` never goes back, so a ticket
+        // without a record was never used.
         if too_old(now, ticket.minted_ms, &self.settings) {
             return LedgerVerdict::Refuse(ResultCode::TicketExpired);
         }
--- a/crates/decisions/src/once/ticket_record.rs
+++ b/crates/decisions/src/once/ticket_record.rs
@@ -5,8 +5,10 @@
 /// Progress of a ticket's request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RecordState {
-    /// Every attempt so far is proved not to have run.
+    /// Every attempt so far is proved not to have run; another may.
     NotRun,
+    /// The caller was told that it did not run, so it never may.
+    Retired,
     /// An attempt was handed to the backend server.
     Running,
     /// It was answered; the answer store may hold the answer.
--- a/crates/decisions/src/once/ticket_routing.rs
+++ b/crates/decisions/src/once/ticket_routing.rs
@@ -7,9 +7,11 @@
 /// What the sending node knows of a ticket's past.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TicketHistory {
-    /// This node took the ticket for this very request: nobody sent it yet.
+    /// This node took the ticket for this very request, gave it to nobody, and
+    /// has sent no byte of the request anywhere.
     FreshHere,
-    /// A caller brought it: another node may have sent it before.
+    /// A caller brought it, so that another node may have sent a copy, or this
+    /// node has sent a byte.
     Unknown,
 }
 
