End a ticket whenever its request is refused

The caller who hears "not run" orders anew with another ticket, so a copy of the old one that is held up anywhere must never run. Refused requests keep the identifier that their caller gave.

--- a/crates/node/src/callers/caller_request.rs
+++ b/crates/node/src/callers/caller_request.rs
@@ -104,6 +104,15 @@
     )
 }
 
+/// Returns the identifier that the caller gave, or nothing.
+pub fn named_request_id(map: &HeaderMap) -> String {
+    text(map, headers::REQUEST_ID)
+        .ok()
+        .flatten()
+        .unwrap_or_default()
+        .to_owned()
+}
+
 fn is_repeatable(method: &Method) -> bool {
     matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS)
 }
--- a/crates/node/src/callers/request_flow.rs
+++ b/crates/node/src/callers/request_flow.rs
@@ -20,7 +20,7 @@
 use super::{
     attempt,
     caller_answer::{AnswerMarks, passed_on, refused},
-    caller_request::CallerRequest,
+    caller_request::{CallerRequest, named_request_id},
     front_state::FrontState,
     part_body::PartBody,
     stream_fetch,
@@ -75,7 +75,10 @@
     }
     let request = match CallerRequest::check(&parts, &preset, peer) {
         Ok(request) => request,
-        Err(code) => return refused(Refusal::not_run(code, 0), &marks),
+        Err(code) => {
+            marks.request_id = named_request_id(&parts.headers);
+            return refused(Refusal::not_run(code, 0), &marks);
+        }
     };
     marks.request_id.clone_from(&request.request_id);
     let body = match whole_body(&parts, incoming, limits).await {
--- a/crates/node/src/guard/guard_loop.rs
+++ b/crates/node/src/guard/guard_loop.rs
@@ -297,6 +297,7 @@
             LedgerVerdict::Replay(answer) => return Err(TicketStop::Answer(replay(&answer))),
             LedgerVerdict::RanAnswerDropped => ResultCode::AnswerBroken,
             LedgerVerdict::MaybeRan => ResultCode::BackendBroke,
+            LedgerVerdict::Retired => ResultCode::TicketExpired,
             LedgerVerdict::Refuse(code) => code,
         };
         let refusal = Refusal {
@@ -422,8 +423,12 @@
     /// copy of this request that is held up somewhere must not run after that,
     /// so the ticket is dead from here on.
     fn retire(&mut self, ticket: HeldTicket, refusal: Refusal) -> Refusal {
-        self.ledger.not_run(ticket.run);
-        let outcome = Outcome::MaybeRun;
+        let dead = self.ledger.retire(ticket.run);
+        let outcome = if dead {
+            Outcome::NotRun
+        } else {
+            Outcome::MaybeRun
+        };
         let refusal = Refusal { outcome, ..refusal };
         self.answer_joined(ticket.sequence, &PeerAnswer::Refused(refusal));
         refusal
