--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,7 @@
-//! Nothing here yet.
+//! Small stand-ins for what the users run, for tests and the demo.
+//!
+//! [`platform`] takes the place of the platform's key-value service, and
+//! [`backend`] that of a user's backend server.
+
+pub mod backend;
+pub mod platform;
