--- a/crates/decisions/src/admission/fair_lane.rs
+++ b/crates/decisions/src/admission/fair_lane.rs
@@ -9,7 +9,8 @@
 //! The rule is start-time fair queueing: a job's tag is the virtual time at
 //! which it would start if its caller (and its key) had a server of their own,
 //! and the lowest tag runs first. A party alone gets everything; parties in
-//! competition get equal service time, and none pays for what was lent to it.
+//! competition get equal service time. When nobody waits all accounts are even
+//! again: what a party took then was lent to it, and it doesn't pay later.
 //! On top of that a job whose caller or key already holds its share of the
 //! slots stands back while another below its share waits: long jobs are charged
 //! in full only when they end, and until then only the slots show what they
@@ -39,6 +40,13 @@
     pub key: Option<PartyKey>,
 }
 
+/// Who asks for a queue place; nobody, where the queue only shrinks.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct PlaceClaim {
+    pub caller: Option<PartyKey>,
+    pub key: Option<PartyKey>,
+}
+
 /// Jobs that wait in fair order, and what their callers and keys hold.
 #[derive(Debug, Default)]
 pub(super) struct FairLane {
@@ -47,6 +55,10 @@
     pub callers: ShareLedger,
     pub keys: ShareLedger,
     virtual_time: u64,
+    /// Latest virtual time to which anyone was charged.
+    charged_to: u64,
+    /// Jobs without a key that wait or run.
+    keyless: u32,
     /// Jobs of this lane that run.
     pub running: u32,
 }
@@ -82,11 +94,15 @@
 
     /// Puts a job in line and charges its caller and key for `cost`.
     pub fn push(&mut self, place: LinePlace, cost: u64) {
-        self.callers.charge(place.caller, cost, self.virtual_time);
+        let charged_to = self.callers.charge(place.caller, cost, self.virtual_time);
+        self.charged_to = self.charged_to.max(charged_to);
         self.callers.begin_wait(place.caller);
         if let Some(key) = place.key {
-            self.keys.charge(key, cost, self.virtual_time);
+            let charged_to = self.keys.charge(key, cost, self.virtual_time);
+            self.charged_to = self.charged_to.max(charged_to);
             self.keys.begin_wait(key);
+        } else {
+            self.keyless += 1;
         }
         let at = self.position(place.tag, place.seq);
         self.line.insert(at, place);
@@ -130,35 +146,57 @@
         self.callers.begin_run(caller);
         if let Some(key) = key {
             self.keys.begin_run(key);
+        } else {
+            self.keyless += 1;
         }
     }
 
     /// Ends a run that was charged `charged` and took `spent` microseconds.
     pub fn end_run(&mut self, caller: PartyKey, key: Option<PartyKey>, charged: u64, spent: u64) {
         self.running -= 1;
-        self.callers.settle(caller, charged, spent);
+        let charged_to = self.callers.settle(caller, charged, spent);
+        self.charged_to = self.charged_to.max(charged_to);
         self.callers.end_run(caller);
         if let Some(key) = key {
-            self.keys.settle(key, charged, spent);
+            let charged_to = self.keys.settle(key, charged, spent);
+            self.charged_to = self.charged_to.max(charged_to);
             self.keys.end_run(key);
+        } else {
+            self.keyless -= 1;
         }
     }
 
-    /// Returns the last job in line of the caller, or else the key, that holds
-    /// most places and more than both its share and `floor`.
-    pub fn excess_job(&self, places: usize, floor: usize) -> Option<JobKey> {
-        let most = self.callers.most_waiting();
-        if most > self.callers.share_of(places, 0).max(floor) {
-            let holds_most = |place: &&LinePlace| self.callers.waiting(place.caller) == most;
-            return self.line.iter().find(holds_most).map(|place| place.job);
+    /// Returns the job whose place `claim` has a better right to: the last in
+    /// line of the caller or key that is furthest over its share.
+    ///
+    /// It holds more than its share, and the newcomer wouldn't be as far over
+    /// its own by caller or key.
+    pub fn excess_job(&self, claim: PlaceClaim) -> Option<JobKey> {
+        let callers = self.callers.sharers(claim.caller);
+        let keys = self.key_sharers(claim.key);
+        let caller_excess = self.callers.most_waiting() * callers;
+        let key_excess = self.keys.most_waiting() * keys;
+        let claimed = self
+            .callers
+            .claim(claim.caller, callers)
+            .max(self.keys.claim(claim.key, keys));
+        if caller_excess.max(key_excess) <= claimed.max(self.len()) {
+            return None;
         }
-        let most = self.keys.most_waiting();
-        if most > self.keys.share_of(places, 0).max(floor) && self.keys.active() > 1 {
-            let holds_most =
-                |place: &&LinePlace| place.key.is_some_and(|key| self.keys.waiting(key) == most);
-            return self.line.iter().find(holds_most).map(|place| place.job);
+        if caller_excess >= key_excess {
+            return self.last_where(|place| self.callers.holds_most(place.caller));
         }
-        None
+        self.last_where(|place| place.key.is_some_and(|key| self.keys.holds_most(key)))
+    }
+
+    /// Reports whether the newcomer would be over its share of the places by
+    /// caller or key, while others wait or run.
+    pub fn is_over_share(&self, claim: PlaceClaim) -> bool {
+        let callers = self.callers.sharers(claim.caller);
+        let keys = self.key_sharers(claim.key);
+        let by_caller = callers > 1 && self.callers.claim(claim.caller, callers) > self.len();
+        let by_key = keys > 1 && self.keys.claim(claim.key, keys) > self.len();
+        by_caller || by_key
     }
 
     /// Returns the job that stands last in fair order.
@@ -166,10 +204,21 @@
         self.line.first().map(|place| place.job)
     }
 
+    /// Counts those who share by key; all work without a key is one of them,
+    /// and the only one that isn't held to its share.
+    fn key_sharers(&self, newcomer: Option<PartyKey>) -> usize {
+        self.keys.sharers(newcomer) + usize::from(self.keyless > 0)
+    }
+
+    fn last_where(&self, wanted: impl Fn(&LinePlace) -> bool) -> Option<JobKey> {
+        let place = self.line.iter().find(|place| wanted(place));
+        place.map(|place| place.job)
+    }
+
     fn next_index(&self, slots: usize) -> Option<usize> {
         let front = self.line.len().checked_sub(1)?;
-        let caller_share = self.callers.share_of(slots, 0) as u32;
-        let key_share = self.keys.share_of(slots, 0) as u32;
+        let caller_share = slots.div_ceil(self.callers.sharers(None).max(1)) as u32;
+        let key_share = slots.div_ceil(self.key_sharers(None).max(1)) as u32;
         let below_share = |place: &LinePlace| {
             let key_fits = place
                 .key
@@ -190,6 +239,11 @@
         self.callers.end_wait(place.caller);
         if let Some(key) = place.key {
             self.keys.end_wait(key);
+        } else {
+            self.keyless -= 1;
+        }
+        if self.line.is_empty() {
+            self.virtual_time = self.virtual_time.max(self.charged_to);
         }
         place
     }
--- a/crates/decisions/src/admission/mod.rs
+++ b/crates/decisions/src/admission/mod.rs
@@ -23,12 +23,16 @@
 mod job_lane;
 mod job_offer;
 mod job_report;
+mod limit_window;
 mod name_hasher;
 mod service_baseline;
 mod service_estimate;
 mod share_ledger;
 mod slot_limit;
 
+use geranium_model::RequestClass;
+use strum::VariantArray;
+
 pub use admission_error::AdmissionError;
 pub use admission_settings::{AdmissionInput, AdmissionSettings};
 pub use gate::AdmissionGate;
@@ -37,3 +41,6 @@
 pub use job_cancel::JobCancel;
 pub use job_offer::{JobId, JobOffer};
 pub use job_report::{JobEnd, JobReport};
+
+/// How many classes of requests there are.
+const CLASSES: usize = <RequestClass as VariantArray>::VARIANTS.len();
--- a/crates/decisions/src/admission/share_ledger.rs
+++ b/crates/decisions/src/admission/share_ledger.rs
@@ -72,10 +72,12 @@
         self.party(key).charged_to.max(virtual_time)
     }
 
-    /// Charges the party for a job that starts at its start tag.
-    pub fn charge(&mut self, key: PartyKey, cost: u64, virtual_time: u64) {
-        let start = self.start_tag(key, virtual_time);
-        self.party_mut(key).charged_to = start + cost;
+    /// Charges the party for a job that starts at its start tag, and returns
+    /// the virtual time up to which it is charged.
+    pub fn charge(&mut self, key: PartyKey, cost: u64, virtual_time: u64) -> u64 {
+        let charged_to = self.start_tag(key, virtual_time) + cost;
+        self.party_mut(key).charged_to = charged_to;
+        charged_to
     }
 
     /// Takes a charge back, because the job won't run.
@@ -84,10 +86,12 @@
         party.charged_to = party.charged_to.saturating_sub(cost);
     }
 
-    /// Replaces the expected cost of a job by what it took.
-    pub fn settle(&mut self, key: PartyKey, charged: u64, spent: u64) {
+    /// Replaces the expected cost of a job by what it took, and returns the
+    /// virtual time up to which the party is charged.
+    pub fn settle(&mut self, key: PartyKey, charged: u64, spent: u64) -> u64 {
         let party = self.party_mut(key);
         party.charged_to = (party.charged_to + spent).saturating_sub(charged);
+        party.charged_to
     }
 
     pub fn begin_wait(&mut self, key: PartyKey) {
@@ -121,21 +125,26 @@
         self.most_waiting
     }
 
-    /// Returns a party's fair share of `whole`, rounded up, when `extra`
-    /// parties join those that wait or run.
-    pub fn share_of(&self, whole: usize, extra: usize) -> usize {
-        whole.div_ceil((self.active as usize + extra).max(1))
+    /// Returns what the newcomer would hold, times those who share, for
+    /// comparison with the number of places.
+    pub fn claim(&self, newcomer: Option<PartyKey>, sharers: usize) -> usize {
+        newcomer.map_or(0, |key| (self.waiting(key) + 1) * sharers)
     }
 
-    /// Reports whether the party neither waits nor runs.
-    pub fn is_idle(&self, key: PartyKey) -> bool {
-        let party = self.party(key);
-        party.waiting == 0 && party.running == 0
+    /// Reports whether no party has more jobs waiting.
+    pub fn holds_most(&self, key: PartyKey) -> bool {
+        self.waiting(key) == self.most_waiting
+    }
+
+    /// Counts the parties that wait or run, and the newcomer.
+    pub fn sharers(&self, newcomer: Option<PartyKey>) -> usize {
+        let joins = newcomer.is_some_and(|key| self.is_idle(key));
+        self.active as usize + usize::from(joins)
     }
 
-    /// Returns how many parties wait or run.
-    pub fn active(&self) -> usize {
-        self.active as usize
+    fn is_idle(&self, key: PartyKey) -> bool {
+        let party = self.party(key);
+        party.waiting == 0 && party.running == 0
     }
 
     fn shift_waiting(&mut self, key: PartyKey, step: i32) {
