--- a/crates/rig/src/backend_pair.rs
+++ b/crates/rig/src/backend_pair.rs
@@ -1,13 +1,10 @@
 //! A node and the backend server beside it.
 
-use std::{
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    process::Command,
-};
+use std::{net::SocketAddr, path::PathBuf, process::Command};
 
 use crate::{
     ChildProcess, DeploymentLayout, FreePorts, NodeStatus, ProcessSignal, ProgramPaths, RigError,
+    pair_place::PairPlace,
 };
 
 /// Addresses of one instance's two processes.
@@ -78,10 +75,9 @@
         layout: &DeploymentLayout,
         (service, instance, data_centre): (&str, String, &str),
         addresses: PairAddresses,
-        platform: SocketAddr,
-        programs: &ProgramPaths,
-        work_dir: &Path,
+        place: &PairPlace<'_>,
     ) -> Self {
+        let (programs, work_dir) = (place.programs, place.work_dir);
         let node_flags = [
             ("--instance", instance.clone()),
             ("--data-centre", data_centre.to_owned()),
@@ -90,7 +86,9 @@
             ("--admin", addresses.admin.to_string()),
             ("--control", addresses.control.to_string()),
             ("--data", addresses.data.to_string()),
-            ("--platform", format!("http://{platform}")),
+            ("--platform", format!("http://{}", place.platform)),
+            ("--data-centres", layout.data_centres.join(",")),
+            ("--seed", place.seeds.to_owned()),
         ];
         let backend_flags = [
             ("--instance", instance.clone()),
@@ -107,7 +105,7 @@
             service: service.to_owned(),
             data_centre: data_centre.to_owned(),
             addresses,
-            node_arguments: arguments(node_flags),
+            node_arguments: node_arguments(node_flags, &layout.node_flags),
             backend_arguments: arguments(backend_flags),
             programs: programs.clone(),
             work_dir: work_dir.to_owned(),
@@ -169,6 +167,19 @@
     }
 }
 
+fn node_arguments<const N: usize>(
+    flags: [(&str, String); N],
+    further: &[(String, String)],
+) -> Vec<String> {
+    let mut all = arguments(flags);
+    all.extend(
+        further
+            .iter()
+            .flat_map(|(flag, value)| [flag.clone(), value.clone()]),
+    );
+    all
+}
+
 fn arguments<const N: usize>(flags: [(&str, String); N]) -> Vec<String> {
     flags
         .into_iter()
--- a/crates/rig/src/deployment_layout.rs
+++ b/crates/rig/src/deployment_layout.rs
@@ -26,6 +26,8 @@
     pub connections: u16,
     /// Milliseconds that a request takes at a backend server.
     pub service_ms: u64,
+    /// Further flags of every node, such as `("--stall-timeout-s", "1")`.
+    pub node_flags: Vec<(String, String)>,
 }
 
 impl DeploymentLayout {
@@ -47,6 +49,7 @@
             slots: 12,
             connections: 130,
             service_ms: 2,
+            node_flags: Vec::new(),
         }
     }
 
@@ -68,6 +71,7 @@
             slots: 12,
             connections: 110,
             service_ms: 2,
+            node_flags: Vec::new(),
         }
     }
 
--- a/crates/rig/src/fleet_run.rs
+++ b/crates/rig/src/fleet_run.rs
@@ -14,7 +14,8 @@
 
 use crate::{
     BackendPair, ChildProcess, DeploymentLayout, FreePorts, OperatorClient, PairAddresses,
-    PairPart, ProgramPaths, RigError, rig_error::FileSnafu, work_dir::WorkDir,
+    PairPart, ProgramPaths, RigError, pair_place::PairPlace, rig_error::FileSnafu,
+    work_dir::WorkDir,
 };
 
 /// Time between looks at a fleet that is to become ready.
@@ -50,18 +51,24 @@
         let mut command = Command::new(programs.program("geranium-standin-platform")?);
         command.args(["--listen", &platform_address.to_string()]);
         let platform = ChildProcess::spawn("platform", command, work_dir.path())?;
+        let instances = layout.instances();
+        let addresses = instances
+            .iter()
+            .map(|_| PairAddresses::take(ports))
+            .collect::<Result<Vec<_>, _>>()?;
+        // Contacts to join through at once; the platform's seeds would do the
+        // same some seconds later.
+        let contacts = addresses.iter().take(layout.data_centres.len());
+        let seeds: Vec<String> = contacts.map(|pair| pair.control.to_string()).collect();
+        let place = PairPlace {
+            platform: platform_address,
+            seeds: &seeds.join(","),
+            programs: &programs,
+            work_dir: work_dir.path(),
+        };
         let mut pairs = Vec::new();
-        for instance in layout.instances() {
-            let addresses = PairAddresses::take(ports)?;
-            let path = work_dir.path();
-            let mut pair = BackendPair::new(
-                layout,
-                instance,
-                addresses,
-                platform_address,
-                &programs,
-                path,
-            );
+        for (instance, addresses) in instances.into_iter().zip(addresses) {
+            let mut pair = BackendPair::new(layout, instance, addresses, &place);
             pair.start(PairPart::Node)?;
             pair.start(PairPart::Backend)?;
             pairs.push(pair);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -17,6 +17,7 @@
 mod load_mix;
 mod node_status;
 mod operator_client;
+mod pair_place;
 mod program_paths;
 mod rig_command;
 mod rig_error;
