Lose only answers of writes that took effect, and word timeouts

Cause: a run of the operators' client against the stand-in process showed two faults. The stand-in dropped the answers of reads through compare-and-swap too, so an activation never got as far as its write (exit 31 where the fault was meant for the write). A timeout read as 'Resource temporarily unavailable'.

Before: with lose_write_answers 3, activate failed on its first read.

--- a/crates/platform/src/gateway/call.rs
+++ b/crates/platform/src/gateway/call.rs
@@ -2,14 +2,14 @@
 
 use std::{io::Read, sync::atomic::Ordering, time::Duration};
 
-use attohttpc::{ProxySettings, Response, ResponseReader};
+use attohttpc::{ErrorKind, ProxySettings, Response, ResponseReader};
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::{IntoError, ResultExt};
 
-use super::{Endpoint, GatewaySettings, tracked_body::TrackedBody};
+use super::{Endpoint, GatewaySettings, tracked_body::TrackedBody, watch_stream::is_timeout};
 use crate::{
     PlatformError,
-    platform_error::{AnswerLostSnafu, UnreachableSnafu},
+    platform_error::{AnswerLostSnafu, Cause, UnreachableSnafu},
 };
 
 /// A list of every preset and activation is far smaller.
@@ -46,7 +46,7 @@
         reader
             .take(ANSWER_BYTES_MAX)
             .read_to_end(&mut answer)
-            .map_err(Into::into)
+            .map_err(|error| cause(error.into()))
             .context(AnswerLostSnafu {
                 endpoint: endpoint.to_string(),
             })?;
@@ -78,15 +78,23 @@
             Err(error) => {
                 let endpoint = endpoint.to_string();
                 Err(if touched.load(Ordering::Acquire) {
-                    AnswerLostSnafu { endpoint }.into_error(error.into())
+                    AnswerLostSnafu { endpoint }.into_error(cause(error))
                 } else {
-                    UnreachableSnafu { endpoint }.into_error(error.into())
+                    UnreachableSnafu { endpoint }.into_error(cause(error))
                 })
             }
         }
     }
 }
 
+/// Words a timeout, which the system calls "temporarily unavailable".
+fn cause(error: attohttpc::Error) -> Cause {
+    match error.kind() {
+        ErrorKind::Io(io) if is_timeout(io) => "timed out".into(),
+        _ => error.into(),
+    }
+}
+
 fn check_status(endpoint: Endpoint, response: Response) -> Result<ResponseReader, PlatformError> {
     let (status, _, reader) = response.split();
     if status.is_success() {
--- a/crates/platform/src/gateway/watch_stream.rs
+++ b/crates/platform/src/gateway/watch_stream.rs
@@ -8,7 +8,7 @@
     Endpoint,
     wire::{Event, EventKind, StreamLine, WatchResponse, unsigned},
 };
-use crate::{Entry, PlatformError, Revision, WatchAnswer};
+use crate::{Entry, PlatformError, Revision, WatchAnswer, platform_error::Cause};
 
 /// What a stream ended with.
 #[derive(Debug)]
@@ -70,14 +70,12 @@
         })
 }
 
-fn is_timeout(error: &std::io::Error) -> bool {
+/// Reports whether a read ended with its timeout.
+pub fn is_timeout(error: &std::io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
 }
 
-fn cut(
-    endpoint: Endpoint,
-    cause: impl Into<Box<dyn std::error::Error + Send + Sync>>,
-) -> PlatformError {
+fn cut(endpoint: Endpoint, cause: impl Into<Cause>) -> PlatformError {
     PlatformError::AnswerLost {
         endpoint: endpoint.to_string(),
         source: cause.into(),
--- a/crates/platform/src/platform_error.rs
+++ b/crates/platform/src/platform_error.rs
@@ -6,7 +6,7 @@
 use crate::{EndpointError, WriteEffect};
 
 /// Cause inside a library, kept as text in the chain of errors.
-type Cause = Box<dyn std::error::Error + Send + Sync>;
+pub(crate) type Cause = Box<dyn std::error::Error + Send + Sync>;
 
 /// A call to the platform that brought no usable answer.
 #[derive(Debug, Snafu)]
--- a/crates/standins/src/platform/request_handler.rs
+++ b/crates/standins/src/platform/request_handler.rs
@@ -120,20 +120,27 @@
         _ => with_body(shared, &mut request, revoke),
     };
     shared.changed.notify_all();
-    let is_lost = kind == CallKind::Write && shared.take_lost_answer();
-    let reply = if is_lost { Reply::Dropped } else { reply };
     reply.send(request);
 }
 
+/// Answers under one lock; the answer is lost if the plan says so and the call
+/// changed something.
 fn with_body<T: DeserializeOwned>(
     shared: &SharedState,
     request: &mut Request,
     answer: impl FnOnce(&mut Guarded, Instant, &T) -> Reply,
 ) -> Reply {
-    match body(request) {
-        Some(message) => answer(&mut shared.lock(), Instant::now(), &message),
-        None => MALFORMED,
+    let Some(message) = body(request) else {
+        return MALFORMED;
+    };
+    let mut guarded = shared.lock();
+    let before = guarded.store.changes;
+    let reply = answer(&mut guarded, Instant::now(), &message);
+    let took_effect = guarded.store.changes != before;
+    if took_effect && guarded.take_lost_answer() {
+        return Reply::Dropped;
     }
+    reply
 }
 
 fn range(guarded: &mut Guarded, now: Instant, message: &RangeRequest) -> Reply {
--- a/crates/standins/src/platform/shared_state.rs
+++ b/crates/standins/src/platform/shared_state.rs
@@ -23,6 +23,15 @@
     pub stopped: bool,
 }
 
+impl Guarded {
+    /// Takes one lost answer from the plan, if any are left.
+    pub fn take_lost_answer(&mut self) -> bool {
+        let left = self.plan.lose_write_answers;
+        self.plan.lose_write_answers = left.saturating_sub(1);
+        left > 0
+    }
+}
+
 /// State with a lock, and a signal for the watches.
 #[derive(Debug)]
 pub struct SharedState {
@@ -66,14 +75,6 @@
         admitted
     }
 
-    /// Takes one lost answer from the plan, if any are left.
-    pub fn take_lost_answer(&self) -> bool {
-        let mut guarded = self.lock();
-        let left = guarded.plan.lose_write_answers;
-        guarded.plan.lose_write_answers = left.saturating_sub(1);
-        left > 0
-    }
-
     pub fn set_faults(&self, request: &FaultRequest) {
         let mut guarded = self.lock();
         guarded.plan = request.plan;
--- a/crates/standins/src/platform/store_state.rs
+++ b/crates/standins/src/platform/store_state.rs
@@ -20,6 +20,8 @@
 #[derive(Debug, Default)]
 pub struct StoreState {
     pub revision: i64,
+    /// Rises with each change, also of leases that no revision tells of.
+    pub changes: u64,
     keys: BTreeMap<Vec<u8>, KeyHistory>,
     leases: BTreeMap<i64, LeaseRecord>,
     leases_made: i64,
@@ -53,6 +55,7 @@
     /// Writes a key; `lease` is 0 for none.
     pub fn put(&mut self, now: Instant, key: Vec<u8>, value: Vec<u8>, lease: i64) {
         self.revision += 1;
+        self.changes += 1;
         let former = self
             .live(&key)
             .map(|event| (event.create_revision, event.version));
@@ -74,6 +77,7 @@
             return false;
         }
         self.revision += 1;
+        self.changes += 1;
         self.push_deletion(now, key);
         true
     }
@@ -98,6 +102,7 @@
 
     pub fn grant(&mut self, now: Instant, ttl: Duration) -> i64 {
         self.leases_made += 1;
+        self.changes += 1;
         let ends = now + ttl;
         self.leases
             .insert(self.leases_made, LeaseRecord { ttl, ends });
@@ -112,6 +117,7 @@
     pub fn keep(&mut self, now: Instant, lease: i64) -> Option<Duration> {
         let record = self.leases.get_mut(&lease)?;
         record.ends = now + record.ttl;
+        self.changes += 1;
         Some(record.ttl)
     }
 
@@ -120,6 +126,7 @@
         if self.leases.remove(&lease).is_none() {
             return false;
         }
+        self.changes += 1;
         let attached =
             |history: &KeyHistory| history.live().is_some_and(|event| event.lease == lease);
         let keys = self.keys.iter().filter(|(_, history)| attached(history));
--- a/crates/tests/tests/platform/faults.rs
+++ b/crates/tests/tests/platform/faults.rs
@@ -57,11 +57,13 @@
             ..FaultPlan::default()
         },
     );
+    // Changes nothing, so its answer isn't one of those to lose.
+    assert_eq!(store.get_latest("t/a").unwrap(), None);
     let error = create(&store, "t/a").unwrap_err();
     assert!(matches!(error, PlatformError::AnswerLost { .. }), "{error}");
     assert_eq!(error.effect(), WriteEffect::Unknown);
     assert!(store.get("t/a").unwrap().is_some());
-    assert_eq!(server.counts().totals.write, 1);
+    assert_eq!(server.counts().totals.write, 2);
 }
 
 /// Story: the platform is overloaded and answers 503, or drops connections.
