--- a/crates/model/src/route_rule.rs
+++ b/crates/model/src/route_rule.rs
@@ -57,7 +57,7 @@
         if !document.path_prefix.starts_with('/') || document.path_prefix.starts_with("/.") {
             return Err(DocumentError::OutOfRange {
                 field: format!("{owner}.path_prefix"),
-                rule: "starts with `/`, and not with `/.`, which is the nodes' own",
+                rule: "a path that starts with `/`, and not with `/.`, which is the nodes' own",
             });
         }
         if !(1..=DEADLINE_MS_MAX).contains(&document.deadline_ms) {
