Add the operators' client

Cause: operators create presets and choose the one in force, race each other, and lose answers of the platform.

A write is sent as one compare-and-swap and, after a lost answer, as the same one again: of two with one expected revision at most one takes effect, so a success proves that the first never will. Ruled out: reading back alone, which can't tell a lost write from a late one. Each activation puts the record that it replaces into the history first, so the history has no gaps and tells an overtaken operator who had the version. All decisions read through get_latest: a stale read can't bring replaced content back.

--- /dev/null
+++ b/crates/ctl/src/documents/preset_diff.rs
@@ -0,0 +1,188 @@
+//! Differences between presets, by service and route.
+
+use std::{collections::BTreeMap, fmt};
+
+use geranium_model::Preset;
+use serde::Serialize;
+use serde_json::Value;
+
+/// What changes from one preset to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct PresetDiff {
+    /// Changes, services first, by name; empty for equal presets.
+    pub changes: Vec<DiffLine>,
+}
+
+/// One changed service, route or setting of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct DiffLine {
+    /// `service`, `route` or `fleet`.
+    pub kind: &'static str,
+    /// Name of the service or route.
+    pub name: String,
+    /// What happened to it.
+    pub change: DiffChange,
+}
+
+/// What happened to an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DiffChange {
+    /// Only the second preset has it.
+    Added,
+    /// Only the first preset has it.
+    Removed,
+    /// Fields whose value differs.
+    Changed(Vec<FieldChange>),
+}
+
+/// A field's value in both presets; `null` where it is absent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct FieldChange {
+    /// Path of the field within the entry.
+    pub field: String,
+    /// Value in the first preset.
+    pub from: Value,
+    /// Value in the second preset.
+    pub to: Value,
+}
+
+impl PresetDiff {
+    /// Compares two presets.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use geranium_ctl::PresetDiff;
+    /// use geranium_model::{Preset, PresetDocument};
+    ///
+    /// let empty = Preset::try_from(PresetDocument::default())?;
+    /// assert!(PresetDiff::between(&empty, &empty).changes.is_empty());
+    /// # Ok::<(), geranium_model::DocumentError>(())
+    /// ```
+    pub fn between(from: &Preset, to: &Preset) -> Self {
+        let (old, new) = (from.document(), to.document());
+        let mut changes = Vec::new();
+        let services = |preset: &[_]| {
+            by_name(preset, |entry: &geranium_model::ServiceDocument| {
+                &entry.name
+            })
+        };
+        let routes =
+            |preset: &[_]| by_name(preset, |entry: &geranium_model::RouteDocument| &entry.name);
+        compare(
+            &mut changes,
+            "service",
+            &services(&old.services),
+            &services(&new.services),
+        );
+        compare(
+            &mut changes,
+            "route",
+            &routes(&old.routes),
+            &routes(&new.routes),
+        );
+        let fleet = |policy| BTreeMap::from([(String::new(), value(policy))]);
+        compare(
+            &mut changes,
+            "fleet",
+            &fleet(&old.fleet),
+            &fleet(&new.fleet),
+        );
+        Self { changes }
+    }
+}
+
+fn value(entry: &impl Serialize) -> Value {
+    serde_json::to_value(entry).expect("plain structs always serialize")
+}
+
+fn by_name<T: Serialize>(entries: &[T], name: impl Fn(&T) -> &String) -> BTreeMap<String, Value> {
+    entries
+        .iter()
+        .map(|entry| (name(entry).clone(), value(entry)))
+        .collect()
+}
+
+fn compare(
+    changes: &mut Vec<DiffLine>,
+    kind: &'static str,
+    old: &BTreeMap<String, Value>,
+    new: &BTreeMap<String, Value>,
+) {
+    let mut names: Vec<_> = old.keys().chain(new.keys()).collect();
+    names.sort();
+    names.dedup();
+    for name in names {
+        let change = match (old.get(name), new.get(name)) {
+            (Some(from), Some(to)) if from == to => continue,
+            (Some(from), Some(to)) => {
+                let mut fields = Vec::new();
+                compare_fields(&mut fields, "", from, to);
+                DiffChange::Changed(fields)
+            }
+            (None, _) => DiffChange::Added,
+            (_, None) => DiffChange::Removed,
+        };
+        changes.push(DiffLine {
+            kind,
+            name: name.clone(),
+            change,
+        });
+    }
+}
+
+fn compare_fields(fields: &mut Vec<FieldChange>, path: &str, from: &Value, to: &Value) {
+    if let (Value::Object(old), Value::Object(new)) = (from, to) {
+        let mut keys: Vec<_> = old.keys().chain(new.keys()).collect();
+        keys.sort();
+        keys.dedup();
+        for key in keys {
+            let child = if path.is_empty() {
+                key.clone()
+            } else {
+                format!("{path}.{key}")
+            };
+            let field = |entry: &serde_json::Map<String, Value>| entry.get(key).cloned();
+            let (before, after) = (
+                field(old).unwrap_or_default(),
+                field(new).unwrap_or_default(),
+            );
+            compare_fields(fields, &child, &before, &after);
+        }
+    } else if from != to {
+        fields.push(FieldChange {
+            field: path.to_owned(),
+            from: from.clone(),
+            to: to.clone(),
+        });
+    }
+}
+
+impl fmt::Display for PresetDiff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.changes.is_empty() {
+            return writeln!(f, "no difference");
+        }
+        self.changes.iter().try_for_each(|line| line.fmt(f))
+    }
+}
+
+impl fmt::Display for DiffLine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let entry = format!("{} {}", self.kind, self.name);
+        let entry = entry.trim_end();
+        match &self.change {
+            DiffChange::Added => writeln!(f, "+ {entry}"),
+            DiffChange::Removed => writeln!(f, "- {entry}"),
+            DiffChange::Changed(fields) => {
+                writeln!(f, "~ {entry}")?;
+                for change in fields {
+                    let FieldChange { field, from, to } = change;
+                    writeln!(f, "    {field}: {from} -> {to}")?;
+                }
+                Ok(())
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/invocation.rs
@@ -0,0 +1,161 @@
+//! The command line.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use clap::{Parser, Subcommand};
+use geranium_model::{ContentDigest, PresetName, PresetVersion};
+use geranium_platform::Endpoint;
+
+use crate::OutputFormat;
+
+const EXAMPLES: &str = "\
+Examples:
+  geranium-ctl check peak.json
+  geranium-ctl put peak peak.json
+  geranium-ctl diff ordinary-day peak
+  geranium-ctl activate peak
+  geranium-ctl activate ordinary-day --expect-version 41
+  geranium-ctl --node 10.0.1.7:7070 status
+  geranium-ctl --output json history
+
+Exit status: 0 when it worked, 2 for a bad command line, otherwise the first
+and the last digit of the result code in the message (303 ends with 33).";
+
+/// Presets, activations and the fleet's state, for operators.
+#[derive(Debug, Clone, Parser)]
+#[command(name = "geranium-ctl", version, after_help = EXAMPLES, max_term_width = 100)]
+pub struct Invocation {
+    /// Endpoints of the platform, IP:PORT.
+    #[arg(
+        long,
+        global = true,
+        env = "GERANIUM_PLATFORM",
+        value_delimiter = ',',
+        hide_env_values = true
+    )]
+    pub platform: Vec<Endpoint>,
+    /// Admin addresses of one or more nodes, IP:PORT.
+    #[arg(
+        long,
+        global = true,
+        env = "GERANIUM_NODES",
+        value_delimiter = ',',
+        hide_env_values = true
+    )]
+    pub node: Vec<SocketAddr>,
+    /// Name under which writes are recorded.
+    #[arg(long, global = true, env = "GERANIUM_OPERATOR", hide_env_values = true)]
+    pub operator: Option<String>,
+    /// Tries for a write whose answer was lost; five span 6 s of pauses.
+    #[arg(
+        long,
+        global = true,
+        env = "GERANIUM_TRIES",
+        hide_env_values = true,
+        default_value_t = 5
+    )]
+    pub tries: u32,
+    /// Form of the output.
+    #[arg(
+        long,
+        global = true,
+        env = "GERANIUM_OUTPUT",
+        hide_env_values = true,
+        value_enum,
+        default_value = "text"
+    )]
+    pub output: OutputFormat,
+    /// What to do.
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+/// A preset's name in the platform, or a file: what holds a `/` or ends with
+/// `.json` is a file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PresetSource {
+    /// Named preset.
+    Named(PresetName),
+    /// Document in a file.
+    File(PathBuf),
+}
+
+impl std::str::FromStr for PresetSource {
+    type Err = geranium_model::NameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let path = Path::new(text);
+        let is_json = path
+            .extension()
+            .is_some_and(|extension| extension == "json");
+        if is_json || text.contains('/') {
+            return Ok(Self::File(path.into()));
+        }
+        text.parse().map(Self::Named)
+    }
+}
+
+/// What the client does.
+#[derive(Debug, Clone, Subcommand)]
+pub enum Command {
+    /// Check a preset document without storing it.
+    Check {
+        /// The document.
+        file: PathBuf,
+    },
+    /// Check a document and store it under a name; it isn't put in force.
+    Put {
+        /// Name of the preset.
+        name: PresetName,
+        /// The document.
+        file: PathBuf,
+        /// Store only if the name stands for this content, as `show` told.
+        #[arg(long, value_parser = parse_digest)]
+        expect_digest: Option<ContentDigest>,
+    },
+    /// List the named presets.
+    List,
+    /// Show a preset's record and document.
+    Show {
+        /// Name of the preset.
+        name: PresetName,
+    },
+    /// Compare two presets, by service and route.
+    Diff {
+        /// Name, or file (holds a `/` or ends with `.json`).
+        from: PresetSource,
+        /// Name, or file.
+        to: PresetSource,
+    },
+    /// Put a preset in force on the whole fleet.
+    Activate {
+        /// Name of the preset.
+        name: PresetName,
+        /// Activate only if this version is in force now.
+        #[arg(long, value_parser = parse_version)]
+        expect_version: Option<PresetVersion>,
+    },
+    /// List every activation, newest last.
+    History,
+    /// Show how many nodes follow the version in force, and which don't.
+    Status,
+    /// List the instances that a node knows.
+    Nodes,
+    /// Let an instance take no new work.
+    Drain {
+        /// Instance name, or admin address of its node.
+        target: String,
+    },
+}
+
+fn parse_digest(text: &str) -> Result<ContentDigest, String> {
+    text.parse()
+        .map_err(|error: snafu::Whatever| error.to_string())
+}
+
+fn parse_version(text: &str) -> Result<PresetVersion, std::num::ParseIntError> {
+    text.parse().map(PresetVersion::new)
+}
--- /dev/null
+++ b/crates/ctl/src/patience.rs
@@ -0,0 +1,41 @@
+//! How long a write is pursued.
+
+use std::{thread, time::Duration};
+
+/// Pause before the second try; each later one is twice as long, so that five
+/// tries span 6 s, an operator's patience.
+const FIRST_PAUSE: Duration = Duration::from_millis(400);
+
+/// Tries for a write whose effect is unknown.
+#[derive(Debug, Clone, Copy)]
+pub struct Patience {
+    tries: u32,
+    first_pause: Duration,
+}
+
+impl Patience {
+    /// Allows so many tries, at least one.
+    pub fn new(tries: u32) -> Self {
+        Self {
+            tries: tries.max(1),
+            first_pause: FIRST_PAUSE,
+        }
+    }
+
+    /// Allows so many tries without a pause, for tests.
+    pub fn without_pause(tries: u32) -> Self {
+        Self {
+            first_pause: Duration::ZERO,
+            ..Self::new(tries)
+        }
+    }
+
+    /// Yields the number of each try, after its pause.
+    pub(crate) fn tries(self) -> impl Iterator<Item = u32> {
+        (0..self.tries).inspect(move |number| {
+            if let Some(doublings) = number.checked_sub(1) {
+                thread::sleep(self.first_pause * 2_u32.saturating_pow(doublings));
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/utc_time.rs
@@ -0,0 +1,27 @@
+//! Wall clock times for people to read.
+
+const MS_PER_DAY: u64 = 86_400_000;
+/// Days from the start of the 400-year cycle of 1 March 0000 to the epoch.
+const EPOCH_DAYS: u64 = 719_468;
+const DAYS_PER_CYCLE: u64 = 146_097;
+
+/// Formats milliseconds since the Unix epoch as UTC.
+///
+/// Years start in March here, so that the leap day comes last.
+pub fn utc_time(ms: u64) -> String {
+    let days = ms / MS_PER_DAY + EPOCH_DAYS;
+    let (cycle, day) = (days / DAYS_PER_CYCLE, days % DAYS_PER_CYCLE);
+    let year = (day - day / 1_460 + day / 36_524 - day / 146_096) / 365;
+    let day_of_year = day - (365 * year + year / 4 - year / 100);
+    let shifted = (5 * day_of_year + 2) / 153;
+    let day_of_month = day_of_year - (153 * shifted + 2) / 5 + 1;
+    let month = if shifted < 10 {
+        shifted + 3
+    } else {
+        shifted - 9
+    };
+    let year = cycle * 400 + year + u64::from(month <= 2);
+    let seconds = ms % MS_PER_DAY / 1_000;
+    let (hour, minute, second) = (seconds / 3_600, seconds / 60 % 60, seconds % 60);
+    format!("{year:04}-{month:02}-{day_of_month:02}T{hour:02}:{minute:02}:{second:02}Z")
+}
--- /dev/null
+++ b/crates/ctl/tests/all/activation_races.rs
@@ -0,0 +1,104 @@
+//! Operators who race each other, with faults in between.
+
+use std::{collections::HashMap, thread};
+
+use geranium_ctl::{ActivationRequest, CtlError, Patience, activate, activation_history};
+use geranium_platform::{CallFault, MemoryStore};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::support::{assert_content, in_force, prepared, request};
+
+const SEEDS: u64 = 300;
+const OPERATORS: u64 = 4;
+const ROUNDS: u32 = 3;
+
+#[derive(Debug, PartialEq)]
+enum Told {
+    Won(u64),
+    NotActivated,
+    Unknown,
+}
+
+fn race(store: &MemoryStore, operator: u64) -> Vec<(ActivationRequest, Told)> {
+    let rounds = (0..ROUNDS).map(|round| {
+        let preset = ["ordinary-day", "peak"][round as usize % 2];
+        let request = request(preset, &format!("operator-{operator}"));
+        let told = match activate(store, &request, Patience::without_pause(4)) {
+            Ok(activation) => Told::Won(activation.record.version.get()),
+            Err(CtlError::ActivationUnknown { .. }) => Told::Unknown,
+            Err(CtlError::LostActivation { .. } | CtlError::Platform { .. }) => Told::NotActivated,
+            Err(other) => panic!("{other}"),
+        };
+        (request, told)
+    });
+    rounds.collect()
+}
+
+fn strew_faults(store: &MemoryStore, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    for _ in 0..rng.random_range(0..12) {
+        let fault = match rng.random_range(0..4) {
+            0 => CallFault::Refuse,
+            1 => CallFault::LoseAnswer,
+            2 => CallFault::LoseRequest,
+            _ => CallFault::LandLate,
+        };
+        store.fail_call(rng.random_range(0..60), fault);
+    }
+}
+
+/// Story: four operators switch presets at the same time while answers get
+/// lost. For each version exactly one of them has won; whoever is told
+/// "activated" stands in the history under that version, and whoever is told
+/// "not activated" stands nowhere in it.
+#[test]
+fn exactly_one_operator_wins_each_version() {
+    for seed in 0..SEEDS {
+        let store = prepared();
+        strew_faults(&store, seed);
+        let told: Vec<_> = thread::scope(|scope| {
+            let racers: Vec<_> = (0..OPERATORS)
+                .map(|operator| {
+                    scope.spawn({
+                        let store = &store;
+                        move || race(store, operator)
+                    })
+                })
+                .collect();
+            racers
+                .into_iter()
+                .flat_map(|racer| racer.join().unwrap())
+                .collect()
+        });
+        check_history(&store, &told, seed);
+    }
+}
+
+fn check_history(store: &MemoryStore, told: &[(ActivationRequest, Told)], seed: u64) {
+    // Faults that weren't used up must not break the check itself.
+    while store.calls() < 200 {
+        let _answer = activation_history(store);
+    }
+    let history = activation_history(store).unwrap();
+    let versions: Vec<_> = history.iter().map(|entry| entry.version.get()).collect();
+    let contiguous: Vec<_> = (1..=versions.len() as u64).collect();
+    assert_eq!(versions, contiguous, "seed {seed}");
+    let by_operation: HashMap<_, _> = history
+        .iter()
+        .map(|entry| (entry.operation.clone(), entry.version.get()))
+        .collect();
+    assert_eq!(
+        by_operation.len(),
+        history.len(),
+        "seed {seed}: an operation stands twice"
+    );
+    for (request, told) in told {
+        let found = by_operation.get(&request.stamp.operation).copied();
+        match told {
+            Told::Won(version) => assert_eq!(found, Some(*version), "seed {seed}"),
+            Told::NotActivated => assert_eq!(found, None, "seed {seed}"),
+            Told::Unknown => {}
+        }
+    }
+    assert_content(store, in_force(store).digest);
+}
--- /dev/null
+++ b/crates/ctl/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the operators' client, one module a subject.
+
+mod activation_faults;
+mod activation_races;
+mod bad_documents;
+mod fleet;
+mod messages;
+mod overtaken;
+mod puts;
+mod support;
