--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod activation_faults;
 mod activation_races;
 mod bad_documents;
+mod examples;
 mod fleet;
 mod messages;
 mod overtaken;
