--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod activation_faults;
 mod activation_races;
 mod bad_documents;
+mod code_table;
 mod examples;
 mod fleet;
 mod messages;
