Tell a lapsed lease apart from other refusals

Cause: a node that keeps an entry under a lease has to take a new lease when the old one lapsed while it was paused, and mustn't take every refusal for that.

After: both stores answer LeaseLapsed, not written (a_write_under_an_unknown_lease_is_refused, for both).

--- a/crates/platform/src/gateway/gateway_store.rs
+++ b/crates/platform/src/gateway/gateway_store.rs
@@ -163,7 +163,16 @@
         lease: Option<LeaseId>,
     ) -> Result<CasAnswer, PlatformError> {
         let request = txn(key, expected, value, lease);
-        let response: TxnResponse = self.write(&self.call("/v3/kv/txn", &request))?;
+        let answer = self.write(&self.call("/v3/kv/txn", &request));
+        let response: TxnResponse = answer.map_err(|error| match (error, lease) {
+            (
+                PlatformError::Refused {
+                    status: NOT_FOUND, ..
+                },
+                Some(lease),
+            ) => PlatformError::LeaseLapsed { lease },
+            (error, _) => error,
+        })?;
         if response.succeeded {
             let revision = unsigned(response.header.revision);
             return Ok(CasAnswer::Swapped { revision });
--- a/crates/platform/src/memory/memory_state.rs
+++ b/crates/platform/src/memory/memory_state.rs
@@ -56,20 +56,17 @@
         })
     }
 
-    /// Applies a write, or returns `None` when its lease isn't known.
-    pub fn apply(&mut self, write: PendingWrite) -> Option<CasAnswer> {
+    /// Applies a write, or returns its lease when that isn't known.
+    pub fn apply(&mut self, write: PendingWrite) -> Result<CasAnswer, LeaseId> {
         let current = self.entry(&write.key);
         let found = current
             .as_ref()
             .map_or(Revision::NONE, |entry| entry.revision);
         if found != write.expected {
-            return Some(CasAnswer::Conflict { current });
+            return Ok(CasAnswer::Conflict { current });
         }
-        if write
-            .lease
-            .is_some_and(|lease| !self.leases.contains(&lease))
-        {
-            return None;
+        if let Some(lease) = write.lease.filter(|lease| !self.leases.contains(lease)) {
+            return Err(lease);
         }
         let revision = self.next_revision();
         let record = KeyRecord {
@@ -78,7 +75,7 @@
             lease: write.lease,
         };
         self.keys.insert(write.key, record);
-        Some(CasAnswer::Swapped { revision })
+        Ok(CasAnswer::Swapped { revision })
     }
 
     pub fn grant(&mut self) -> LeaseId {
--- a/crates/platform/src/memory/memory_store.rs
+++ b/crates/platform/src/memory/memory_store.rs
@@ -119,7 +119,8 @@
             .partition(|(after, _)| *after < call);
         inner.late = waiting;
         for (_, write) in due {
-            inner.state.apply(write);
+            // Nobody waits for the answer of a late write.
+            let _unheard = inner.state.apply(write);
         }
         if is_down || fault == Some(CallFault::Refuse) {
             return Err(refused());
@@ -179,7 +180,7 @@
         self.changed.notify_all();
         match fault {
             Some(_) => Err(lost()),
-            None => answer.ok_or_else(lease_unknown),
+            None => answer.map_err(|lease| PlatformError::LeaseLapsed { lease }),
         }
     }
 
@@ -237,11 +238,3 @@
         source: "connection reset".into(),
     }
 }
-
-fn lease_unknown() -> PlatformError {
-    PlatformError::Refused {
-        endpoint: ENDPOINT.to_owned(),
-        status: 404,
-        reason: "requested lease not found".to_owned(),
-    }
-}
--- a/crates/platform/src/platform_error.rs
+++ b/crates/platform/src/platform_error.rs
@@ -3,7 +3,7 @@
 use geranium_model::ResultCode;
 use snafu::Snafu;
 
-use crate::{EndpointError, WriteEffect};
+use crate::{EndpointError, LeaseId, WriteEffect};
 
 /// Cause inside a library, kept as text in the chain of errors.
 pub(crate) type Cause = Box<dyn std::error::Error + Send + Sync>;
@@ -48,6 +48,12 @@
         /// What it said.
         reason: String,
     },
+    /// The write's lease has lapsed, or never was.
+    #[snafu(display("the lease {lease} has lapsed"))]
+    LeaseLapsed {
+        /// The lease.
+        lease: LeaseId,
+    },
     /// The answer has another shape than the published one.
     #[snafu(display("the platform at {endpoint} answered with something unexpected: {reason}"))]
     BadAnswer {
@@ -72,7 +78,9 @@
             | Self::AnswerLost { .. }
             | Self::Refused { status: 429, .. }
             | Self::Failed { .. } => ResultCode::PlatformUnavailable,
-            Self::Refused { .. } | Self::BadAnswer { .. } => ResultCode::PlatformBadAnswer,
+            Self::Refused { .. } | Self::LeaseLapsed { .. } | Self::BadAnswer { .. } => {
+                ResultCode::PlatformBadAnswer
+            }
             Self::BadSettings { .. } => ResultCode::BadSetting,
         }
     }
@@ -83,9 +91,10 @@
     /// when it gave up waiting for a write that is still on its way.
     pub const fn effect(&self) -> WriteEffect {
         match self {
-            Self::Unreachable { .. } | Self::Refused { .. } | Self::BadSettings { .. } => {
-                WriteEffect::NotWritten
-            }
+            Self::Unreachable { .. }
+            | Self::Refused { .. }
+            | Self::LeaseLapsed { .. }
+            | Self::BadSettings { .. } => WriteEffect::NotWritten,
             Self::AnswerLost { .. } | Self::Failed { .. } | Self::BadAnswer { .. } => {
                 WriteEffect::Unknown
             }
--- a/crates/tests/tests/platform/conformance.rs
+++ b/crates/tests/tests/platform/conformance.rs
@@ -4,7 +4,7 @@
 
 use geranium_platform::{
     CasAnswer, Endpoint, GatewaySettings, GatewayStore, LeaseAnswer, LeaseId, MemoryStore,
-    PlatformStore, Revision, WatchAnswer, WriteEffect,
+    PlatformError, PlatformStore, Revision, WatchAnswer, WriteEffect,
 };
 use geranium_standins::platform::PlatformServer;
 
@@ -182,7 +182,9 @@
 fn a_write_under_an_unknown_lease_is_refused() {
     both(|store| {
         let answer = store.compare_and_swap("t/a", Revision::NONE, b"1", Some(LeaseId::new(99)));
-        assert_eq!(answer.unwrap_err().effect(), WriteEffect::NotWritten);
+        let error = answer.unwrap_err();
+        assert!(matches!(error, PlatformError::LeaseLapsed { lease } if lease.get() == 99));
+        assert_eq!(error.effect(), WriteEffect::NotWritten);
         assert_eq!(store.get("t/a").unwrap(), None);
     });
 }
