Refuse misspelt faults in the platform stand-in

Cause: the new test of the process found that POST /standin/faults took unknown fields: serde ignores deny_unknown_fields under flatten. A misspelt fault would have let a test pass without the fault.

Before: status 200 for {"unknown": 1}; seen failing in a_process_tells_its_address_and_counts_what_it_turns_away.

--- a/crates/standins/src/platform/fault_plan.rs
+++ b/crates/standins/src/platform/fault_plan.rs
@@ -32,7 +32,7 @@
 
 /// Body of `POST /standin/faults`: the new plan, and what to do at once.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(default)]
+#[serde(from = "FaultBody")]
 pub struct FaultRequest {
     /// The plan that replaces the one before.
     #[serde(flatten)]
@@ -42,3 +42,37 @@
     /// Let this lease lapse now.
     pub lapse_lease: Option<i64>,
 }
+
+/// The same fields side by side.
+///
+/// A flattened struct takes fields that it doesn't know, and a misspelt fault
+/// would let a test pass without it.
+#[derive(Deserialize, Default)]
+#[serde(deny_unknown_fields, default)]
+struct FaultBody {
+    down: Option<DownMode>,
+    slow_ms: u64,
+    stale_reads_ms: u64,
+    lose_write_answers: u32,
+    reads_per_second: Option<u64>,
+    writes_per_second: Option<u64>,
+    cut_watches: bool,
+    lapse_lease: Option<i64>,
+}
+
+impl From<FaultBody> for FaultRequest {
+    fn from(body: FaultBody) -> Self {
+        Self {
+            plan: FaultPlan {
+                down: body.down,
+                slow_ms: body.slow_ms,
+                stale_reads_ms: body.stale_reads_ms,
+                lose_write_answers: body.lose_write_answers,
+                reads_per_second: body.reads_per_second,
+                writes_per_second: body.writes_per_second,
+            },
+            cut_watches: body.cut_watches,
+            lapse_lease: body.lapse_lease,
+        }
+    }
+}
