--- a/crates/ctl/src/invocation.rs
+++ b/crates/ctl/src/invocation.rs
@@ -24,6 +24,26 @@
 Exit status: 0 when it worked, 2 for a bad command line, otherwise the first
 and the last digit of the result code in the message (303 ends with 33).";
 
+const PUT_EXAMPLES: &str = "\
+Examples:
+  geranium-ctl put peak peak.json
+  geranium-ctl put peak peak.json --expect-digest 3ec4f7a3...";
+
+const DIFF_EXAMPLES: &str = "\
+Examples:
+  geranium-ctl diff ordinary-day peak
+  geranium-ctl diff peak ./edited/peak.json";
+
+const ACTIVATE_EXAMPLES: &str = "\
+Examples:
+  geranium-ctl activate peak
+  geranium-ctl activate ordinary-day --expect-version 41";
+
+const DRAIN_EXAMPLES: &str = "\
+Examples:
+  geranium-ctl --node 10.0.1.7:7070 drain hofdi-3
+  geranium-ctl drain 10.0.1.9:7070";
+
 /// Presets, activations and the fleet's state, for operators.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "geranium-ctl", version, after_help = EXAMPLES, max_term_width = 100)]
@@ -107,6 +127,7 @@
         file: PathBuf,
     },
     /// Check a document and store it under a name; it isn't put in force.
+    #[command(after_help = PUT_EXAMPLES)]
     Put {
         /// Name of the preset.
         name: PresetName,
@@ -124,6 +145,7 @@
         name: PresetName,
     },
     /// Compare two presets, by service and route.
+    #[command(after_help = DIFF_EXAMPLES)]
     Diff {
         /// Name, or file (holds a `/` or ends with `.json`).
         from: PresetSource,
@@ -131,6 +153,7 @@
         to: PresetSource,
     },
     /// Put a preset in force on the whole fleet.
+    #[command(after_help = ACTIVATE_EXAMPLES)]
     Activate {
         /// Name of the preset.
         name: PresetName,
@@ -145,6 +168,7 @@
     /// List the instances that a node knows.
     Nodes,
     /// Let an instance take no new work.
+    #[command(after_help = DRAIN_EXAMPLES)]
     Drain {
         /// Instance name, or admin address of its node.
         target: String,
--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -8,5 +8,6 @@
 mod fleet;
 mod messages;
 mod overtaken;
+mod process;
 mod puts;
 mod support;
