--- a/crates/platform/src/memory/memory_state.rs
+++ b/crates/platform/src/memory/memory_state.rs
@@ -27,6 +27,8 @@
     revision: u64,
     keys: BTreeMap<String, KeyRecord>,
     leases: BTreeSet<LeaseId>,
+    /// Leases ever granted: an identifier is never given twice.
+    leases_made: i64,
 }
 
 impl MemoryState {
@@ -79,8 +81,8 @@
     }
 
     pub fn grant(&mut self) -> LeaseId {
-        let newest = self.leases.last().map_or(0, |lease| lease.get());
-        let lease = LeaseId::new(newest + 1);
+        self.leases_made += 1;
+        let lease = LeaseId::new(self.leases_made);
         self.leases.insert(lease);
         lease
     }
@@ -92,12 +94,13 @@
     /// Ends a lease and deletes its keys.
     pub fn end(&mut self, lease: LeaseId) {
         self.leases.remove(&lease);
-        let revision = self.next_revision();
-        for record in self.keys.values_mut() {
-            if record.lease == Some(lease) && record.value.is_some() {
-                record.value = None;
-                record.revision = revision;
-            }
+        let next = Revision::new(self.revision + 1);
+        let is_attached =
+            |record: &&mut KeyRecord| record.lease == Some(lease) && record.value.is_some();
+        for record in self.keys.values_mut().filter(is_attached) {
+            record.value = None;
+            record.revision = next;
+            self.revision = next.get();
         }
     }
 
--- a/crates/tests/tests/platform/main.rs
+++ b/crates/tests/tests/platform/main.rs
@@ -1,4 +1,5 @@
 //! The platform adapter and its fake against one set of expectations.
 
 mod conformance;
+mod differential;
 mod faults;
