Run what waits when a node leaves, and redirect what it refuses

A graceful shutdown answered 503 (code 116) to a request that waited in the leaving node's queue: the gate refused everything that waited, and the front had used up its retry budget on its neighbours. Ruled out: a late membership row (the refusal came from the own node). A leaving node now runs what it accepted, and a refusal for leaving is a redirect outside the budget.

--- a/crates/node/src/callers/request_flow.rs
+++ b/crates/node/src/callers/request_flow.rs
@@ -39,6 +39,10 @@
 /// Least time worth a retry: a try that can't be answered in it only adds load.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(10);
 
+/// Leaving servers that one request may meet: a rack that is replaced in one go
+/// has fewer instances of one service.
+const REDIRECTS_MAX: usize = 8;
+
 /// Limits on one request.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestLimits {
@@ -207,6 +211,12 @@
                 TryEnd::Answered(..) => return self.finish(end, &target, marks),
             };
             tried.push(key);
+            if refusal.code == ResultCode::Draining && tried.len() < REDIRECTS_MAX {
+                // A leaving server's refusal isn't a sign of load: the request
+                // goes to the next at once, outside the retry budget and at
+                // any depth, or a shutdown would show as errors.
+                continue;
+            }
             match self.retry(refusal, &tried) {
                 Some(after) => tokio::time::sleep(after).await,
                 None => return refused(refusal, marks),
--- a/crates/node/src/guard/guard_loop.rs
+++ b/crates/node/src/guard/guard_loop.rs
@@ -121,6 +121,7 @@
     backend: Option<OwnBackend>,
     preset: Option<Arc<Preset>>,
     draining: bool,
+    backend_leaves: bool,
     jobs: HashMap<JobId, HeldJob>,
     running: HashSet<JobId>,
     joined: HashMap<u64, Vec<ReplySink>>,
@@ -146,6 +147,7 @@
             backend: None,
             preset: None,
             draining: false,
+            backend_leaves: false,
             jobs: HashMap::new(),
             running: HashSet::new(),
             joined: HashMap::new(),
@@ -198,8 +200,9 @@
                 self.poison.record(self.now(), row);
             }
             GuardEvent::Drain => {
+                // What waits here was accepted and still runs: its callers see
+                // one slow answer instead of a refusal.
                 self.draining = true;
-                self.gate.start_draining(self.now());
             }
             GuardEvent::Tick => self.tick(),
         }
@@ -266,6 +269,9 @@
         if backend.service != request.service {
             return Err(Refusal::not_run(ResultCode::NoBackend, 0));
         }
+        if self.draining || self.backend_leaves {
+            return Err(Refusal::not_run(ResultCode::Draining, 0));
+        }
         match self.poison.verdict(self.now(), request.fingerprint) {
             PoisonVerdict::Refused { retry_after } => {
                 let retry_after_ms = retry_after.as_millis() as u32;
@@ -325,7 +331,7 @@
             .backend
             .as_ref()
             .is_some_and(|own| own.service == question.service);
-        if !here || self.draining {
+        if !here || self.draining || self.backend_leaves {
             let code = if here {
                 ResultCode::Draining
             } else {
@@ -566,10 +572,15 @@
                     slots,
                     announced,
                 });
+                if std::mem::take(&mut self.backend_leaves) {
+                    // Another backend server took the place of the one that
+                    // left; the gate that refuses everything left with it.
+                    self.gate = AdmissionGate::new(gate_settings(slots, None));
+                }
                 self.reconfigure();
             }
             BackendNotice::Leaving => {
-                self.draining = true;
+                self.backend_leaves = true;
                 self.gate.start_draining(self.now());
             }
             BackendNotice::Lost => self.backend = None,
