--- a/crates/ctl/src/commands/list_command.rs
+++ b/crates/ctl/src/commands/list_command.rs
@@ -2,14 +2,11 @@
 
 use std::fmt;
 
-use geranium_model::{InForce, platform_keys};
+use geranium_model::InForce;
 use serde::Serialize;
-use snafu::ResultExt;
 
 use crate::{
-    CtlError, PresetCatalogue, PresetPointer, Session,
-    ctl_error::{BadRecordSnafu, PlatformSnafu},
-    utc_time::utc_time,
+    CtlError, PresetCatalogue, PresetPointer, Session, presets::read_in_force, utc_time::utc_time,
 };
 
 /// What `list` prints.
@@ -46,11 +43,7 @@
 pub fn list(session: &Session) -> Result<ListReport, CtlError> {
     let store = session.store()?;
     let pointers = PresetCatalogue::new(store, session.patience()).list()?;
-    let key = platform_keys::IN_FORCE;
-    let entry = store.get(key).context(PlatformSnafu)?;
-    let in_force: Option<InForce> = entry
-        .map(|entry| serde_json::from_slice(&entry.value).context(BadRecordSnafu { key }))
-        .transpose()?;
+    let in_force = read_in_force(store)?;
     let row = |pointer| ListRow::new(pointer, in_force.as_ref());
     Ok(ListReport {
         presets: pointers.iter().map(row).collect(),
--- a/crates/ctl/src/commands/status_command.rs
+++ b/crates/ctl/src/commands/status_command.rs
@@ -1,8 +1,8 @@
 //! `status`.
 
-use geranium_model::{InForce, platform_keys};
+use geranium_model::InForce;
 
-use crate::{CtlError, FleetStatus, Session, fleet};
+use crate::{CtlError, FleetStatus, Session, fleet, presets::read_in_force};
 
 /// Asks the nodes, and the platform if it can: the nodes' answer stands
 /// without it.
@@ -12,13 +12,8 @@
 }
 
 fn in_force(session: &Session) -> Result<Option<InForce>, String> {
-    let store = session.store().map_err(|error| error.to_string())?;
-    let entry = store
-        .get(platform_keys::IN_FORCE)
-        .map_err(|error| error.to_string())?;
-    let parse = |entry: geranium_platform::Entry| serde_json::from_slice(&entry.value);
-    entry
-        .map(parse)
-        .transpose()
+    session
+        .store()
+        .and_then(read_in_force)
         .map_err(|error| error.to_string())
 }
