Race the operators' client as processes against the stand-in

Cause: the client, the adapter and the stand-in were tested in pairs only.

After: five rounds of six racing processes with three lost answers each, and activations over lagging reads and an outage; both pass. Seen failing: racing_clients_are_told_what_the_history_shows with the own write not recognised, lag_and_outage_neither_repeat_nor_lower_a_version with plain reads.

--- a/crates/tests/tests/platform/main.rs
+++ b/crates/tests/tests/platform/main.rs
@@ -3,3 +3,4 @@
 mod conformance;
 mod differential;
 mod faults;
+mod operators;
--- /dev/null
+++ b/crates/tests/tests/platform/operators.rs
@@ -0,0 +1,157 @@
+//! The operators' client as processes, against the stand-in.
+//!
+//! Needs the binaries built: `cargo build --workspace --bins`.
+
+use std::{
+    path::PathBuf,
+    process::{Command, Output},
+    thread,
+};
+
+use geranium_standins::platform::{DownMode, FaultPlan, FaultRequest, PlatformServer};
+
+use crate::conformance::start;
+
+const LOST_RACE: i32 = 33;
+const UNAVAILABLE: i32 = 31;
+
+fn client() -> PathBuf {
+    let test = std::env::current_exe().unwrap();
+    let path = test
+        .parent()
+        .unwrap()
+        .parent()
+        .unwrap()
+        .join("geranium-ctl");
+    assert!(
+        path.exists(),
+        "build the binaries first: cargo build --workspace --bins"
+    );
+    path
+}
+
+fn ctl(server: &PlatformServer, operator: &str, arguments: &[&str]) -> Output {
+    let mut command = Command::new(client());
+    command
+        .env_clear()
+        .env("GERANIUM_PLATFORM", server.addr().to_string());
+    command
+        .env("GERANIUM_OPERATOR", operator)
+        .args(arguments)
+        .output()
+        .unwrap()
+}
+
+fn status(server: &PlatformServer, operator: &str, arguments: &[&str]) -> i32 {
+    ctl(server, operator, arguments).status.code().unwrap()
+}
+
+fn history(server: &PlatformServer) -> Vec<serde_json::Value> {
+    let output = ctl(server, "reader", &["--output", "json", "history"]);
+    let mut report: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    serde_json::from_value(report["activations"].take()).unwrap()
+}
+
+fn prepare(server: &PlatformServer) {
+    let examples = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../examples/heliomagnetique"
+    );
+    for preset in ["ordinary-day", "peak"] {
+        let file = format!("{examples}/{preset}.json");
+        assert_eq!(status(server, "anna", &["put", preset, &file]), 0);
+    }
+}
+
+fn show(server: &PlatformServer, plan: FaultPlan) {
+    let request = FaultRequest {
+        plan,
+        ..FaultRequest::default()
+    };
+    server.set_faults(&request);
+}
+
+/// Story: six operators activate at the same time, and three answers to their
+/// writes are lost. Each is told 0 or 33, every 0 stands in the history once,
+/// and versions have no gaps.
+#[test]
+fn racing_clients_are_told_what_the_history_shows() {
+    let server = start();
+    prepare(&server);
+    for round in 0..5 {
+        show(
+            &server,
+            FaultPlan {
+                lose_write_answers: 3,
+                ..FaultPlan::default()
+            },
+        );
+        let told: Vec<_> = thread::scope(|scope| {
+            let operators: Vec<_> = (0..6)
+                .map(|number| {
+                    let operator = format!("operator-{round}-{number}");
+                    let server = &server;
+                    scope.spawn(move || {
+                        let status = status(server, &operator, &["activate", "peak"]);
+                        (operator, status)
+                    })
+                })
+                .collect();
+            operators
+                .into_iter()
+                .map(|operator| operator.join().unwrap())
+                .collect()
+        });
+        show(&server, FaultPlan::default());
+        let history = history(&server);
+        for (index, entry) in history.iter().enumerate() {
+            assert_eq!(entry["version"], index + 1);
+        }
+        for (operator, status) in told {
+            let stands = history
+                .iter()
+                .filter(|entry| entry["operator"] == *operator)
+                .count();
+            match status {
+                0 => assert_eq!(stands, 1, "{operator}"),
+                LOST_RACE => assert_eq!(stands, 0, "{operator}"),
+                other => panic!("{operator} ended with {other}"),
+            }
+        }
+    }
+}
+
+/// Story: reads come from a replica that lags by ten minutes, then the platform
+/// is down. Activations go on by the newest record, and an outage is told as
+/// such with nothing changed.
+#[test]
+fn lag_and_outage_neither_repeat_nor_lower_a_version() {
+    let server = start();
+    prepare(&server);
+    show(
+        &server,
+        FaultPlan {
+            stale_reads_ms: 600_000,
+            ..FaultPlan::default()
+        },
+    );
+    for preset in ["peak", "ordinary-day", "peak"] {
+        assert_eq!(status(&server, "anna", &["activate", preset]), 0);
+    }
+    for mode in [DownMode::Unavailable, DownMode::Drop] {
+        show(
+            &server,
+            FaultPlan {
+                down: Some(mode),
+                ..FaultPlan::default()
+            },
+        );
+        assert_eq!(status(&server, "anna", &["activate", "peak"]), UNAVAILABLE);
+    }
+    show(&server, FaultPlan::default());
+    let versions: Vec<_> = history(&server)
+        .iter()
+        .map(|entry| entry["version"].clone())
+        .collect();
+    assert_eq!(versions, [1, 2, 3]);
+}
