--- a/crates/load/src/version_check.rs
+++ b/crates/load/src/version_check.rs
@@ -17,7 +17,8 @@
 pub fn older_versions(tries: &[TryRecord]) -> Vec<&TryRecord> {
     let mut by_node: BTreeMap<&str, Vec<(&TryRecord, u64)>> = BTreeMap::new();
     for record in tries {
-        if let Some(version) = record.preset_version {
+        // A node without any version yet says 0, and routes nothing.
+        if let Some(version) = record.preset_version.filter(|version| *version > 0) {
             by_node
                 .entry(&record.node)
                 .or_default()
--- a/crates/load/tests/all/versions.rs
+++ b/crates/load/tests/all/versions.rs
@@ -53,3 +53,13 @@
     ];
     assert!(older_versions(&tries).is_empty());
 }
+
+#[test]
+fn a_refusal_without_a_version_is_no_way_back() {
+    let tries = [
+        answer("a", 2, 0, 10),
+        answer("a", 0, 20, 30),
+        answer("a", 2, 31, 40),
+    ];
+    assert!(older_versions(&tries).is_empty());
+}
--- a/crates/rig/src/backend_pair.rs
+++ b/crates/rig/src/backend_pair.rs
@@ -91,6 +91,8 @@
             ("--control", addresses.control.to_string()),
             ("--data", addresses.data.to_string()),
             ("--platform", format!("http://{platform}")),
+            ("--data-centres", layout.data_centres.join(",")),
+            ("--fleet-size", layout.instances().len().to_string()),
         ];
         let backend_flags = [
             ("--instance", instance.clone()),
--- a/crates/rig/src/demo/mod.rs
+++ b/crates/rig/src/demo/mod.rs
@@ -6,12 +6,14 @@
 //! the backend servers' journals and from polling the nodes' versions; what a
 //! node says of runs isn't taken.
 
+mod demo_line;
 mod demo_options;
 mod demo_report;
 mod demo_run;
 mod deployment_demo;
 mod fault_script;
 
+pub use demo_line::DemoLine;
 pub use demo_options::DemoOptions;
 pub use demo_report::{DemoReport, DeploymentReport};
 pub use demo_run::run_demo;
