--- a/crates/rig/src/node_status.rs
+++ b/crates/rig/src/node_status.rs
@@ -24,6 +24,9 @@
     pub preset: Option<String>,
     /// Members that the node knows: a number, or a list of them.
     pub members: Value,
+    /// Whether it reads the platform for its data centre.
+    #[serde(default)]
+    pub is_watcher: bool,
 }
 
 impl NodeStatus {
--- a/crates/tests/tests/all/main.rs
+++ b/crates/tests/tests/all/main.rs
@@ -1,1 +1,15 @@
-//! Tests across programs, one module a subject.
+//! Tests across programs: real processes, stand-ins and failures.
+//!
+//! Each test starts its own small fleet. Limits on waiting are far above what
+//! is needed, so that a busy machine doesn't change a verdict; no test asserts
+//! how long something took.
+
+mod answers;
+mod at_most_once;
+mod caller;
+mod fleet;
+mod hostile_callers;
+mod leaving;
+mod not_run;
+mod poison;
+mod presets;
--- /dev/null
+++ b/crates/tests/tests/all/not_run.rs
@@ -0,0 +1,125 @@
+//! "Not run" must be the truth.
+
+use std::{collections::HashSet, thread};
+
+use geranium_load::RunLine;
+use geranium_model::{Outcome, headers};
+use geranium_rig::{PairPart, ProcessSignal};
+
+use crate::{
+    caller::{Answer, Call},
+    fleet::{Fleet, document, wait_until},
+};
+
+const PER_CALLER: usize = 12;
+
+/// Sends many writes at once; returns each identifier with its answer.
+fn burst(fleet: &Fleet, path: &str, deadline_ms: u32) -> Vec<(String, Answer)> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..24)
+            .map(|caller| {
+                let node = fleet.node(["verdskra-1", "pantanir-2"][caller % 2]);
+                scope.spawn(move || {
+                    let send = |turn| {
+                        let id = format!("burst-{caller}-{turn}");
+                        let answer = Call::post(node, path, "count stock")
+                            .header(headers::REQUEST_ID, &id)
+                            .header(headers::CALLER, format!("till-{caller}"))
+                            .header(headers::DEADLINE_MS, deadline_ms)
+                            .send();
+                        Some((id, answer.ok()?))
+                    };
+                    (0..PER_CALLER).filter_map(send).collect::<Vec<_>>()
+                })
+            })
+            .collect();
+        callers
+            .into_iter()
+            .flat_map(|caller| caller.join().expect("a caller ends"))
+            .collect()
+    })
+}
+
+fn assert_truthful(fleet: &Fleet, answers: &[(String, Answer)]) -> usize {
+    let runs = fleet.runs();
+    let ran: HashSet<&str> = runs
+        .iter()
+        .filter(|run| run.ran())
+        .map(|run: &RunLine| run.request_id.as_str())
+        .collect();
+    let refused: Vec<_> = answers
+        .iter()
+        .filter(|(_, answer)| answer.outcome == Outcome::NotRun)
+        .collect();
+    for (id, answer) in &refused {
+        assert!(
+            !ran.contains(id.as_str()),
+            "{id} ran, yet its caller heard {answer:?}"
+        );
+    }
+    refused.len()
+}
+
+/// Far more writes than slots and places arrive at once. Those refused hear it
+/// at once, with a time to come back, and none of them ran.
+#[test]
+fn refused_by_a_full_queue_means_not_run() {
+    let mut fleet = Fleet::small();
+    let version = fleet.activate(&document(2));
+    fleet.wait_version(version);
+    let answers = burst(&fleet, "/pantanir/stock?work_ms=60", 400);
+    let refused = assert_truthful(&fleet, &answers);
+    assert!(refused > 0, "the burst was meant to overflow the queue");
+    let silent = answers
+        .iter()
+        .filter(|(_, answer)| answer.status == 503 && !answer.says_when)
+        .count();
+    assert_eq!(silent, 0, "a refusal must say when to come back");
+}
+
+/// Deadlines pass in the queue and at the backend server. Who hears "not run"
+/// must not have run.
+#[test]
+fn deadlines_that_pass_tell_the_truth() {
+    let fleet = Fleet::small();
+    let answers = burst(&fleet, "/pantanir/stock?work_ms=50", 120);
+    assert_truthful(&fleet, &answers);
+    assert!(
+        answers
+            .iter()
+            .any(|(_, answer)| answer.outcome == Outcome::Ran)
+    );
+}
+
+/// Backend servers and nodes are killed while writes are under way. The callers
+/// hear "maybe run" or the answer; "not run" only where it is true.
+#[test]
+fn kills_in_mid_flight_tell_the_truth() {
+    let mut fleet = Fleet::small();
+    let answers = thread::scope(|scope| {
+        let node = fleet.node("verdskra-1");
+        let sending = scope.spawn(move || {
+            let send = |turn: usize| {
+                let id = format!("kill-{turn}");
+                let answer = Call::post(node, "/pantanir/stock?work_ms=20", "count stock")
+                    .header(headers::REQUEST_ID, &id)
+                    .send();
+                Some((id, answer.ok()?))
+            };
+            (0..120).filter_map(send).collect::<Vec<_>>()
+        });
+        wait_until("some runs", || fleet.runs().len() > 5);
+        fleet
+            .pair_mut("pantanir-1")
+            .signal(PairPart::Backend, ProcessSignal::Kill);
+        wait_until("more runs", || fleet.runs().len() > 25);
+        fleet.restart("pantanir-1", PairPart::Backend);
+        fleet
+            .pair_mut("pantanir-2")
+            .signal(PairPart::Node, ProcessSignal::Kill);
+        wait_until("more runs yet", || fleet.runs().len() > 50);
+        fleet.restart("pantanir-2", PairPart::Node);
+        sending.join().expect("the caller ends")
+    });
+    assert_truthful(&fleet, &answers);
+}
