--- /dev/null
+++ b/crates/ctl/tests/all/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the operators' client, one module a subject.
+
+mod activation_faults;
+mod activation_races;
+mod bad_documents;
+mod code_table;
+mod examples;
+mod fleet;
+mod messages;
+mod overtaken;
+mod puts;
+mod support;
