Let a test act before a call of the fake store

After: the four tests are the same, by MemoryStore::before_call; each still fails with its guard out (overtaken taken for lost, newest version not compared, operation not compared, either pointer link ignored).

--- a/crates/ctl/tests/all/overtaken.rs
+++ b/crates/ctl/tests/all/overtaken.rs
@@ -4,13 +4,13 @@
 use geranium_model::ResultCode;
 use geranium_platform::{CallFault, MemoryStore};
 
-use crate::support::{InterposedStore, in_force, prepared, put, put_in_force};
+use crate::support::{in_force, prepared, put, put_in_force};
 
 /// Loses the first write, then lets others activate before it is sent again.
 fn overtaken(
     fault: CallFault,
     others: u32,
-) -> (InterposedStore, Result<geranium_ctl::Activation, CtlError>) {
+) -> (MemoryStore, Result<geranium_ctl::Activation, CtlError>) {
     let rivals = move |store: &MemoryStore| {
         for _ in 0..others {
             // Its own history entry, the last call, is left to its successor.
@@ -18,9 +18,10 @@
             put_in_force(store, "ordinary-day").unwrap();
         }
     };
-    let store = InterposedStore::new(prepared(), 1, rivals);
+    let store = prepared();
     // Pointer, content, in-force, history of the replaced one, then the write.
-    store.inner.fail_call(4, fault);
+    store.fail_call(4, fault);
+    store.before_call(5, rivals);
     let outcome = put_in_force(&store, "peak");
     (store, outcome)
 }
@@ -60,9 +61,10 @@
         (CallFault::LoseRequest, Some(ResultCode::LostRace)),
     ] {
         let edit = |store: &MemoryStore| put(store, "peak", 99).unwrap();
-        let store = InterposedStore::new(prepared(), 1, edit);
+        let store = prepared();
         // Pointer, content, then the write.
-        store.inner.fail_call(2, fault);
+        store.fail_call(2, fault);
+        store.before_call(3, edit);
         let outcome = put(&store, "peak", 50);
         assert_eq!(
             outcome.err().map(|error| error.code()),
@@ -80,8 +82,9 @@
         put(store, "peak", 98).unwrap();
         put(store, "peak", 99).unwrap();
     };
-    let store = InterposedStore::new(prepared(), 1, edits);
-    store.inner.fail_call(2, CallFault::LoseRequest);
+    let store = prepared();
+    store.fail_call(2, CallFault::LoseRequest);
+    store.before_call(3, edits);
     let error = put(&store, "peak", 50).unwrap_err();
     assert_eq!(error.code(), ResultCode::WriteUnknown);
 }
--- a/crates/ctl/tests/all/support.rs
+++ b/crates/ctl/tests/all/support.rs
@@ -1,19 +1,12 @@
 //! What several subjects share.
 
-use std::{
-    path::{Path, PathBuf},
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::path::{Path, PathBuf};
 
 use geranium_ctl::{
     Activation, ActivationRequest, CtlError, Patience, PresetCatalogue, WriteStamp, activate,
 };
 use geranium_model::{ContentDigest, InForce, Preset, PresetDocument, PresetName, platform_keys};
-use geranium_platform::{
-    CasAnswer, Entry, LeaseAnswer, LeaseId, MemoryStore, PlatformError, PlatformStore, Revision,
-    WatchAnswer,
-};
+use geranium_platform::{MemoryStore, PlatformStore};
 
 pub const PATIENCE: u32 = 3;
 
@@ -78,83 +71,3 @@
     std::fs::create_dir_all(&path).unwrap();
     path
 }
-
-type Action = Box<dyn FnOnce(&MemoryStore) + Send>;
-
-/// A store that lets something happen just before one of its writes.
-pub struct InterposedStore {
-    pub inner: Arc<MemoryStore>,
-    before_write: Mutex<(u32, Option<Action>)>,
-}
-
-impl std::fmt::Debug for InterposedStore {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.inner.fmt(f)
-    }
-}
-
-impl InterposedStore {
-    /// Runs `action` before the write number `nth` to the in-force record.
-    pub fn new(
-        inner: MemoryStore,
-        nth: u32,
-        action: impl FnOnce(&MemoryStore) + Send + 'static,
-    ) -> Self {
-        Self {
-            inner: Arc::new(inner),
-            before_write: Mutex::new((nth, Some(Box::new(action)))),
-        }
-    }
-}
-
-impl PlatformStore for InterposedStore {
-    fn get(&self, key: &str) -> Result<Option<Entry>, PlatformError> {
-        self.inner.get(key)
-    }
-
-    fn list(&self, prefix: &str) -> Result<Vec<Entry>, PlatformError> {
-        self.inner.list(prefix)
-    }
-
-    fn compare_and_swap(
-        &self,
-        key: &str,
-        expected: Revision,
-        value: &[u8],
-        lease: Option<LeaseId>,
-    ) -> Result<CasAnswer, PlatformError> {
-        let guarded = [platform_keys::IN_FORCE, platform_keys::PRESETS_PREFIX];
-        let is_move = guarded.iter().any(|prefix| key.starts_with(prefix))
-            && expected != Revision::UNREACHABLE;
-        if is_move {
-            let mut before = self.before_write.lock().unwrap();
-            let due = before.0 == 0;
-            before.0 = before.0.saturating_sub(1);
-            if let Some(action) = due.then(|| before.1.take()).flatten() {
-                action(&self.inner);
-            }
-        }
-        self.inner.compare_and_swap(key, expected, value, lease)
-    }
-
-    fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, PlatformError> {
-        self.inner.grant_lease(ttl)
-    }
-
-    fn keep_lease(&self, lease: LeaseId) -> Result<LeaseAnswer, PlatformError> {
-        self.inner.keep_lease(lease)
-    }
-
-    fn revoke_lease(&self, lease: LeaseId) -> Result<(), PlatformError> {
-        self.inner.revoke_lease(lease)
-    }
-
-    fn watch(
-        &self,
-        key: &str,
-        after: Revision,
-        wait: Duration,
-    ) -> Result<WatchAnswer, PlatformError> {
-        self.inner.watch(key, after, wait)
-    }
-}
--- a/crates/platform/src/memory/memory_store.rs
+++ b/crates/platform/src/memory/memory_store.rs
@@ -8,6 +8,7 @@
 
 use super::{
     CallFault,
+    call_action::CallAction,
     memory_state::{MemoryState, PendingWrite},
 };
 use crate::{
@@ -51,6 +52,7 @@
     down_from: Option<u64>,
     /// Each write with the call after which it lands.
     late: Vec<(u64, PendingWrite)>,
+    actions: BTreeMap<u64, CallAction>,
     cuts: u64,
 }
 
@@ -62,6 +64,16 @@
         inner.faults.insert(call, fault);
     }
 
+    /// Runs `action` just before the call number `nth` from now is handled.
+    ///
+    /// What others do while a call is on its way; their calls have the numbers
+    /// after it.
+    pub fn before_call(&self, nth: u64, action: impl FnOnce(&Self) + Send + 'static) {
+        let mut inner = self.lock();
+        let call = inner.calls + nth;
+        inner.actions.insert(call, CallAction::new(action));
+    }
+
     /// Refuses every call from number `nth` from now on.
     pub fn go_down_after(&self, nth: u64) {
         let mut inner = self.lock();
@@ -112,6 +124,11 @@
         let mut inner = self.lock();
         let call = inner.calls;
         inner.calls += 1;
+        if let Some(action) = inner.actions.remove(&call) {
+            drop(inner);
+            action.run(self);
+            inner = self.lock();
+        }
         let is_down = inner.down_from.is_some_and(|from| call >= from);
         let fault = inner.faults.remove(&call);
         let (due, waiting) = std::mem::take(&mut inner.late)
--- a/crates/platform/src/memory/mod.rs
+++ b/crates/platform/src/memory/mod.rs
@@ -1,5 +1,6 @@
 //! A store in memory, whose calls can be made to fail.
 
+mod call_action;
 mod call_fault;
 mod memory_state;
 mod memory_store;
