Run the demo with the operators' client, and end cleanly on a signal

Cause: geranium-ctl asks for the operator's name; a rig that was interrupted left its directory behind.

Seen: 18 tests of the rig, 21 of the load tool, 16 of the backend server.

--- a/crates/load/src/once_order.rs
+++ b/crates/load/src/once_order.rs
@@ -30,11 +30,14 @@
         };
         let record = worker.send(target + number as usize, &call);
         let again = wants_resend(&record);
+        let heard_nobody = record.verdict == AnswerVerdict::Unreachable;
         records.push(record);
         if !again {
             break;
         }
-        thread::sleep(RESEND_PAUSE);
+        if !heard_nobody {
+            thread::sleep(RESEND_PAUSE);
+        }
     }
     records
 }
--- a/crates/rig/src/fleet_run.rs
+++ b/crates/rig/src/fleet_run.rs
@@ -10,6 +10,7 @@
 };
 
 use geranium_load::RunLine;
+use geranium_standins::backend::termination_requested;
 use snafu::ResultExt;
 
 use crate::{
@@ -118,6 +119,9 @@
             if pending.is_empty() {
                 return Ok(());
             }
+            if termination_requested() {
+                return Err(RigError::Terminated);
+            }
             if Instant::now() > until {
                 let what = "readiness of the fleet".to_owned();
                 return Err(RigError::Timeout {
--- a/crates/rig/src/operator_client.rs
+++ b/crates/rig/src/operator_client.rs
@@ -6,6 +6,9 @@
 
 use crate::{ProgramPaths, RigError, rig_error::ProcessSnafu};
 
+/// Name under which the rig writes.
+const OPERATOR: &str = "rig";
+
 /// Runs `geranium-ctl` against one platform.
 #[derive(Debug, Clone)]
 pub struct OperatorClient {
@@ -43,6 +46,7 @@
     fn run(&self, arguments: &[&str]) -> Result<(), RigError> {
         let mut command = Command::new(self.programs.program("geranium-ctl")?);
         command
+            .env("GERANIUM_OPERATOR", OPERATOR)
             .arg("--platform")
             .arg(format!("http://{}", self.platform))
             .args(arguments);
--- a/crates/standins/src/backend/termination.rs
+++ b/crates/standins/src/backend/termination.rs
@@ -1,8 +1,9 @@
-//! The request to terminate, `SIGTERM`.
+//! Requests to terminate: `SIGTERM`, and `SIGINT` from a terminal.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-/// Number of `SIGTERM` on every Linux architecture.
+/// Numbers of the signals on every Linux architecture.
+const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
 static REQUESTED: AtomicBool = AtomicBool::new(false);
@@ -15,7 +16,7 @@
     REQUESTED.store(true, Ordering::SeqCst);
 }
 
-/// Starts to catch `SIGTERM`, and reports whether one has come since.
+/// Starts to catch both signals, and reports whether one has come since.
 ///
 /// # Examples
 ///
@@ -27,6 +28,7 @@
     // handler, and has the C signature that `signal` asks for. Setting the
     // same handler again changes nothing.
     unsafe {
+        signal(SIGINT, on_signal);
         signal(SIGTERM, on_signal);
     }
     REQUESTED.load(Ordering::SeqCst)
