Split the guard by job: tickets, held jobs, the own backend server

Behaviour is the same but for one thing: a ticket whose answer was streamed counts as run with its answer gone, where it counted as broken.

--- a/crates/decisions/src/once/ticket_ledger.rs
+++ b/crates/decisions/src/once/ticket_ledger.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Notes a whole answer that was too long to be kept.
+    pub fn finished_unkept(&mut self, run: RunKey) {
+        if let Some(record) = self.attempt_of(run) {
+            record.state = RecordState::Ran;
+        }
+    }
+
     /// Notes that an attempt broke off after it was handed over.
     ///
     /// It may have run, so it never runs again.
--- a/crates/node/src/guard/guard_loop.rs
+++ b/crates/node/src/guard/guard_loop.rs
@@ -1,121 +1,42 @@
 //! The guard thread: admission, tickets and crash records in one place.
 
 use std::{
-    collections::{HashMap, HashSet},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use crossbeam::channel::RecvTimeoutError;
 use geranium_decisions::{
-    admission::{
-        AdmissionGate, AdmissionInput, AdmissionSettings, GateDecision, JobCancel, JobEnd, JobId,
-        JobOffer, JobReport,
-    },
-    once::{
-        LedgerSettings, LedgerVerdict, OnceTicket, RunKey, StoredAnswer, TicketLedger, TicketOwner,
-    },
+    admission::{AdmissionGate, GateDecision, JobCancel, JobEnd, JobId, JobOffer, JobReport},
+    once::TicketOwner,
     poison::{PoisonRegister, PoisonVerdict},
 };
-use geranium_model::{
-    CrashRow, FleetPolicy, Incarnation, InstanceName, Outcome, Preset, ResultCode, ServiceName,
-};
-use rand::{SeedableRng, rngs::SmallRng};
-use slog::{Logger, info, warn};
+use geranium_model::{CrashRow, FleetPolicy, Incarnation, InstanceName, Preset, ResultCode};
+use slog::{info, warn};
 
 use super::{
-    BackendClient, BackendNotice, GuardEvent, ReplySink, StreamTable,
+    BackendClient, BackendNotice, GuardEvent, GuardParts, ReplySink,
     backend_call::{BackendCall, CallEnd},
     canceller::CancelOrder,
+    held_job::HeldJob,
+    own_backend::{OwnBackend, settings_before_any},
+    ticket_desk::{TicketDesk, TicketStop},
     worker_pool::{WorkOrder, WorkerPool},
 };
-use crate::{
-    metrics::NodeMetrics,
-    wire::{AnswerHead, BodyPart, HeaderPair, MintQuestion, PeerAnswer, PeerRequest, Refusal},
-};
+use crate::wire::{MintQuestion, PeerAnswer, PeerRequest, Refusal};
 
-/// Slots before the backend server announced any; nothing runs by them.
-const SLOTS_UNKNOWN: u16 = 1;
-/// Queue before a preset named one.
-const QUEUE_DEFAULT: u16 = 64;
-/// Longest queue: each request that waits holds a context of the data port,
-/// of which more must stay free to refuse at once.
-const QUEUE_MAX: u16 = 512;
-/// Bulk share before a preset named one.
-const BULK_SHARE_DEFAULT: f64 = 0.5;
 /// Longest sleep without an event.
 const IDLE_WAKE: Duration = Duration::from_millis(500);
-/// Copies of one ticket that may wait for its first run to end.
-const JOINED_MAX: usize = 4;
 /// Advice for a request that came before the backend server is up.
 const NO_BACKEND_RETRY_MS: u32 = 500;
 
-/// What a guard is made of.
-#[derive(Debug)]
-pub struct GuardParts {
-    /// Own instance.
-    pub instance: InstanceName,
-    /// Start of this node process.
-    pub started: Incarnation,
-    /// Origin of the monotonic clock.
-    pub origin: Instant,
-    /// Time without progress after which a stream is ended.
-    pub stall_timeout: Duration,
-    /// Events.
-    pub events: Receiver<GuardEvent>,
-    /// The same ring, for the workers.
-    pub results: Sender<GuardEvent>,
-    /// Crashes to spread.
-    pub crashes: Sender<CrashRow>,
-    /// Cancellations for the backend server.
-    pub cancels: Sender<CancelOrder>,
-    /// Set while requests wait or run.
-    pub busy: Arc<AtomicBool>,
-    /// Streams of this node.
-    pub streams: Arc<StreamTable>,
-    /// Metrics.
-    pub metrics: Arc<NodeMetrics>,
-    /// Log.
-    pub log: Logger,
-}
-
-/// A request that waits or runs.
-#[derive(Debug)]
-struct HeldJob {
-    request: Option<Box<PeerRequest>>,
-    sink: Option<ReplySink>,
-    deadline: Instant,
-    ticket: Option<HeldTicket>,
-    fingerprint: u64,
-    request_id: String,
-    from: InstanceName,
-}
-
-/// The one attempt that a ticket has under way here.
-#[derive(Debug, Clone, Copy)]
-struct HeldTicket {
-    sequence: u64,
-    run: RunKey,
-}
-
-/// The backend server as announced.
-#[derive(Debug)]
-struct OwnBackend {
-    client: BackendClient,
-    service: ServiceName,
-    slots: u16,
-    announced: u64,
-}
-
 /// State of the guard thread.
 #[derive(Debug)]
 pub struct GuardLoop {
     parts: GuardParts,
     gate: AdmissionGate,
-    ledger: TicketLedger,
+    tickets: TicketDesk,
     poison: PoisonRegister,
     pool: WorkerPool,
     backend: Option<OwnBackend>,
@@ -123,11 +44,8 @@
     draining: bool,
     backend_leaves: bool,
     jobs: HashMap<JobId, HeldJob>,
-    running: HashSet<JobId>,
-    joined: HashMap<u64, Vec<ReplySink>>,
     decisions: Vec<GateDecision>,
     next_id: u64,
-    rng: SmallRng,
 }
 
 impl GuardLoop {
@@ -139,8 +57,8 @@
         };
         let pool = WorkerPool::new(parts.results.clone());
         Self {
-            gate: AdmissionGate::new(gate_settings(SLOTS_UNKNOWN, None)),
-            ledger: TicketLedger::new(owner, LedgerSettings::default()),
+            gate: AdmissionGate::new(settings_before_any()),
+            tickets: TicketDesk::new(owner),
             poison: PoisonRegister::new(FleetPolicy::default()),
             pool,
             parts,
@@ -149,11 +67,8 @@
             draining: false,
             backend_leaves: false,
             jobs: HashMap::new(),
-            running: HashSet::new(),
-            joined: HashMap::new(),
             decisions: Vec::new(),
             next_id: 0,
-            rng: SmallRng::from_rng(&mut rand::rng()),
         }
     }
 
@@ -221,14 +136,14 @@
     fn offer(&mut self, request: Box<PeerRequest>, sink: ReplySink) {
         // The ledger comes first: whatever refuses a request with a ticket must
         // also end the ticket, or a copy could run after "not run" was said.
-        let ticket = match self.check_ticket(&request) {
+        let ticket = match self.tickets.check(self.now(), &request) {
             Ok(ticket) => ticket,
-            Err(TicketStop::Join(sequence)) => return self.join(sequence, sink),
+            Err(TicketStop::Join(sequence)) => return self.tickets.join(sequence, sink),
             Err(TicketStop::Answer(answer)) => return sink.reply(answer),
         };
         if let Err(refusal) = self.check(&request) {
             let refusal = match ticket {
-                Some(ticket) => self.retire(ticket, refusal),
+                Some(ticket) => self.tickets.retire(ticket, refusal),
                 None => refusal,
             };
             return sink.reply(PeerAnswer::Refused(refusal));
@@ -281,51 +196,6 @@
         }
     }
 
-    /// Asks the ledger whether a request with a ticket may run now.
-    fn check_ticket(&mut self, request: &PeerRequest) -> Result<Option<HeldTicket>, TicketStop> {
-        let Some(text) = &request.ticket else {
-            return Ok(None);
-        };
-        let Ok(ticket) = text.parse::<OnceTicket>() else {
-            let refusal = Refusal::not_run(ResultCode::BadTicket, 0);
-            return Err(TicketStop::Answer(PeerAnswer::Refused(refusal)));
-        };
-        let verdict = self.ledger.admit(self.now(), &ticket, request.fingerprint);
-        let outcome = verdict.outcome();
-        let code = match verdict {
-            LedgerVerdict::Run(run) => {
-                return Ok(Some(HeldTicket {
-                    sequence: ticket.sequence(),
-                    run,
-                }));
-            }
-            LedgerVerdict::Running => return Err(TicketStop::Join(ticket.sequence())),
-            LedgerVerdict::Replay(answer) => return Err(TicketStop::Answer(replay(&answer))),
-            LedgerVerdict::RanAnswerDropped => ResultCode::AnswerBroken,
-            LedgerVerdict::MaybeRan => ResultCode::BackendBroke,
-            LedgerVerdict::Retired => ResultCode::TicketExpired,
-            LedgerVerdict::Refuse(code) => code,
-        };
-        let refusal = Refusal {
-            code,
-            outcome,
-            retry_after_ms: 0,
-        };
-        Err(TicketStop::Answer(PeerAnswer::Refused(refusal)))
-    }
-
-    /// Lets a copy of a running ticket wait for the answer of its first run.
-    fn join(&mut self, sequence: u64, sink: ReplySink) {
-        let joined = self.joined.entry(sequence).or_default();
-        if joined.len() < JOINED_MAX {
-            joined.push(sink);
-        } else {
-            sink.reply(PeerAnswer::Refused(Refusal::maybe_run(
-                ResultCode::TicketRunning,
-            )));
-        }
-    }
-
     fn mint(&mut self, question: &MintQuestion, sink: ReplySink) {
         let here = self
             .backend
@@ -340,9 +210,7 @@
             sink.reply(PeerAnswer::Refused(Refusal::not_run(code, 0)));
             return;
         }
-        let now = self.now();
-        let caller = format!("{:016x}", question.caller);
-        let ticket = self.ledger.mint(now, &caller, &mut self.rng);
+        let ticket = self.tickets.mint(self.now(), question.caller);
         sink.reply(PeerAnswer::Minted(ticket.to_string()));
     }
 
@@ -371,13 +239,7 @@
         };
         let Some(backend) = &self.backend else {
             job.sink = Some(sink);
-            self.gate
-                .finish(self.parts.origin.elapsed(), id, not_run_report());
-            self.refuse(
-                id,
-                Refusal::not_run(ResultCode::NoBackend, NO_BACKEND_RETRY_MS),
-            );
-            return;
+            return self.give_back(id, ResultCode::NoBackend);
         };
         let call = BackendCall {
             client: backend.client.clone(),
@@ -393,29 +255,25 @@
             sink,
             record_first: job.ticket.is_some(),
         };
-        match self.pool.submit(order) {
-            Ok(()) => {
-                self.running.insert(id);
-            }
-            Err(order) => {
-                job.sink = Some(order.sink);
-                self.gate
-                    .finish(self.parts.origin.elapsed(), id, not_run_report());
-                self.refuse(
-                    id,
-                    Refusal::not_run(ResultCode::QueueFull, NO_BACKEND_RETRY_MS),
-                );
-            }
+        if let Err(order) = self.pool.submit(order) {
+            job.sink = Some(order.sink);
+            self.give_back(id, ResultCode::QueueFull);
         }
     }
 
+    /// Frees the slot of a request that couldn't be started after all.
+    fn give_back(&mut self, id: JobId, code: ResultCode) {
+        self.gate.finish(self.now(), id, not_run_report());
+        self.refuse(id, Refusal::not_run(code, NO_BACKEND_RETRY_MS));
+    }
+
     /// Ends a request that certainly did not run.
     fn refuse(&mut self, id: JobId, refusal: Refusal) {
         let Some(job) = self.jobs.remove(&id) else {
             return;
         };
         let refusal = match job.ticket {
-            Some(ticket) => self.retire(ticket, refusal),
+            Some(ticket) => self.tickets.retire(ticket, refusal),
             None => refusal,
         };
         if let Some(sink) = job.sink {
@@ -423,31 +281,7 @@
         }
     }
 
-    /// Ends a ticket whose attempt is proved not to have run.
-    ///
-    /// The caller hears "not run" and will order anew with another ticket. A
-    /// copy of this request that is held up somewhere must not run after that,
-    /// so the ticket is dead from here on.
-    fn retire(&mut self, ticket: HeldTicket, refusal: Refusal) -> Refusal {
-        let dead = self.ledger.retire(ticket.run);
-        let outcome = if dead {
-            Outcome::NotRun
-        } else {
-            Outcome::MaybeRun
-        };
-        let refusal = Refusal { outcome, ..refusal };
-        self.answer_joined(ticket.sequence, &PeerAnswer::Refused(refusal));
-        refusal
-    }
-
-    fn answer_joined(&mut self, sequence: u64, answer: &PeerAnswer) {
-        for sink in self.joined.remove(&sequence).unwrap_or_default() {
-            sink.reply(answer.clone());
-        }
-    }
-
     fn finished(&mut self, id: JobId, end: CallEnd, service: Duration) {
-        self.running.remove(&id);
         let now = self.now();
         let job_end = match &end {
             CallEnd::Whole { .. } | CallEnd::Streamed => JobEnd::Ran,
@@ -471,44 +305,10 @@
             _ => {}
         }
         if let Some(ticket) = job.ticket {
-            self.record_ticket(ticket, end);
+            self.tickets.record(ticket, end);
         }
     }
 
-    fn record_ticket(&mut self, ticket: HeldTicket, end: CallEnd) {
-        let answer = match end {
-            CallEnd::Whole { head, body } => {
-                self.ledger.finished(ticket.run, store(&head, &body));
-                let head = AnswerHead {
-                    replayed: true,
-                    ..head
-                };
-                PeerAnswer::Answered {
-                    head,
-                    part: BodyPart::Last(body),
-                }
-            }
-            CallEnd::NotRun(code) => {
-                self.retire(ticket, Refusal::not_run(code, NO_BACKEND_RETRY_MS));
-                return;
-            }
-            // The body went straight to its asker and wasn't kept.
-            CallEnd::Streamed => {
-                self.ledger.broke(ticket.run);
-                ran_unkept()
-            }
-            CallEnd::TimedOut => {
-                self.ledger.broke(ticket.run);
-                PeerAnswer::Refused(Refusal::maybe_run(ResultCode::DeadlineWhileRunning))
-            }
-            CallEnd::Broke { .. } => {
-                self.ledger.broke(ticket.run);
-                PeerAnswer::Refused(Refusal::maybe_run(ResultCode::BackendBroke))
-            }
-        };
-        self.answer_joined(ticket.sequence, &answer);
-    }
-
     /// Notes a request that ran when the backend server went away.
     fn crashed(&mut self, job: &HeldJob) {
         let announced = self.backend.as_ref().map_or(0, |backend| backend.announced);
@@ -575,7 +375,7 @@
                 if std::mem::take(&mut self.backend_leaves) {
                     // Another backend server took the place of the one that
                     // left; the gate that refuses everything left with it.
-                    self.gate = AdmissionGate::new(gate_settings(slots, None));
+                    self.gate = AdmissionGate::new(settings_before_any());
                 }
                 self.reconfigure();
             }
@@ -595,89 +395,14 @@
 
     fn reconfigure(&mut self) {
         let Some(backend) = &self.backend else { return };
-        let policy = self
-            .preset
-            .as_ref()
-            .and_then(|preset| preset.service(&backend.service));
-        let settings = gate_settings(backend.slots, policy);
+        let settings = backend.settings(self.preset.as_deref());
         self.gate.reconfigure(self.now(), settings);
     }
 }
 
-/// Why a request with a ticket doesn't go on to admission.
-enum TicketStop {
-    Join(u64),
-    Answer(PeerAnswer),
-}
-
-fn gate_settings(
-    announced: u16,
-    policy: Option<&geranium_model::ServicePolicy>,
-) -> AdmissionSettings {
-    let input = AdmissionInput {
-        slots: policy
-            .and_then(|policy| policy.slots)
-            .unwrap_or(announced)
-            .max(1),
-        queue: policy
-            .map_or(QUEUE_DEFAULT, |policy| policy.queue)
-            .min(QUEUE_MAX),
-        bulk_share: policy.map_or(BULK_SHARE_DEFAULT, |policy| policy.bulk_share),
-    };
-    AdmissionSettings::try_from(input).expect("a checked policy has slots and a bulk share")
-}
-
-fn ran_unkept() -> PeerAnswer {
-    let (code, outcome) = (ResultCode::AnswerBroken, Outcome::Ran);
-    PeerAnswer::Refused(Refusal {
-        code,
-        outcome,
-        retry_after_ms: 0,
-    })
-}
-
 fn not_run_report() -> JobReport {
     JobReport {
         service: Duration::ZERO,
         end: JobEnd::ShedNotRun,
     }
 }
-
-fn store(head: &AnswerHead, body: &[u8]) -> StoredAnswer {
-    StoredAnswer {
-        status: head.status,
-        headers: head
-            .headers
-            .iter()
-            .filter_map(|pair| {
-                Some((
-                    pair.name.clone(),
-                    String::from_utf8(pair.value.clone()).ok()?,
-                ))
-            })
-            .collect(),
-        body: body.to_vec(),
-    }
-}
-
-fn replay(answer: &StoredAnswer) -> PeerAnswer {
-    let headers = answer
-        .headers
-        .iter()
-        .map(|(name, value)| HeaderPair {
-            name: name.clone(),
-            value: value.clone().into_bytes(),
-        })
-        .collect();
-    let head = AnswerHead {
-        status: answer.status,
-        headers,
-        length: Some(answer.body.len() as u64),
-        load: None,
-        replayed: true,
-    };
-    PeerAnswer::Answered {
-        head,
-        part: BodyPart::Last(answer.body.clone()),
-    }
-}
