--- a/crates/spread/examples/fleet_cost.rs
+++ b/crates/spread/examples/fleet_cost.rs
@@ -8,13 +8,16 @@
 //! cargo run --locked --release -p geranium-spread --example fleet_cost -- 1600
 //! ```
 
+#[path = "../tests/all/fake_platform.rs"]
+mod fake_platform;
 #[path = "../tests/all/fleet.rs"]
 #[expect(dead_code, reason = "the tests use the rest")]
 mod fleet;
 
 use std::time::{Duration, Instant};
 
-use fleet::{Fleet, preset};
+use fake_platform::preset;
+use fleet::Fleet;
 use geranium_model::{InstanceName, MemberState};
 use geranium_spread::FleetCore;
 
--- a/crates/spread/tests/all/budget.rs
+++ b/crates/spread/tests/all/budget.rs
@@ -2,7 +2,7 @@
 
 use geranium_spread::{FleetCore, SILENT_AFTER};
 
-use crate::fleet::{Fleet, preset};
+use crate::{fake_platform::preset, fleet::Fleet};
 
 fn sent_bytes(fleet: &Fleet) -> u64 {
     fleet.total(|core: &FleetCore| core.counters().sent_bytes.iter().sum())
--- a/crates/spread/tests/all/configuration.rs
+++ b/crates/spread/tests/all/configuration.rs
@@ -3,7 +3,10 @@
 use geranium_model::{ContentDigest, ResultCode};
 use geranium_spread::FleetCore;
 
-use crate::fleet::{Fleet, in_force, preset};
+use crate::{
+    fake_platform::{in_force, preset},
+    fleet::Fleet,
+};
 
 /// Three data centres of five nodes, all at version 1.
 fn running_fleet(seed: u64) -> Fleet {
--- a/crates/spread/tests/all/differential.rs
+++ b/crates/spread/tests/all/differential.rs
@@ -9,7 +9,10 @@
 };
 use proptest::prelude::*;
 
-use crate::fleet::{Fleet, in_force, preset};
+use crate::{
+    fake_platform::{in_force, preset},
+    fleet::Fleet,
+};
 
 fn any_row() -> impl Strategy<Value = MemberRow> {
     let states = prop::sample::select(vec![
--- a/crates/spread/tests/all/main.rs
+++ b/crates/spread/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of configuration spreading and membership.
 
+mod fake_platform;
 mod fleet;
 
 mod budget;
--- a/crates/spread/tests/all/membership.rs
+++ b/crates/spread/tests/all/membership.rs
@@ -5,7 +5,7 @@
 use geranium_model::{CrashRow, Incarnation, MemberState};
 use geranium_spread::{ControlEnvelope, ControlMessage, FleetCore, FleetSettings, example_row};
 
-use crate::fleet::{Fleet, preset};
+use crate::{fake_platform::preset, fleet::Fleet};
 
 fn running_fleet(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(seed);
--- a/crates/spread/tests/all/splits.rs
+++ b/crates/spread/tests/all/splits.rs
@@ -2,7 +2,7 @@
 
 use geranium_model::MemberState;
 
-use crate::fleet::{Fleet, preset};
+use crate::{fake_platform::preset, fleet::Fleet};
 
 fn running_fleet(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(seed);
--- a/crates/spread/tests/all/start.rs
+++ b/crates/spread/tests/all/start.rs
@@ -5,7 +5,7 @@
 use geranium_model::PresetVersion;
 use geranium_spread::{FleetSettings, StartGate};
 
-use crate::fleet::{Fleet, preset};
+use crate::{fake_platform::preset, fleet::Fleet};
 
 /// One node restarts while the platform is away. It must come up with the
 /// version it had, or none, and its peers have it.
