Let no node start by a stale read before any peer could answer

Cause: a node that knew no other member yet took the platform's answer at once. With its network a second late and a lagging platform replica it went from version 2 to 1 and back: stale_platform_read_before_any_peer_is_heard_waits saw [1, 2, 1, 2]. After: every node that comes up empty waits up to 1.5 s for a peer's version. Ruled out: waiting only with seeds in the settings; they may come from the platform as well.

--- a/crates/spread/examples/fleet_cost.rs
+++ b/crates/spread/examples/fleet_cost.rs
@@ -77,6 +77,7 @@
     herd_start(&mut fleet, count);
     idle(&mut fleet);
     changes(&mut fleet);
+    replacement(&mut fleet);
     restarts(&mut fleet);
     rack_loss(&mut fleet);
     split(&mut fleet);
@@ -170,6 +171,31 @@
     meter.print(fleet, "a change every 6 s", &note);
 }
 
+/// A change too large for a delta: every node fetches the whole document once.
+fn replacement(fleet: &mut Fleet) {
+    let large = preset(1_000, 50);
+    let meter = Meter::start(fleet);
+    let began = fleet.now;
+    fleet.activate(&large);
+    fleet.changed_at.clear();
+    fleet.run(10.0);
+    let last = fleet
+        .changed_at
+        .iter()
+        .map(|(_, at)| at.saturating_sub(began))
+        .max();
+    let note = format!(
+        "{} kB at {} of {} after {} ms",
+        large.document().canonical_bytes().len() / 1_000,
+        fleet.changed_at.len(),
+        fleet.cores.len(),
+        last.unwrap_or_default().as_millis()
+    );
+    meter.print(fleet, "preset replaced", &note);
+    fleet.activate(&preset(SERVICES, 12));
+    fleet.run(10.0);
+}
+
 fn restarts(fleet: &mut Fleet) {
     let meter = Meter::start(fleet);
     let names: Vec<_> = fleet.cores.keys().cloned().collect();
--- a/crates/spread/src/core_fetch.rs
+++ b/crates/spread/src/core_fetch.rs
@@ -138,13 +138,17 @@
         let parts = (0u16..).zip(document.chunks(CHUNK_BYTES));
         for (index, part) in parts.skip(usize::from(first)).take(CHUNKS_AT_ONCE) {
             let bytes = part.to_vec();
+            if !self.content_bucket.take(self.now, bytes.len() as f64) {
+                self.counters.repairs_withheld += 1;
+                return;
+            }
             let message = ControlMessage::Chunk {
                 digest,
                 index,
                 total,
                 bytes,
             };
-            self.send_repair(from, message, out);
+            self.send(from, message, out);
         }
     }
 
@@ -164,6 +168,8 @@
         }
         let document = wanted.assembly.put(index, total, bytes);
         wanted.asked_at = self.now;
+        // It comes, if slowly: the wait begins anew.
+        wanted.attempts = 0;
         let Some(document) = document else {
             let first = wanted.assembly.first_missing();
             if wanted.assembly.request_done(index) {
--- a/crates/spread/src/core_repair.rs
+++ b/crates/spread/src/core_repair.rs
@@ -73,18 +73,19 @@
     /// Sends an answer to a repair, unless too much was repaired of late.
     ///
     /// Failure guarded against: a herd of newcomers that all ask the same few
-    /// nodes for everything. It shows as control bytes far above the budget at
-    /// the nodes that survived. What is withheld is asked for again.
+    /// nodes for everything, or one peer that asks again and again. It shows as
+    /// control bytes far above the budget at the nodes that are asked. What is
+    /// withheld is asked for again.
     pub(crate) fn send_repair(
         &mut self,
         to: &InstanceName,
         message: ControlMessage,
         out: &mut Vec<FleetAction>,
     ) {
-        if self
-            .repair_bucket
-            .take(self.now, encoded_bytes(&message) as f64)
-        {
+        let (now, bytes) = (self.now, encoded_bytes(&message) as f64);
+        let peer = self.peers.get_mut(to);
+        let in_share = peer.is_some_and(|peer| peer.repairs.take(now, bytes));
+        if in_share && self.repair_bucket.take(now, bytes) {
             self.send(to, message, out);
         } else {
             self.counters.repairs_withheld += 1;
--- a/crates/spread/src/fleet_core.rs
+++ b/crates/spread/src/fleet_core.rs
@@ -30,6 +30,13 @@
 const REPAIR_RATE: f64 = 32_000.0;
 /// Bytes of repairs at once: all rows of 1,600 members to two newcomers.
 const REPAIR_BURST: f64 = 384_000.0;
+/// Bytes a second of documents in chunks, in all: they come on request only,
+/// when a preset is replaced as a whole or a node starts.
+const CONTENT_RATE: f64 = 64_000.0;
+/// Bytes of documents at once: one of 300 kB to each of seven links.
+const CONTENT_BURST: f64 = 2_100_000.0;
+/// Peers remembered, members or not.
+const PEERS_MAX: usize = 10_000;
 /// A gap between two calls after which this node itself stood still: the
 /// control thread calls ten times a second.
 const STOOD_STILL: Duration = Duration::from_secs(3);
@@ -83,6 +90,7 @@
     pub(crate) outboxes: BTreeSet<InstanceName>,
     pub(crate) push_bucket: TokenBucket,
     pub(crate) repair_bucket: TokenBucket,
+    pub(crate) content_bucket: TokenBucket,
     pub(crate) config: ConfigState,
     pub(crate) desk: PlatformDesk,
     pub(crate) join: JoinState,
@@ -128,6 +136,7 @@
             outboxes: BTreeSet::new(),
             push_bucket: TokenBucket::new(PUSH_RATE, PUSH_BURST, PUSH_BURST),
             repair_bucket: TokenBucket::new(REPAIR_RATE, REPAIR_BURST, REPAIR_BURST),
+            content_bucket: TokenBucket::new(CONTENT_RATE, CONTENT_BURST, CONTENT_BURST),
             config: ConfigState::default(),
             counters: FleetCounters::default(),
         }
@@ -341,6 +350,9 @@
     fn hear(&mut self, from: &InstanceName, addr: SocketAddr, out: &mut Vec<FleetAction>) {
         let now = self.now;
         self.heard_any_at = now;
+        if self.peers.len() >= PEERS_MAX && !self.peers.contains_key(from) {
+            return;
+        }
         let peer = self.peers.entry(from.clone());
         let peer = peer.or_insert_with(|| PeerState::new(addr, now));
         peer.heard_at = now;
--- a/crates/spread/src/peer_state.rs
+++ b/crates/spread/src/peer_state.rs
@@ -4,7 +4,12 @@
 
 use geranium_model::InstanceName;
 
-use crate::ConfigMark;
+use crate::{ConfigMark, TokenBucket};
+
+/// Bytes a second of repairs that one peer gets: the rest is for others.
+const PEER_REPAIR_RATE: f64 = 8_000.0;
+/// Bytes of repairs that one peer gets at once: all rows of 1,600 members.
+const PEER_REPAIR_BURST: f64 = 192_000.0;
 
 /// One peer.
 #[derive(Debug)]
@@ -23,6 +28,8 @@
     pub repaired_at: Option<Duration>,
     /// When a configuration was last asked from or pushed to it.
     pub config_at: Option<Duration>,
+    /// Bytes of repairs it may get.
+    pub repairs: TokenBucket,
     /// Members whose rows it should get.
     pub outbox: BTreeSet<InstanceName>,
 }
@@ -37,6 +44,7 @@
             corrected_at: None,
             repaired_at: None,
             config_at: None,
+            repairs: TokenBucket::new(PEER_REPAIR_RATE, PEER_REPAIR_BURST, PEER_REPAIR_BURST),
             outbox: BTreeSet::new(),
         }
     }
--- a/crates/spread/src/start_gate.rs
+++ b/crates/spread/src/start_gate.rs
@@ -11,6 +11,7 @@
 /// all have missed that push for the node to move back.
 pub const PEER_VOTES: usize = 3;
 /// Wait for a peer's version besides the platform's answer, which may be stale.
+/// A node that knows no peer waits as well: its seeds may be about to answer.
 const PEER_WAIT: Duration = Duration::from_millis(1_500);
 /// Wait for peers to appear before their number is taken as final.
 const SETTLE_WAIT: Duration = Duration::from_secs(2);
@@ -84,8 +85,7 @@
     pub fn is_open(&self, now: Duration, others: usize) -> bool {
         let votes = self.votes.values().flatten().count();
         if let Some((answered_at, _)) = self.platform {
-            let waited = now.saturating_sub(answered_at) >= PEER_WAIT;
-            return others == 0 || votes > 0 || waited;
+            return votes > 0 || now.saturating_sub(answered_at) >= PEER_WAIT;
         }
         let empty = self.votes.len() - votes;
         let needed = others.saturating_sub(empty).clamp(1, PEER_VOTES);
--- a/crates/spread/tests/all/budget.rs
+++ b/crates/spread/tests/all/budget.rs
@@ -1,6 +1,11 @@
 //! Bytes and platform calls stay within their limits.
 
-use geranium_spread::{FleetCore, SILENT_AFTER};
+use std::time::Duration;
+
+use geranium_spread::{
+    ControlEnvelope, ControlMessage, FleetAction, FleetCore, FleetSettings, SILENT_AFTER,
+    example_row,
+};
 
 use crate::{fake_platform::preset, fleet::Fleet};
 
@@ -71,3 +76,50 @@
     assert!(*most <= 6, "{most} calls in a second by 30 nodes");
     assert!(SILENT_AFTER.as_secs() > 9);
 }
+
+/// A faulty node asks for all rows five hundred times in a second. It gets them
+/// once or so, and a newcomer that asks next is served all the same.
+#[test]
+fn greedy_peer_gets_its_share_only() {
+    let mut core = FleetCore::new(FleetSettings::default(), example_row("a-1", 1), 1);
+    let mut out = Vec::new();
+    let rows: Vec<_> = (2..1_502)
+        .map(|index| example_row(&format!("a-{index}"), 1))
+        .collect();
+    let ask = |name: &str, message| {
+        let peer = example_row(name, 1);
+        let (from, from_addr) = (peer.instance, peer.control_addr);
+        ControlEnvelope {
+            from,
+            from_addr,
+            message,
+        }
+    };
+    for part in rows.chunks(100) {
+        let message = ControlMessage::Rows(part.to_vec());
+        core.handle(Duration::ZERO, ask("a-2", message), &mut out);
+    }
+    let rows_sent = |core: &FleetCore| core.counters().sent_bytes.iter().sum::<u64>();
+    let before = rows_sent(&core);
+    for step in 0..500 {
+        let message = ControlMessage::Buckets(vec![0; geranium_spread::BUCKETS]);
+        core.handle(
+            Duration::from_millis(2 * step),
+            ask("a-3", message),
+            &mut out,
+        );
+    }
+    let greedy = rows_sent(&core) - before;
+    assert!(greedy < 250_000, "{greedy} bytes");
+    out.clear();
+    let message = ControlMessage::Buckets(vec![0; geranium_spread::BUCKETS]);
+    core.handle(Duration::from_secs(1), ask("a-4", message), &mut out);
+    let rows = out.iter().map(|action| match action {
+        FleetAction::Send {
+            message: ControlMessage::Rows(rows),
+            ..
+        } => rows.len(),
+        _ => 0,
+    });
+    assert_eq!(rows.sum::<usize>(), 1_501);
+}
--- a/crates/spread/tests/all/differential.rs
+++ b/crates/spread/tests/all/differential.rs
@@ -124,11 +124,9 @@
     };
     core.platform_report(Duration::ZERO, report, &mut out);
     let bytes = Some(base.document().canonical_bytes());
-    core.platform_report(
-        Duration::ZERO,
-        PlatformReport::Content { digest, bytes },
-        &mut out,
-    );
+    let content = PlatformReport::Content { digest, bytes };
+    core.platform_report(Duration::ZERO, content, &mut out);
+    core.tick(Duration::from_secs(2), &mut out);
     core
 }
 
@@ -139,7 +137,7 @@
         from_addr: peer.control_addr,
         message,
     };
-    core.handle(Duration::from_secs(1), envelope, &mut Vec::new());
+    core.handle(Duration::from_secs(3), envelope, &mut Vec::new());
 }
 
 proptest! {
--- a/crates/spread/tests/all/start.rs
+++ b/crates/spread/tests/all/start.rs
@@ -38,8 +38,7 @@
         fleet.activate(&preset(4, 1));
         fleet.start("a", 6);
         fleet.run(12.0);
-        fleet.platform.stale = fleet.platform.in_force.clone();
-        let old = fleet.platform.stale.take();
+        let old = fleet.platform.in_force.clone();
         fleet.activate(&preset(4, 2));
         fleet.run(2.0);
         fleet.assert_version(2);
@@ -50,6 +49,26 @@
     }
 }
 
+/// The same, and the network of the restarting instance comes up a second after
+/// its process: the stale answer is all that it has at first.
+#[test]
+fn stale_platform_read_before_any_peer_is_heard_waits() {
+    let mut fleet = Fleet::new(5);
+    fleet.activate(&preset(4, 1));
+    fleet.start("a", 6);
+    fleet.run(12.0);
+    let old = fleet.platform.in_force.clone();
+    fleet.activate(&preset(4, 2));
+    fleet.run(2.0);
+    fleet.platform.stale = old;
+    fleet.start_one("a-3");
+    fleet.cuts.push(("a-3".to_owned(), String::new()));
+    fleet.run(1.0);
+    fleet.cuts.clear();
+    fleet.run(8.0);
+    fleet.assert_version(2);
+}
+
 /// The whole fleet restarts while the platform is away: nobody knows a version,
 /// and inventing one would be worse than waiting. When the platform returns,
 /// all come up.
@@ -116,4 +135,8 @@
     assert!(!gate.is_open(second(2), 5), "others may still come");
     assert!(gate.is_open(second(3), 5));
     assert_eq!(gate.highest(), PresetVersion::new(5));
+    let mut gate = StartGate::new(Duration::ZERO);
+    gate.platform_vote(second(1), PresetVersion::new(4));
+    assert!(!gate.is_open(second(2), 0), "a peer may know better");
+    assert!(gate.is_open(second(3), 0));
 }
