Read the nodes' status as they give it, and show refusals

Cause: the client took a node's links for a number, and the nodes give their names: status told every node silent. Found by running the client against a real fleet for the first time.

After: status, nodes, drain, put, activate and history against four nodes (an_operator_steers_the_fleet_by_the_client), and a preset written past the client shows with the nodes that refused it and number 206 (a_refused_preset_is_shown_to_operators). Both seen failing with links as a number, the second with refusals left out.

--- a/crates/ctl/src/fleet/fleet_status.rs
+++ b/crates/ctl/src/fleet/fleet_status.rs
@@ -24,6 +24,8 @@
     pub versions: Vec<VersionShare>,
     /// Nodes that follow an older version.
     pub lagging: Vec<LaggingNode>,
+    /// Nodes that refused a configuration.
+    pub refusing: Vec<RefusingNode>,
     /// Nodes that didn't answer.
     pub silent: Vec<SilentNode>,
 }
@@ -50,6 +52,15 @@
     pub behind: u64,
 }
 
+/// A node that refused a configuration and kept the one it had.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct RefusingNode {
+    /// Instance.
+    pub instance: String,
+    /// What it refused, with the numbered code.
+    pub reason: String,
+}
+
 /// A node that didn't answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct SilentNode {
@@ -92,6 +103,7 @@
             following: counts.get(&version).copied().unwrap_or(0),
             versions: counts.into_iter().rev().map(share).collect(),
             lagging: lagging(survey, version),
+            refusing: refusing(survey),
             silent: silent(survey),
         }
     }
@@ -112,6 +124,17 @@
         .collect()
 }
 
+fn refusing(survey: &FleetSurvey) -> Vec<RefusingNode> {
+    let nodes = survey.answers.iter();
+    nodes
+        .filter_map(|status| {
+            let reason = status.refused.clone()?;
+            let instance = status.instance.to_string();
+            Some(RefusingNode { instance, reason })
+        })
+        .collect()
+}
+
 fn silent(survey: &FleetSurvey) -> Vec<SilentNode> {
     let nodes = survey.silent.iter();
     nodes
@@ -146,6 +169,9 @@
                 "lagging {instance} ({data_centre}): version {version}, {behind} behind"
             )?;
         }
+        for node in &self.refusing {
+            writeln!(f, "refused by {}: {}", node.instance, node.reason)?;
+        }
         for node in &self.silent {
             writeln!(f, "silent {}: {}", node.admin_addr, node.reason)?;
         }
--- a/crates/ctl/src/fleet/node_status.rs
+++ b/crates/ctl/src/fleet/node_status.rs
@@ -30,9 +30,12 @@
     /// Members that the node knows.
     #[serde(default)]
     pub members: u64,
-    /// Links to other nodes.
+    /// Nodes that it is linked with.
     #[serde(default)]
-    pub links: u64,
+    pub links: Vec<String>,
+    /// Last configuration that it refused, with the numbered code.
+    #[serde(default)]
+    pub refused: Option<String>,
     /// Whether the node watches the platform for others.
     #[serde(default)]
     pub is_watcher: bool,
--- a/crates/ctl/tests/all/fleet.rs
+++ b/crates/ctl/tests/all/fleet.rs
@@ -30,7 +30,8 @@
     json!({
         "instance": format!("node-{index}"), "data_centre": "hofdi", "region": "reykjavik",
         "state": "live", "service": "verdskra", "version": version, "preset": "peak",
-        "digest": "00", "members": 3, "links": 2, "is_watcher": false, "started": 5,
+        "digest": "00", "members": 3, "links": ["node-0", "node-1"], "takers": 3, "counters": {},
+        "refused": (version == 1).then_some("error 204"), "is_watcher": false, "started": 5,
         "incarnation": 5,
     })
 }
@@ -102,6 +103,10 @@
     );
     assert_eq!(told["lagging"][0]["instance"], "node-1");
     assert_eq!(told["lagging"][0]["behind"], 1);
+    assert_eq!(
+        told["refusing"],
+        json!([{"instance": "node-1", "reason": "error 204"}])
+    );
     assert_eq!(told["silent"].as_array().unwrap().len(), 1);
 }
 
--- a/crates/tests/tests/all/main.rs
+++ b/crates/tests/tests/all/main.rs
@@ -11,5 +11,6 @@
 mod hostile_callers;
 mod leaving;
 mod not_run;
+mod operators;
 mod poison;
 mod presets;
--- a/crates/tests/tests/platform/operators.rs
+++ b/crates/tests/tests/platform/operators.rs
@@ -3,11 +3,11 @@
 //! Needs the binaries built: `cargo build --workspace --bins`.
 
 use std::{
-    path::PathBuf,
     process::{Command, Output},
     thread,
 };
 
+use geranium_rig::ProgramPaths;
 use geranium_standins::platform::{DownMode, FaultPlan, FaultRequest, PlatformServer};
 
 use crate::conformance::start;
@@ -15,23 +15,11 @@
 const LOST_RACE: i32 = 33;
 const UNAVAILABLE: i32 = 31;
 
-fn client() -> PathBuf {
-    let test = std::env::current_exe().unwrap();
-    let path = test
-        .parent()
-        .unwrap()
-        .parent()
-        .unwrap()
-        .join("geranium-ctl");
-    assert!(
-        path.exists(),
-        "build the binaries first: cargo build --workspace --bins"
-    );
-    path
-}
-
 fn ctl(server: &PlatformServer, operator: &str, arguments: &[&str]) -> Output {
-    let mut command = Command::new(client());
+    let client = ProgramPaths::find()
+        .program("geranium-ctl")
+        .expect("it is built");
+    let mut command = Command::new(client);
     command
         .env_clear()
         .env("GERANIUM_PLATFORM", server.addr().to_string());
