--- a/crates/rig/src/operator_client.rs
+++ b/crates/rig/src/operator_client.rs
@@ -6,6 +6,9 @@
 
 use crate::{ProgramPaths, RigError, rig_error::ProcessSnafu};
 
+/// Name under which the rig's activations stand in the history.
+const OPERATOR: &str = "rig";
+
 /// Runs `geranium-ctl` against one platform.
 #[derive(Debug, Clone)]
 pub struct OperatorClient {
@@ -45,6 +48,7 @@
         command
             .arg("--platform")
             .arg(format!("http://{}", self.platform))
+            .args(["--operator", OPERATOR])
             .args(arguments);
         let output = command.output().context(ProcessSnafu {
             name: "geranium-ctl",
