--- a/crates/rig/src/backend_pair.rs
+++ b/crates/rig/src/backend_pair.rs
@@ -88,6 +88,7 @@
             ("--data", addresses.data.to_string()),
             ("--platform", format!("http://{}", place.platform)),
             ("--data-centres", layout.data_centres.join(",")),
+            ("--fleet-size", layout.instances().len().to_string()),
             ("--seed", place.seeds.to_owned()),
         ];
         let backend_flags = [
--- a/crates/rig/src/operator_client.rs
+++ b/crates/rig/src/operator_client.rs
@@ -6,7 +6,7 @@
 
 use crate::{ProgramPaths, RigError, rig_error::ProcessSnafu};
 
-/// Name under which the rig's activations stand in the history.
+/// Name under which the rig writes.
 const OPERATOR: &str = "rig";
 
 /// Runs `geranium-ctl` against one platform.
@@ -46,9 +46,9 @@
     fn run(&self, arguments: &[&str]) -> Result<(), RigError> {
         let mut command = Command::new(self.programs.program("geranium-ctl")?);
         command
+            .env("GERANIUM_OPERATOR", OPERATOR)
             .arg("--platform")
             .arg(format!("http://{}", self.platform))
-            .args(["--operator", OPERATOR])
             .args(arguments);
         let output = command.output().context(ProcessSnafu {
             name: "geranium-ctl",
