Add the scale experiment

It starts N real nodes in ten data centres and measures idle cost, changes, a change with a watcher killed, a change after an outage and restarts, beside the naive way in the same run.

--- a/crates/node/src/admin/status_report.rs
+++ b/crates/node/src/admin/status_report.rs
@@ -22,6 +22,9 @@
     pub version: u64,
     /// Preset in force here.
     pub preset: Option<String>,
+    /// Wall clock in milliseconds since the Unix epoch at which it came into
+    /// force here, for people and experiments: nothing decides by it.
+    pub in_force_since_ms: u64,
     /// Digest of the preset.
     pub digest: Option<String>,
     /// Start of this process.
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::Arc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
@@ -67,6 +67,7 @@
     close_due: Duration,
     refused: Option<String>,
     members_changed: bool,
+    in_force_since_ms: u64,
 }
 
 impl ControlLoop {
@@ -82,6 +83,7 @@
             close_due: CLOSE_PERIOD,
             refused: None,
             members_changed: true,
+            in_force_since_ms: 0,
         }
     }
 
@@ -209,6 +211,7 @@
                 info!(self.parts.log, "preset in force";
                     "version" => in_force.version.get(), "preset" => %in_force.preset);
                 self.parts.metrics.version(in_force.version.get());
+                self.in_force_since_ms = wall_clock_ms();
                 let _ = self
                     .parts
                     .guard
@@ -260,6 +263,7 @@
             service: own.service.clone(),
             version: in_force.as_ref().map_or(0, |record| record.version.get()),
             preset: in_force.as_ref().map(|record| record.preset.to_string()),
+            in_force_since_ms: self.in_force_since_ms,
             digest: in_force.as_ref().map(|record| record.digest.to_string()),
             started: own.started.get(),
             incarnation: own.incarnation.get(),
@@ -278,6 +282,11 @@
     }
 }
 
+fn wall_clock_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn counters(core: &FleetCore) -> serde_json::Value {
     let counters = core.counters();
     serde_json::json!({
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -25,6 +25,7 @@
 mod work_dir;
 
 pub mod demo;
+pub mod scale;
 
 pub use backend_pair::{BackendPair, PairAddresses, PairPart};
 pub use child_process::{ChildProcess, ProcessSignal};
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,11 +3,12 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use geranium_rig::{RigCommand, RigOptions, demo};
+use geranium_rig::{RigCommand, RigOptions, demo, scale};
 
 fn main() -> ExitCode {
     let result = match RigOptions::parse().command {
         RigCommand::Demo(options) => demo::run_demo(&options),
+        RigCommand::Scale(options) => scale::run_scale(&options),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/rig/src/node_status.rs
+++ b/crates/rig/src/node_status.rs
@@ -24,6 +24,10 @@
     pub preset: Option<String>,
     /// Members that the node knows: a number, or a list of them.
     pub members: Value,
+    /// Wall clock at which that version came into force there, in
+    /// milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub in_force_since_ms: u64,
     /// Whether it reads the platform for its data centre.
     #[serde(default)]
     pub is_watcher: bool,
--- a/crates/rig/src/rig_command.rs
+++ b/crates/rig/src/rig_command.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::demo::DemoOptions;
+use crate::{demo::DemoOptions, scale::ScaleOptions};
 
 /// Runs whole fleets on this machine.
 #[derive(Debug, Parser)]
@@ -18,4 +18,6 @@
 pub enum RigCommand {
     /// Both users' deployments at today's size, under load and faults.
     Demo(DemoOptions),
+    /// Runs fleets of several sizes and measures what control costs.
+    Scale(ScaleOptions),
 }
