Let a class with few jobs slow the limit only beyond chance

Cause: with files beside price lookups that all got four times longer, the limit fell to 9 although the server was as fast as ever: the files' lower quartile of some 50 jobs strays by 28%, and two windows in a row passed the tolerance by chance.

Ruled out: more samples before a class counts; bulk work would then never be heard beside short work that changed.

Now a class counts as slow beyond one deviation of its own quartile.

--- a/crates/decisions/src/admission/limit_window.rs
+++ b/crates/decisions/src/admission/limit_window.rs
@@ -51,15 +51,16 @@
         now.saturating_sub(self.opened)
     }
 
-    /// Returns a class's lower quartile, if it has enough samples.
-    pub fn quartile_us(&mut self, class: usize) -> Option<f64> {
+    /// Returns a class's lower quartile and of how many samples, if they are
+    /// enough.
+    pub fn quartile_us(&mut self, class: usize) -> Option<(f64, usize)> {
         let samples = &mut self.samples[class];
-        if samples.len() < CLASS_SAMPLES {
+        let count = samples.len();
+        if count < CLASS_SAMPLES {
             return None;
         }
-        let quarter = samples.len() / 4;
-        let (_, quartile, _) = samples.select_nth_unstable_by(quarter, f64::total_cmp);
-        Some(*quartile)
+        let (_, quartile, _) = samples.select_nth_unstable_by(count / 4, f64::total_cmp);
+        Some((*quartile, count))
     }
 
     /// Returns the mean of a class's lowest three quarters, if it has enough
--- a/crates/decisions/src/admission/slot_limit.rs
+++ b/crates/decisions/src/admission/slot_limit.rs
@@ -16,12 +16,14 @@
 //! each fast window; a slow one takes the last step back.
 //!
 //! Grounds:
-//! - `WINDOW_SAMPLES`: the lower quartile of 256 exponential service times
-//!   strays by a ninth, so `TOLERANCE` of 1.5 lies over three deviations out.
-//!   Two slow windows in a row are chance once in millions.
+//! - `DEVIATION`: the lower quartile of n exponential service times strays by
+//!   two over the root of n. A class counts as slow if it is so beyond one
+//!   deviation, so that one with few jobs isn't slow by chance.
+//! - `WINDOW_SAMPLES`: of 256 it strays by an eighth, so `TOLERANCE` of 1.5 and
+//!   one deviation lie four deviations out.
 //! - `GLANCE_SAMPLES`: after 48, where it strays by a quarter, slots are won
 //!   back if jobs were fast; after `TRIAL_SAMPLES` a window ends as well if it
-//!   is beyond `SEVERE`, which is over five deviations out. Only whole windows
+//!   is beyond `SEVERE`, which is over six deviations out. Only whole windows
 //!   move the baseline: those cut short are chosen by their outcome.
 //! - `WINDOW_MAX` ends a window early at a slow or quiet backend server.
 //! - `CUT_MOST`: half a cut can be told from none by the service times above;
@@ -49,6 +51,7 @@
 const GLANCE_SAMPLES: usize = 48;
 const WINDOW_MAX: Duration = Duration::from_secs(1);
 const TOLERANCE: f64 = 1.5;
+const DEVIATION: f64 = 2.0;
 const SEVERE: f64 = 3.0;
 const CUT_MOST: f64 = 0.5;
 const TRIAL_SAMPLES: usize = 96;
@@ -153,36 +156,37 @@
     }
 
     fn judge(&mut self, now: Duration, count: usize, is_full: bool) {
-        let Some(slowdown) = self.least_slowdown() else {
+        let Some(slowdown) = self.least_slowdown(0.0) else {
             return;
         };
+        let certain = self.least_slowdown(DEVIATION).unwrap_or(slowdown);
         let may_grow = !self.is_whole() && slowdown < TOLERANCE;
-        let is_severe = count >= TRIAL_SAMPLES && slowdown > SEVERE;
+        let is_severe = count >= TRIAL_SAMPLES && certain > SEVERE;
         if !(is_full || may_grow || is_severe) {
             return;
         }
         if is_full {
             self.learn(now);
         }
-        let changed = self.react(now, slowdown);
+        let changed = self.react(now, slowdown, certain);
         self.window.reopen(now, changed);
     }
 
     /// Changes the limit after a window, and reports whether it did.
-    fn react(&mut self, now: Duration, slowdown: f64) -> bool {
+    fn react(&mut self, now: Duration, slowdown: f64, certain: f64) -> bool {
         let has_shed = std::mem::take(&mut self.has_shed);
-        let was_slow = std::mem::replace(&mut self.was_slow, slowdown > TOLERANCE);
-        if !self.was_slow {
+        let was_slow = std::mem::replace(&mut self.was_slow, certain > TOLERANCE);
+        if slowdown < TOLERANCE {
             return !has_shed && self.step_up(now);
         }
         if self.stepped > 0.0 {
             return self.step_back(now);
         }
-        let confirmed = was_slow || slowdown > SEVERE;
+        let confirmed = self.was_slow && (was_slow || certain > SEVERE);
         if confirmed && now >= self.hold_until && self.limit > self.floor() {
             return self.try_limit(self.limit * (TOLERANCE / slowdown).max(CUT_MOST));
         }
-        now >= self.raise_from && self.try_limit(self.limit / CUT_MOST)
+        self.was_slow && now >= self.raise_from && self.try_limit(self.limit / CUT_MOST)
     }
 
     /// Keeps a change that jobs' service times justify, or takes it back.
@@ -209,14 +213,16 @@
         self.window.reopen(now, !keeps);
     }
 
-    /// Returns how much slower than usual the least slowed class is.
+    /// Returns how much slower than usual the least slowed class is, less its
+    /// quartile's `deviation` for one sample, over the root of their number.
     ///
     /// A slow backend server slows every class; one class alone that slows has
     /// a new mix.
-    fn least_slowdown(&mut self) -> Option<f64> {
+    fn least_slowdown(&mut self, deviation: f64) -> Option<f64> {
         let slowdown = |class: usize| {
-            let quartile_us = self.window.quartile_us(class)?;
-            Some(self.baselines[class].slowdown(quartile_us))
+            let (quartile_us, count) = self.window.quartile_us(class)?;
+            let margin = (-deviation / (count as f64).sqrt()).exp();
+            Some(self.baselines[class].slowdown(quartile_us) * margin)
         };
         (0..CLASSES).filter_map(slowdown).min_by(f64::total_cmp)
     }
@@ -224,7 +230,7 @@
     fn learn(&mut self, now: Duration) {
         let age = self.window.age(now);
         for (class, baseline) in self.baselines.iter_mut().enumerate() {
-            if let Some(quartile_us) = self.window.quartile_us(class) {
+            if let Some((quartile_us, _)) = self.window.quartile_us(class) {
                 baseline.learn(quartile_us, age);
             }
         }
