Forget a drain rate that is no longer measured

Cause: the rate faded only while a queue was there, so a burst after a slow spell was judged by the rate of that spell. Jobs that started without waiting were counted too, which hid it: they raised the rate although no queue moved.

Now the evidence fades all the time and only jobs that waited count. The new test fails without the fading.

--- a/crates/decisions/src/admission/drain_meter.rs
+++ b/crates/decisions/src/admission/drain_meter.rs
@@ -13,8 +13,8 @@
 //! Grounds: `MEMORY` of one second spans some 1,000 jobs of 10 ms on 12 slots,
 //! noise of a few percent, and follows a slowdown before a person notices; for
 //! longer jobs the memory spans `MEMORY_JOBS` service times. Until the queue
-//! has been busy for `EVIDENCE` of it, the slots over the mean service time
-//! stand in.
+//! has been busy for `EVIDENCE` of it, or again once that is forgotten, the
+//! slots over the mean service time stand in.
 
 use std::time::Duration;
 
@@ -36,12 +36,12 @@
     pub fn advance(&mut self, now: Duration, busy: bool, service_us: f64) {
         let elapsed = now.saturating_sub(self.seen).as_secs_f64();
         self.seen = self.seen.max(now);
-        if !busy || elapsed == 0.0 {
-            return;
-        }
         let fade = (-elapsed / memory(service_us)).exp();
         self.left *= fade;
-        self.busy_s = self.busy_s * fade + elapsed;
+        self.busy_s *= fade;
+        if busy {
+            self.busy_s += elapsed;
+        }
     }
 
     /// Counts a job that left the queue to run.
--- a/crates/decisions/src/admission/gate/dispatch.rs
+++ b/crates/decisions/src/admission/gate/dispatch.rs
@@ -34,7 +34,9 @@
         }
         self.arena.job_mut(key).started = Some(self.now);
         self.running[job.class as usize] += 1;
-        self.meters[job.lane() as usize].count();
+        if job.offered < self.now {
+            self.meters[job.lane() as usize].count();
+        }
         self.lane_mut(job.lane()).begin_run(job.caller, job.key);
         self.ready.push(GateDecision::Run(job.id));
     }
--- a/crates/decisions/tests/admission_gate.rs
+++ b/crates/decisions/tests/admission_gate.rs
@@ -456,3 +456,44 @@
     };
     assert_eq!(refusal.code, ResultCode::BulkShareFull);
 }
+
+/// The server was slow while a queue was last seen, and fast ever since. A rate
+/// remembered from then would refuse a burst that ends well in time.
+#[test]
+fn a_burst_is_not_judged_by_an_old_rate() {
+    let mut gate = gate(2, 64);
+    let patience = Duration::from_secs(30);
+    let mut now = Duration::ZERO;
+    let mut run_for =
+        |gate: &mut AdmissionGate, ids: std::ops::Range<u64>, at_once: usize, service| {
+            for chunk in ids.collect::<Vec<_>>().chunks(at_once) {
+                for id in chunk {
+                    gate.offer(now, short(*id, now + patience));
+                }
+                let mut decided = poll(gate, now);
+                while !decided.is_empty() {
+                    now += service;
+                    for decision in std::mem::take(&mut decided) {
+                        if let GateDecision::Run(job) = decision {
+                            gate.finish(
+                                now,
+                                job,
+                                JobReport {
+                                    service,
+                                    end: JobEnd::Ran,
+                                },
+                            );
+                        }
+                    }
+                    decided = poll(gate, now);
+                }
+            }
+            now
+        };
+    run_for(&mut gate, 0..60, 20, 100 * MS);
+    let now = run_for(&mut gate, 100..400, 1, 10 * MS);
+    for id in 1_000..1_020 {
+        gate.offer(now, short(id, now + 200 * MS));
+    }
+    assert_eq!(poll(&mut gate, now).len(), 2, "the rest waits");
+}
