--- a/crates/decisions/src/admission/gate/mod.rs
+++ b/crates/decisions/src/admission/gate/mod.rs
@@ -114,6 +114,30 @@
     ///
     /// Jobs that run beyond fewer slots go on; no new one starts until enough
     /// of them ended.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use geranium_decisions::admission::*;
+    /// # use geranium_model::{RequestClass, ResultCode};
+    /// # let input = AdmissionInput { slots: 1, queue: 8, bulk_share: 0.5 };
+    /// # let settings = AdmissionSettings::try_from(input).unwrap();
+    /// # let mut gate = AdmissionGate::new(settings);
+    /// # let (caller, key, class) = (7, None, RequestClass::Short);
+    /// # let (now, deadline) = (Duration::ZERO, Duration::from_secs(1));
+    /// # for id in [JobId(1), JobId(2)] {
+    /// #     gate.offer(now, JobOffer { id, class, caller, key, deadline });
+    /// # }
+    /// # let mut out = Vec::new();
+    /// # gate.poll(now, &mut out);
+    /// // Job 1 runs in the only slot, and job 2 waits.
+    /// let input = AdmissionInput { slots: 2, queue: 8, bulk_share: 0.5 };
+    /// gate.reconfigure(now, AdmissionSettings::try_from(input).unwrap());
+    /// out.clear();
+    /// gate.poll(now, &mut out);
+    /// assert_eq!(out, [GateDecision::Run(JobId(2))]);
+    /// ```
     pub fn reconfigure(&mut self, now: Duration, settings: AdmissionSettings) {
         self.advance(now);
         self.settings = settings;
@@ -212,6 +236,27 @@
     }
 
     /// Withdraws a waiting job, whose caller left.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use geranium_decisions::admission::*;
+    /// # use geranium_model::{RequestClass, ResultCode};
+    /// # let input = AdmissionInput { slots: 1, queue: 8, bulk_share: 0.5 };
+    /// # let settings = AdmissionSettings::try_from(input).unwrap();
+    /// # let mut gate = AdmissionGate::new(settings);
+    /// # let (caller, key, class) = (7, None, RequestClass::Short);
+    /// # let (now, deadline) = (Duration::ZERO, Duration::from_secs(1));
+    /// # for id in [JobId(1), JobId(2)] {
+    /// #     gate.offer(now, JobOffer { id, class, caller, key, deadline });
+    /// # }
+    /// # let mut out = Vec::new();
+    /// # gate.poll(now, &mut out);
+    /// // Job 1 runs in the only slot, and job 2 waits.
+    /// assert_eq!(gate.cancel(now, JobId(1)), JobCancel::Running);
+    /// assert_eq!(gate.cancel(now, JobId(2)), JobCancel::Withdrawn);
+    /// ```
     pub fn cancel(&mut self, now: Duration, id: JobId) -> JobCancel {
         self.advance(now);
         let Some(key) = self.arena.find(id) else {
@@ -227,7 +272,34 @@
     /// Refuses what waits and every later offer; what runs goes on.
     ///
     /// A waiting job hasn't reached the backend server, so another node can run
-    /// it at once, without the wait that this queue still had ahead of it.
+    /// it. Measured, short work ends about as soon there as here; but letting
+    /// it run here would give a leaving backend server new work for as long as
+    /// the queue is, which for bulk work is minutes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use geranium_decisions::admission::*;
+    /// # use geranium_model::{RequestClass, ResultCode};
+    /// # let input = AdmissionInput { slots: 1, queue: 8, bulk_share: 0.5 };
+    /// # let settings = AdmissionSettings::try_from(input).unwrap();
+    /// # let mut gate = AdmissionGate::new(settings);
+    /// # let (caller, key, class) = (7, None, RequestClass::Short);
+    /// # let (now, deadline) = (Duration::ZERO, Duration::from_secs(1));
+    /// # for id in [JobId(1), JobId(2)] {
+    /// #     gate.offer(now, JobOffer { id, class, caller, key, deadline });
+    /// # }
+    /// # let mut out = Vec::new();
+    /// # gate.poll(now, &mut out);
+    /// // Job 1 runs in the only slot, and job 2 waits.
+    /// gate.start_draining(now);
+    /// out.clear();
+    /// gate.poll(now, &mut out);
+    /// let (code, retry_after) = (ResultCode::Draining, Duration::ZERO);
+    /// let refusal = JobRefusal { code, retry_after };
+    /// assert_eq!(out, [GateDecision::Refuse(JobId(2), refusal)]);
+    /// ```
     pub fn start_draining(&mut self, now: Duration) {
         self.advance(now);
         self.draining = true;
@@ -249,6 +321,28 @@
     }
 
     /// Returns when to poll next, if no offer or finish comes first.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use geranium_decisions::admission::*;
+    /// # use geranium_model::{RequestClass, ResultCode};
+    /// # let input = AdmissionInput { slots: 1, queue: 8, bulk_share: 0.5 };
+    /// # let settings = AdmissionSettings::try_from(input).unwrap();
+    /// # let mut gate = AdmissionGate::new(settings);
+    /// # let (caller, key, class) = (7, None, RequestClass::Short);
+    /// # let (now, deadline) = (Duration::ZERO, Duration::from_secs(1));
+    /// # for id in [JobId(1), JobId(2)] {
+    /// #     gate.offer(now, JobOffer { id, class, caller, key, deadline });
+    /// # }
+    /// # let mut out = Vec::new();
+    /// # gate.poll(now, &mut out);
+    /// // Job 1 runs in the only slot, and job 2 waits.
+    /// assert!(gate.next_wake().is_some());
+    /// gate.cancel(now, JobId(2));
+    /// assert_eq!(gate.next_wake(), None);
+    /// ```
     pub fn next_wake(&self) -> Option<Duration> {
         if !self.ready.is_empty() {
             return Some(self.now);
@@ -257,6 +351,26 @@
     }
 
     /// Returns the gate's figures.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use geranium_decisions::admission::*;
+    /// # use geranium_model::{RequestClass, ResultCode};
+    /// # let input = AdmissionInput { slots: 1, queue: 8, bulk_share: 0.5 };
+    /// # let settings = AdmissionSettings::try_from(input).unwrap();
+    /// # let mut gate = AdmissionGate::new(settings);
+    /// # let (caller, key, class) = (7, None, RequestClass::Short);
+    /// # let (now, deadline) = (Duration::ZERO, Duration::from_secs(1));
+    /// # for id in [JobId(1), JobId(2)] {
+    /// #     gate.offer(now, JobOffer { id, class, caller, key, deadline });
+    /// # }
+    /// # let mut out = Vec::new();
+    /// # gate.poll(now, &mut out);
+    /// // Job 1 runs in the only slot, and job 2 waits.
+    /// assert_eq!((gate.gauge().running, gate.gauge().waiting), (1, 1));
+    /// ```
     pub fn gauge(&self) -> GateGauge {
         let rates = [JobLane::Prompt, JobLane::Bulk].map(|lane| self.drain_rate(lane));
         GateGauge {
