--- a/crates/decisions/src/picking/backend_evidence.rs
+++ b/crates/decisions/src/picking/backend_evidence.rs
@@ -19,12 +19,13 @@
 /// Factor on the score for a failure share of one. A backend server that
 /// fails fast would otherwise look like the quickest and draw all work.
 const FAILURE_SCORE: f64 = 10.0;
-/// Answers before latency may eject: the average's memory.
+/// Answers before latency may eject: few enough to see it within a second at
+/// ten requests a second.
 const SAMPLES_MIN: u32 = 8;
 /// Least distance from the neighbours that counts as slow: a factor of four.
 const SLOW_LOG: f64 = 1.386;
-/// Spreads that count as slow where answers vary much: about three standard
-/// errors of an average over nine samples.
+/// Spreads that count as slow where answers vary much: about five standard
+/// errors of an average over twenty samples.
 const SLOW_SPREADS: f64 = 1.5;
 /// Bounds of a refusal's retry-after: shorter would ask again before a slot
 /// frees up, longer would believe a mistaken backend server.
--- a/crates/decisions/src/picking/ejection_state.rs
+++ b/crates/decisions/src/picking/ejection_state.rs
@@ -25,7 +25,7 @@
     cause: Option<EjectionCause>,
     until: Duration,
     rounds: u32,
-    probing: bool,
+    probe_sent: Option<Duration>,
 }
 
 impl EjectionState {
@@ -38,14 +38,14 @@
         self.rounds += 1;
         self.cause = Some(cause);
         self.until = now + hold.min(HOLD_MAX);
-        self.probing = false;
+        self.probe_sent = None;
     }
 
     /// Puts the backend server back into rotation.
     pub(super) fn reinstate(&mut self, now: Duration) {
         self.cause = None;
         self.until = now;
-        self.probing = false;
+        self.probe_sent = None;
     }
 
     /// Returns the cause while ejected.
@@ -55,18 +55,28 @@
 
     /// Reports whether a probe may be sent: the time is up and none is out.
     pub(super) fn may_probe(&self, now: Duration) -> bool {
-        self.cause.is_some() && now >= self.until && !self.probing
+        self.cause.is_some() && now >= self.until && self.probe_sent.is_none()
     }
 
     /// Notes a request that was sent; the first after the hold is the probe.
     pub(super) fn sent(&mut self, now: Duration) {
         if self.may_probe(now) {
-            self.probing = true;
+            self.probe_sent = Some(now);
         }
     }
 
-    /// Reports whether a probe is out.
-    pub(super) const fn probing(&self) -> bool {
-        self.probing
+    /// Lets another request be the probe.
+    pub(super) fn probe_again(&mut self) {
+        self.probe_sent = None;
+    }
+
+    /// Reports whether a request of this latency that ends now is the probe.
+    ///
+    /// Guards against the answer to a request from before the ejection, which
+    /// comes late because the backend server is slow: it would end the probe
+    /// before the probe is answered.
+    pub(super) fn ends_probe(&self, now: Duration, latency: Duration) -> bool {
+        let sent = now.saturating_sub(latency);
+        self.probe_sent.is_some_and(|probe| sent >= probe)
     }
 }
--- a/crates/decisions/src/picking/latency_view.rs
+++ b/crates/decisions/src/picking/latency_view.rs
@@ -2,18 +2,17 @@
 
 use std::time::Duration;
 
-/// Weight of a new sample. A fifth averages about nine samples: enough to see
-/// a slow-down within a second at ten requests a second, and few enough that
-/// one outlier doesn't decide.
-const SAMPLE_WEIGHT: f64 = 0.2;
+/// Weight of a new sample. A tenth averages about twenty samples: with a fifth,
+/// ordinary scatter between two sound members was taken for slowness.
+const SAMPLE_WEIGHT: f64 = 0.1;
 /// Shortest latency told apart; below it the network decides.
 const LATENCY_MIN: Duration = Duration::from_micros(50);
 
 /// Moving average of the logarithm of latency, and of its spread.
 ///
 /// Short and long requests mix in one service. In the logarithm one answer
-/// that took a hundred times longer moves the estimate by a factor of 2.5; in
-/// a plain average it would move it by twenty.
+/// that took a hundred times longer moves the estimate by a factor of 1.6; in
+/// a plain average it would move it by ten.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct LatencyView {
     mean_log: f64,
@@ -25,15 +24,15 @@
 impl LatencyView {
     /// Takes in one answer's latency.
     pub(super) fn observe(&mut self, latency: Duration) {
-        let sample = log_of(latency);
-        if self.samples == 0 {
-            self.mean_log = sample;
-        } else {
-            let error = sample - self.mean_log;
-            self.mean_log += SAMPLE_WEIGHT * error;
-            self.spread_log += SAMPLE_WEIGHT * (error.abs() - self.spread_log);
+        let error = log_of(latency) - self.mean_log;
+        if self.samples > 0 {
+            let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+            self.spread_log += weight * (error.abs() - self.spread_log);
         }
         self.samples = self.samples.saturating_add(1);
+        // The first samples count alike: one of them alone says little.
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.mean_log += weight * error;
         self.estimate = self.mean_log.exp();
     }
 
--- a/crates/decisions/src/picking/load_hint.rs
+++ b/crates/decisions/src/picking/load_hint.rs
@@ -24,8 +24,7 @@
         self.claim = Some((load.min(LOAD_MAX), now));
     }
 
-    /// Returns the share of capacity in use, if claimed lately.
-    pub(super) fn share(&self, now: Duration) -> Option<f64> {
+    fn share(&self, now: Duration) -> Option<f64> {
         let (load, at) = self.claim?;
         let fresh = now.saturating_sub(at) <= HINT_AGE_MAX;
         fresh.then(|| f64::from(load) / f64::from(LOAD_MAX))
--- a/crates/decisions/src/picking/mod.rs
+++ b/crates/decisions/src/picking/mod.rs
@@ -19,13 +19,16 @@
 //!
 //! **Grounds for figures** stand beside each constant.
 
+mod backend_arena;
 mod backend_evidence;
 mod backend_key;
 mod backend_picker;
 mod backend_slot;
+mod ejection_judge;
 mod ejection_state;
 mod latency_view;
 mod load_hint;
+mod member_draw;
 mod member_grade;
 mod pick_report;
 mod picker_home;
--- a/crates/decisions/src/picking/service_pool.rs
+++ b/crates/decisions/src/picking/service_pool.rs
@@ -28,6 +28,11 @@
         self.tiers.iter().map(Vec::len).sum()
     }
 
+    /// Returns the arena places of all members.
+    pub(super) fn members(&self) -> impl Iterator<Item = u32> {
+        self.tiers.iter().flatten().copied()
+    }
+
     /// Draws the distance to try first.
     ///
     /// A share equal to the nearer one's pressure goes farther, less the
--- a/crates/decisions/src/picking/tier_pressure.rs
+++ b/crates/decisions/src/picking/tier_pressure.rs
@@ -14,22 +14,24 @@
 const PRESSURE_MAX: f64 = 0.95;
 /// Time constant with which pressure fades without news.
 const FADE: Duration = Duration::from_secs(10);
-/// Factor above the calm latency that counts as saturated: a queue holds
-/// twice as much waiting as running work by then.
-const SLOW_FACTOR_LOG: f64 = 1.1; // ln 3
-/// Weight of a sample in the calm latency when it falls.
-const CALM_FALL: f64 = 0.05;
-/// The same when it rises: a lasting change is accepted after some thousand.
-const CALM_RISE: f64 = 0.001;
-/// Weight of a sample in the recent latency.
-const RECENT_WEIGHT: f64 = 0.2;
+/// Distance above the calm latency that counts as saturated: a factor of two,
+/// from where requests wait as long as they run.
+const SLOW_LOG: f64 = 0.693;
+/// Weight of a sample in the calm latency while it isn't saturated.
+const CALM_WEIGHT: f64 = 0.005;
+/// The same beyond: a lasting change is accepted after some thousand answers.
+const CALM_WEIGHT_BEYOND: f64 = 0.0005;
+/// Weight of a sample in the recent latency. A twentieth averages some forty
+/// samples: with a fifth, ordinary scatter alone looked like saturation.
+const RECENT_WEIGHT: f64 = 0.05;
 
 /// Controller that decides which share of requests goes farther.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct TierPressure {
     value: f64,
     changed: Duration,
-    calm_log: Option<f64>,
+    answers: u32,
+    calm_log: f64,
     recent_log: f64,
 }
 
@@ -43,15 +45,18 @@
     /// far above the calm latency.
     pub(super) fn answered(&mut self, now: Duration, latency: Duration) {
         let sample = log_of(latency);
-        let calm = self.calm_log.unwrap_or(sample);
-        if self.calm_log.is_none() {
-            self.recent_log = sample;
-        }
-        self.recent_log += RECENT_WEIGHT * (sample - self.recent_log);
-        let error = self.recent_log - calm;
-        let weight = if error < 0.0 { CALM_FALL } else { CALM_RISE };
-        self.calm_log = Some(calm + weight * error);
-        let saturated = error > SLOW_FACTOR_LOG;
+        self.answers = self.answers.saturating_add(1);
+        // The first answers count alike: one of them alone says little.
+        let least = 1.0 / f64::from(self.answers);
+        self.recent_log += RECENT_WEIGHT.max(least) * (sample - self.recent_log);
+        let error = self.recent_log - self.calm_log;
+        let weight = if error < SLOW_LOG {
+            CALM_WEIGHT
+        } else {
+            CALM_WEIGHT_BEYOND
+        };
+        self.calm_log += weight.max(least) * error;
+        let saturated = error > SLOW_LOG;
         self.step(now, f64::from(u8::from(saturated)));
     }
 
