Test the moment after a thaw, and repairs with the budget spent

Cause: no test failed without the forgiveness after standing still, nor without the correction of a misjudged member; digest repairs cover both within a second or so.

--- a/crates/spread/tests/all/membership.rs
+++ b/crates/spread/tests/all/membership.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use geranium_model::{CrashRow, Incarnation, MemberState};
-use geranium_spread::{ControlEnvelope, ControlMessage, FleetCore, FleetSettings, example_row};
+use geranium_spread::{
+    ControlEnvelope, ControlMessage, FleetAction, FleetCore, FleetSettings, example_row,
+};
 
 use crate::{fake_platform::preset, fleet::Fleet};
 
@@ -84,6 +86,76 @@
     assert_eq!(fleet.total(|core| core.counters().suspected), suspected);
 }
 
+/// An instance freezes for half a minute and thaws. In its first moments it has
+/// old news only: it must not take the other data centres for cut off, and
+/// refuse their backend servers to callers, because of its own silence.
+#[test]
+fn thawed_member_takes_nobody_for_cut_off() {
+    let mut core = FleetCore::new(FleetSettings::default(), example_row("a-1", 1), 1);
+    let mut out = Vec::new();
+    let peer = example_row("b-1", 1);
+    let envelope = ControlEnvelope {
+        from: peer.instance.clone(),
+        from_addr: peer.control_addr,
+        message: ControlMessage::Rows(vec![peer.clone()]),
+    };
+    core.handle(Duration::ZERO, envelope, &mut out);
+    core.tick(Duration::from_millis(100), &mut out);
+    core.tick(Duration::from_secs(30), &mut out);
+    assert!(core.cut_off().is_empty());
+    assert!(core.reachable(&peer.instance));
+    for tenth in 301..500 {
+        core.tick(Duration::from_millis(100 * tenth), &mut out);
+    }
+    assert!(
+        !core.cut_off().is_empty(),
+        "silence since then is another's"
+    );
+}
+
+/// A member thaws after it was declared gone, while the node that it writes to
+/// has spent its budget for repairs on others. It must be told at once all the
+/// same, or it stays without work until the budget is back.
+#[test]
+fn misjudged_member_is_told_with_the_repair_budget_spent() {
+    let mut core = FleetCore::new(FleetSettings::default(), example_row("a-1", 1), 1);
+    let mut out = Vec::new();
+    let from = |name: &str, message| {
+        let peer = example_row(name, 1);
+        ControlEnvelope {
+            from: peer.instance,
+            from_addr: peer.control_addr,
+            message,
+        }
+    };
+    let mut rows: Vec<_> = (2..1_502)
+        .map(|index| example_row(&format!("a-{index}"), 1))
+        .collect();
+    rows[0].state = MemberState::Gone;
+    let gone = rows[0].clone();
+    core.handle(
+        Duration::ZERO,
+        from("a-9", ControlMessage::Rows(rows)),
+        &mut out,
+    );
+    for index in 10..40 {
+        let message = ControlMessage::Buckets(vec![0; geranium_spread::BUCKETS]);
+        core.handle(
+            Duration::ZERO,
+            from(&format!("a-{index}"), message),
+            &mut out,
+        );
+    }
+    assert!(core.counters().repairs_withheld > 0);
+    out.clear();
+    let message = ControlMessage::ConfigWant { have: None };
+    core.handle(Duration::ZERO, from("a-2", message), &mut out);
+    let told = out.iter().any(|action| {
+        matches!(action, FleetAction::Send { message: ControlMessage::Rows(rows), .. } if *rows == [gone.clone()])
+    });
+    assert!(told, "{out:?}");
+}
+
 /// A rack with a third of a data centre goes dark at one moment.
 #[test]
 fn lost_rack_is_gone_and_the_rest_stays() {
