Count a thawed node as alone until it hears somebody

The fault was the core's: a node that had stood still noted that it had just heard somebody, and so gave up the only member of another data centre 12 s after a thaw without a message.

--- a/crates/spread/src/fleet_core.rs
+++ b/crates/spread/src/fleet_core.rs
@@ -339,7 +339,6 @@
         if gap > STOOD_STILL {
             self.detector.restart();
             self.beats.forgive(now);
-            self.heard_any_at = now;
             for since in self.suspects.values_mut() {
                 *since = now;
             }
