Give up on an answer that trickles in

Cause: only silence was limited, so an answer that came byte by byte would have held a node's platform thread for as long as it liked.

After: a whole answer may take twice the read timeout, a watch that much longer than its wait. an_answer_that_trickles_in_is_given_up; seen failing without the limit (the late answer was taken).

--- a/crates/platform/src/gateway/call.rs
+++ b/crates/platform/src/gateway/call.rs
@@ -66,9 +66,14 @@
         wait: Duration,
     ) -> Result<ResponseReader, PlatformError> {
         let (body, touched) = TrackedBody::new(self.body.clone());
+        let silence = self.settings.read_timeout.max(wait);
+        // Failure: an answer that trickles in, byte by byte, would hold the
+        // caller's thread for hours, as no silence is ever long enough.
+        let whole = self.settings.connect_timeout + silence + self.settings.read_timeout;
         let sent = attohttpc::post(endpoint.url(self.path))
             .connect_timeout(self.settings.connect_timeout)
-            .read_timeout(self.settings.read_timeout.max(wait))
+            .read_timeout(silence)
+            .timeout(whole)
             .proxy_settings(ProxySettings::builder().build())
             .follow_redirects(false)
             .body(body)
--- a/crates/platform/src/gateway/settings.rs
+++ b/crates/platform/src/gateway/settings.rs
@@ -18,8 +18,8 @@
     pub endpoints: Vec<Endpoint>,
     /// Longest wait for a connection.
     pub connect_timeout: Duration,
-    /// Longest wait for each part of an answer; a watch waits at least this
-    /// long.
+    /// Longest silence within an answer; a whole answer may take twice as long.
+    /// A watch waits at least this long.
     pub read_timeout: Duration,
 }
 
--- a/crates/platform/tests/canned_answers.rs
+++ b/crates/platform/tests/canned_answers.rs
@@ -95,3 +95,30 @@
     assert_eq!(error.code(), ResultCode::PlatformBadAnswer);
     assert_eq!(error.effect(), WriteEffect::Unknown);
 }
+
+/// Story: a broken machine in between lets an answer through byte by byte, so
+/// that no silence is long. The caller's thread must come back all the same,
+/// and not with the answer that was whole in the end.
+#[test]
+fn an_answer_that_trickles_in_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut settings = GatewaySettings::new([Endpoint::from(listener.local_addr().unwrap())]);
+    settings.connect_timeout = Duration::from_millis(100);
+    settings.read_timeout = Duration::from_millis(200);
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: 402\r\n\r\n{:400}{{}}",
+            ""
+        );
+        for byte in answer.bytes() {
+            thread::sleep(Duration::from_millis(10));
+            if stream.write_all(&[byte]).is_err() {
+                return;
+            }
+        }
+    });
+    let store = GatewayStore::try_from(settings).unwrap();
+    let error = store.get("geranium/a").unwrap_err();
+    assert_eq!(error.code(), ResultCode::PlatformUnavailable, "{error}");
+}
