--- a/crates/ctl/src/commands/history_command.rs
+++ b/crates/ctl/src/commands/history_command.rs
@@ -13,8 +13,8 @@
     activations: Vec<ActivationRow>,
 }
 
-pub fn history(session: &Session) -> Result<HistoryReport, CtlError> {
-    let records = activation_history(session.store()?)?;
+pub fn history(session: &Session, last: u64) -> Result<HistoryReport, CtlError> {
+    let records = activation_history(session.store()?, last)?;
     Ok(HistoryReport {
         activations: records.iter().map(Into::into).collect(),
     })
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -28,7 +28,7 @@
 ///
 /// let store = Box::new(MemoryStore::default());
 /// let session = Session::new(Some(store), None, Vec::new(), Patience::new(1));
-/// let text = run(&session, &Command::History, OutputFormat::Text)?;
+/// let text = run(&session, &Command::History { last: 20 }, OutputFormat::Text)?;
 /// assert_eq!(text, "nothing was activated yet\n");
 /// # Ok::<(), geranium_ctl::CtlError>(())
 /// ```
@@ -47,7 +47,7 @@
             name,
             expect_version,
         } => output.report(&activate_command::run(session, name, *expect_version)?),
-        Command::History => output.report(&history_command::history(session)?),
+        Command::History { last } => output.report(&history_command::history(session, *last)?),
         Command::Status => output.report(&status_command::status(session)?),
         Command::Nodes => output.report(&nodes_command::nodes(session)?),
         Command::Drain { target } => output.report(&drain_command::drain(session, target)?),
--- a/crates/ctl/src/invocation.rs
+++ b/crates/ctl/src/invocation.rs
@@ -161,8 +161,12 @@
         #[arg(long, value_parser = parse_version)]
         expect_version: Option<PresetVersion>,
     },
-    /// List every activation, newest last.
-    History,
+    /// List past activations, newest last.
+    History {
+        /// How many.
+        #[arg(long, default_value_t = 20)]
+        last: u64,
+    },
     /// Show how many nodes follow the version in force, and which don't.
     Status,
     /// List the instances that a node knows.
--- a/crates/ctl/src/presets/activation_history.rs
+++ b/crates/ctl/src/presets/activation_history.rs
@@ -7,34 +7,43 @@
 use super::record;
 use crate::{CtlError, GuardedWrite, Patience, Settled, ctl_error::PlatformSnafu, settle};
 
-/// Returns every activation, oldest first.
+/// Returns the last `count` activations, oldest first.
 ///
-/// The newest one's entry may be missing after a crash; the in-force record
-/// stands in for it.
+/// Each entry is read by its version, so the work doesn't grow with the years:
+/// a list of all would outgrow an answer within months at 1,400 a day. The
+/// newest one's entry may be missing after a crash; the in-force record stands
+/// in for it.
 ///
 /// # Errors
 ///
 /// A failure of the platform, or [`CtlError::BadRecord`].
-pub fn activation_history(store: &dyn PlatformStore) -> Result<Vec<InForce>, CtlError> {
+pub fn activation_history(store: &dyn PlatformStore, count: u64) -> Result<Vec<InForce>, CtlError> {
     let in_force = record::latest(store, platform_keys::IN_FORCE)?;
-    let entries = store
-        .list(platform_keys::HISTORY_PREFIX)
-        .context(PlatformSnafu)?;
-    let mut records: Vec<InForce> = entries
-        .iter()
-        .map(record::parse)
-        .collect::<Result<_, _>>()?;
-    let last = records
-        .last()
-        .map_or(PresetVersion::NONE, |record| record.version);
-    records.extend(
-        in_force
-            .map(|(_, newest): (_, InForce)| newest)
-            .filter(|newest| newest.version > last),
-    );
+    let Some((_, newest)) = in_force else {
+        return Ok(Vec::new());
+    };
+    let newest: InForce = newest;
+    let version = newest.version.get();
+    let oldest = version.saturating_sub(count.saturating_sub(1)).max(1);
+    let mut records = Vec::new();
+    for version in (oldest..version).map(PresetVersion::new) {
+        records.extend(read(store, version)?);
+    }
+    records.push(newest);
     Ok(records)
 }
 
+/// Reads an entry, which never changes: only its absence can be stale.
+fn read(store: &dyn PlatformStore, version: PresetVersion) -> Result<Option<InForce>, CtlError> {
+    let entry = store
+        .get(&platform_keys::history(version))
+        .context(PlatformSnafu)?;
+    match entry {
+        Some(entry) => record::parse(&entry).map(Some),
+        None => find(store, version),
+    }
+}
+
 /// Makes sure that `entry` stands in the history.
 ///
 /// Every activation does this for the record that it replaces, before it does,
