--- a/crates/tests/tests/platform/conformance.rs
+++ b/crates/tests/tests/platform/conformance.rs
@@ -6,7 +6,7 @@
     CasAnswer, Endpoint, GatewaySettings, GatewayStore, LeaseAnswer, LeaseId, MemoryStore,
     PlatformError, PlatformStore, Revision, WatchAnswer, WriteEffect,
 };
-use geranium_standins::platform::PlatformServer;
+use geranium_standins::platform::{FaultPlan, FaultRequest, PlatformServer};
 
 const WAIT: Duration = Duration::from_secs(5);
 const NO_WAIT: Duration = Duration::from_millis(1);
@@ -21,6 +21,13 @@
     PlatformServer::start("127.0.0.1:0".parse().unwrap()).unwrap()
 }
 
+/// Shows only the faults that `plan` is given.
+pub fn show(server: &PlatformServer, set: impl FnOnce(&mut FaultPlan)) {
+    let mut request = FaultRequest::default();
+    set(&mut request.plan);
+    server.set_faults(&request);
+}
+
 fn both(check: impl Fn(&dyn PlatformStore)) {
     check(&MemoryStore::default());
     let server = start();
--- a/crates/tests/tests/platform/faults.rs
+++ b/crates/tests/tests/platform/faults.rs
@@ -7,16 +7,9 @@
     Endpoint, GatewaySettings, GatewayStore, PlatformError, PlatformStore, Revision, WatchAnswer,
     WriteEffect,
 };
-use geranium_standins::platform::{DownMode, FaultPlan, FaultRequest, PlatformServer};
+use geranium_standins::platform::{DownMode, FaultRequest};
 
-use crate::conformance::{gateway, start, swap};
-
-fn show(server: &PlatformServer, plan: FaultPlan) {
-    server.set_faults(&FaultRequest {
-        plan,
-        ..FaultRequest::default()
-    });
-}
+use crate::conformance::{gateway, show, start, swap};
 
 fn create(store: &GatewayStore, key: &str) -> Result<(), PlatformError> {
     store
@@ -50,13 +43,7 @@
     let server = start();
     let endpoint = Endpoint::from(server.addr());
     let store = GatewayStore::try_from(GatewaySettings::new([endpoint, endpoint])).unwrap();
-    show(
-        &server,
-        FaultPlan {
-            lose_write_answers: 1,
-            ..FaultPlan::default()
-        },
-    );
+    show(&server, |plan| plan.lose_write_answers = 1);
     // Changes nothing, so its answer isn't one of those to lose.
     assert_eq!(store.get_latest("t/a").unwrap(), None);
     let error = create(&store, "t/a").unwrap_err();
@@ -74,13 +61,7 @@
     let server = start();
     let store = gateway(&server);
     for mode in [DownMode::Unavailable, DownMode::Drop] {
-        show(
-            &server,
-            FaultPlan {
-                down: Some(mode),
-                ..FaultPlan::default()
-            },
-        );
+        show(&server, |plan| plan.down = Some(mode));
         let error = create(&store, "t/a").unwrap_err();
         assert_eq!(error.effect(), WriteEffect::Unknown, "{error}");
         assert_eq!(error.code(), ResultCode::PlatformUnavailable);
@@ -89,7 +70,7 @@
             ResultCode::PlatformUnavailable
         );
     }
-    show(&server, FaultPlan::default());
+    show(&server, |_| {});
     create(&store, "t/a").unwrap();
 }
 
@@ -99,13 +80,7 @@
 fn a_hanging_platform_times_out_as_unknown() {
     let server = start();
     let store = gateway(&server);
-    show(
-        &server,
-        FaultPlan {
-            slow_ms: 1_000,
-            ..FaultPlan::default()
-        },
-    );
+    show(&server, |plan| plan.slow_ms = 1_000);
     let error = create(&store, "t/a").unwrap_err();
     assert_eq!(error.effect(), WriteEffect::Unknown, "{error}");
 }
@@ -119,14 +94,10 @@
     let endpoint = Endpoint::from(server.addr());
     let store = GatewayStore::try_from(GatewaySettings::new([endpoint, endpoint])).unwrap();
     let none = Some(0);
-    show(
-        &server,
-        FaultPlan {
-            reads_per_second: none,
-            writes_per_second: none,
-            ..FaultPlan::default()
-        },
-    );
+    show(&server, |plan| {
+        plan.reads_per_second = none;
+        plan.writes_per_second = none;
+    });
     let error = create(&store, "t/a").unwrap_err();
     assert_eq!(error.effect(), WriteEffect::NotWritten, "{error}");
     assert!(store.get("t/a").is_err());
@@ -152,13 +123,7 @@
 fn the_latest_entry_is_read_although_reads_are_stale() {
     let server = start();
     let store = gateway(&server);
-    show(
-        &server,
-        FaultPlan {
-            stale_reads_ms: 60_000,
-            ..FaultPlan::default()
-        },
-    );
+    show(&server, |plan| plan.stale_reads_ms = 60_000);
     let revision = swap(&store, "t/a", Revision::NONE, b"new");
     assert_eq!(store.get("t/a").unwrap(), None);
     assert_eq!(store.get_latest("t/a").unwrap().unwrap().revision, revision);
--- a/crates/tests/tests/platform/operators.rs
+++ b/crates/tests/tests/platform/operators.rs
@@ -8,9 +8,9 @@
 };
 
 use geranium_rig::ProgramPaths;
-use geranium_standins::platform::{DownMode, FaultPlan, FaultRequest, PlatformServer};
+use geranium_standins::platform::{DownMode, PlatformServer};
 
-use crate::conformance::start;
+use crate::conformance::{show, start};
 
 const LOST_RACE: i32 = 33;
 const UNAVAILABLE: i32 = 31;
@@ -51,14 +51,6 @@
     }
 }
 
-fn show(server: &PlatformServer, plan: FaultPlan) {
-    let request = FaultRequest {
-        plan,
-        ..FaultRequest::default()
-    };
-    server.set_faults(&request);
-}
-
 /// Story: six operators activate at the same time, and three answers to their
 /// writes are lost. Each is told 0 or 33, every 0 stands in the history once,
 /// and versions have no gaps.
@@ -67,13 +59,7 @@
     let server = start();
     prepare(&server);
     for round in 0..5 {
-        show(
-            &server,
-            FaultPlan {
-                lose_write_answers: 3,
-                ..FaultPlan::default()
-            },
-        );
+        show(&server, |plan| plan.lose_write_answers = 3);
         let told: Vec<_> = thread::scope(|scope| {
             let operators: Vec<_> = (0..6)
                 .map(|number| {
@@ -90,7 +76,7 @@
                 .map(|operator| operator.join().unwrap())
                 .collect()
         });
-        show(&server, FaultPlan::default());
+        show(&server, |_| {});
         let history = history(&server);
         for (index, entry) in history.iter().enumerate() {
             assert_eq!(entry["version"], index + 1);
@@ -116,27 +102,15 @@
 fn lag_and_outage_neither_repeat_nor_lower_a_version() {
     let server = start();
     prepare(&server);
-    show(
-        &server,
-        FaultPlan {
-            stale_reads_ms: 600_000,
-            ..FaultPlan::default()
-        },
-    );
+    show(&server, |plan| plan.stale_reads_ms = 600_000);
     for preset in ["peak", "ordinary-day", "peak"] {
         assert_eq!(status(&server, "anna", &["activate", preset]), 0);
     }
     for mode in [DownMode::Unavailable, DownMode::Drop] {
-        show(
-            &server,
-            FaultPlan {
-                down: Some(mode),
-                ..FaultPlan::default()
-            },
-        );
+        show(&server, |plan| plan.down = Some(mode));
         assert_eq!(status(&server, "anna", &["activate", "peak"]), UNAVAILABLE);
     }
-    show(&server, FaultPlan::default());
+    show(&server, |_| {});
     let versions: Vec<_> = history(&server)
         .iter()
         .map(|entry| entry["version"].clone())
