--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -25,4 +25,4 @@
 pub use guard_loop::GuardLoop;
 pub use guard_parts::GuardParts;
 pub use reply_sink::ReplySink;
-pub use stream_table::StreamTable;
+pub use stream_table::{StreamPart, StreamTable};
--- a/crates/tests/tests/all/main.rs
+++ b/crates/tests/tests/all/main.rs
@@ -14,3 +14,4 @@
 mod operators;
 mod poison;
 mod presets;
+mod settings_page;
