Test back-off in an outage, and crash rows across a mended cut

Cause: no test failed without the back-off of platform calls, nor without the repair of crash rows; the budget and the flood covered them. Also: content is asked for again after a failure only while it is wanted.

--- a/crates/spread/src/core_fetch.rs
+++ b/crates/spread/src/core_fetch.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    /// Reports whether the document is the one being fetched.
+    pub(crate) fn wants(&self, digest: ContentDigest) -> bool {
+        let wanted = self.config.wanted.as_ref();
+        wanted.is_some_and(|wanted| wanted.in_force.digest == digest)
+    }
+
     /// Asks the next source when the last gave no answer.
     pub(crate) fn retry_config(&mut self, out: &mut Vec<FleetAction>) {
         let now = self.now;
--- a/crates/spread/src/core_platform.rs
+++ b/crates/spread/src/core_platform.rs
@@ -11,6 +11,22 @@
 
 impl FleetCore {
     /// Takes in the outcome of a platform call.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use geranium_spread::{
+    ///     FleetAction, FleetCore, FleetSettings, InForceRead, PlatformReport, example_row,
+    /// };
+    ///
+    /// let mut core = FleetCore::new(FleetSettings::default(), example_row("a-1", 1), 7);
+    /// let mut out = Vec::new();
+    /// let record = InForceRead::Malformed { reason: "not JSON".to_owned() };
+    /// let report = PlatformReport::InForce { watched: false, revision: 4, record };
+    /// core.platform_report(Duration::from_secs(1), report, &mut out);
+    /// assert!(matches!(out[0], FleetAction::ConfigRefused { .. }));
+    /// ```
     pub fn platform_report(
         &mut self,
         now: Duration,
@@ -78,7 +94,9 @@
         self.desk.failed(now, call.is_watch(), &mut self.rng);
         match call {
             PlatformCall::ReadInForce => self.config.gate.platform_failed(),
-            PlatformCall::ReadContent(_) => self.desk.queue(call.clone()),
+            PlatformCall::ReadContent(digest) if self.wants(*digest) => {
+                self.desk.queue(call.clone());
+            }
             _ => {}
         }
     }
--- a/crates/spread/src/fleet_core.rs
+++ b/crates/spread/src/fleet_core.rs
@@ -143,6 +143,25 @@
     }
 
     /// Takes in a message from another node.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use geranium_spread::{
+    ///     ControlEnvelope, ControlMessage, FleetCore, FleetSettings, example_row,
+    /// };
+    ///
+    /// let mut core = FleetCore::new(FleetSettings::default(), example_row("a-1", 1), 7);
+    /// let newcomer = example_row("a-2", 1);
+    /// let envelope = ControlEnvelope {
+    ///     from: newcomer.instance.clone(),
+    ///     from_addr: newcomer.control_addr,
+    ///     message: ControlMessage::Join(newcomer),
+    /// };
+    /// core.handle(Duration::from_secs(1), envelope, &mut Vec::new());
+    /// assert_eq!(core.members().count(), 2);
+    /// ```
     pub fn handle(&mut self, now: Duration, envelope: ControlEnvelope, out: &mut Vec<FleetAction>) {
         self.enter(now);
         let ControlEnvelope {
@@ -222,6 +241,20 @@
     ///
     /// Each change raises the incarnation, so that no older row of this
     /// instance can hide it.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use geranium_model::MemberState;
+    /// use geranium_spread::{FleetCore, FleetSettings, example_row};
+    ///
+    /// let mut core = FleetCore::new(FleetSettings::default(), example_row("a-1", 1), 7);
+    /// let service = "verdskra".parse().ok();
+    /// let now = Duration::from_secs(1);
+    /// core.set_state(now, MemberState::Draining, service, 12, &mut Vec::new());
+    /// assert_eq!(core.own_row().state, MemberState::Draining);
+    /// ```
     pub fn set_state(
         &mut self,
         now: Duration,
@@ -242,6 +275,21 @@
     }
 
     /// Tells the fleet that a backend server broke under a request.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use geranium_model::{CrashRow, Incarnation};
+    /// use geranium_spread::{FleetAction, FleetCore, FleetSettings, example_row};
+    ///
+    /// let mut core = FleetCore::new(FleetSettings::default(), example_row("a-1", 1), 7);
+    /// let instance = core.own_row().instance.clone();
+    /// let row = CrashRow { fingerprint: 9, instance, announced: Incarnation::new(1) };
+    /// let mut out = Vec::new();
+    /// core.report_crash(Duration::from_secs(1), row, &mut out);
+    /// assert!(matches!(out[0], FleetAction::CrashHeard(_)));
+    /// ```
     pub fn report_crash(&mut self, now: Duration, row: CrashRow, out: &mut Vec<FleetAction>) {
         self.enter(now);
         let expires_at = now + self.crash_hold();
--- a/crates/spread/tests/all/budget.rs
+++ b/crates/spread/tests/all/budget.rs
@@ -77,6 +77,24 @@
     assert!(SILENT_AFTER.as_secs() > 9);
 }
 
+/// The platform is down for a minute. Watchers try again at growing gaps: asked
+/// as fast as the budget allows, a platform that struggles wouldn't recover.
+#[test]
+fn platform_outage_is_asked_at_growing_gaps() {
+    let mut fleet = Fleet::new(8);
+    fleet.activate(&preset(4, 1));
+    fleet.start("a1", 12);
+    fleet.run(20.0);
+    fleet.platform.away = true;
+    fleet.platform.calls.clear();
+    fleet.run(60.0);
+    let calls: u64 = fleet.platform.calls.values().sum();
+    assert!(
+        calls < 150,
+        "{calls} calls in a minute by 12 nodes, 2 of them watchers"
+    );
+}
+
 /// A faulty node asks for all rows five hundred times in a second. It gets them
 /// once or so, and a newcomer that asks next is served all the same.
 #[test]
--- a/crates/spread/tests/all/membership.rs
+++ b/crates/spread/tests/all/membership.rs
@@ -250,3 +250,24 @@
         fleet.crashes
     );
 }
+
+/// A backend server breaks while its region is cut off: no link carries the
+/// news across. After the mend the far side must learn of it by digests.
+#[test]
+fn crash_row_crosses_a_mended_cut() {
+    let mut fleet = running_fleet(14);
+    fleet.cuts.push(("a".to_owned(), "b".to_owned()));
+    let row = CrashRow {
+        fingerprint: 78,
+        instance: "a1-0".parse().unwrap(),
+        announced: Incarnation::new(1),
+    };
+    fleet.act("a1-0", |core, now, out| {
+        core.report_crash(now, row.clone(), out);
+    });
+    fleet.run(10.0);
+    assert_eq!(fleet.crashes.len(), 12);
+    fleet.cuts.clear();
+    fleet.run(12.0);
+    assert_eq!(fleet.crashes.len(), 18);
+}
