End a caller's connection that takes no bytes

hyper times reads out but not writes: a caller that never reads kept its place among the connections. The system now ends a connection whose bytes stay unacknowledged for the stall timeout.

--- a/crates/node/src/callers/callers_port.rs
+++ b/crates/node/src/callers/callers_port.rs
@@ -11,7 +11,7 @@
 use geranium_model::ResultCode;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -195,6 +195,11 @@
 
 impl Connection {
     async fn run(mut self, stream: TcpStream, peer: SocketAddr) {
+        // A caller that takes no bytes of its answer would hold the connection
+        // and its place for good: nothing else times a write out. The system
+        // ends a connection whose bytes stay unacknowledged this long.
+        let socket = SockRef::from(&stream);
+        let _ = socket.set_tcp_user_timeout(Some(self.parts.stall_timeout));
         let limits = RequestLimits {
             body_bytes_max: self.parts.body_bytes_max,
             body_timeout: self.parts.head_timeout,
--- a/crates/tests/tests/all/hostile_callers.rs
+++ b/crates/tests/tests/all/hostile_callers.rs
@@ -73,6 +73,21 @@
     }
 }
 
+/// Connections on which nothing is ever sent, and others that stay open after
+/// one answer, take every place there is. They are closed, and ordinary callers
+/// are served again.
+#[test]
+fn silent_and_idle_connections_do_not_hold_the_port() {
+    let fleet = strict_fleet();
+    let node = fleet.node("verdskra-1");
+    let mut held: Vec<_> = (0..40).map(|_| connect(node)).collect();
+    for stream in held.iter_mut().step_by(2) {
+        let _ = stream.write_all(b"GET /verdskra/fish HTTP/1.1\r\nhost: x\r\n\r\n");
+    }
+    assert_serves(&fleet);
+    drop(held);
+}
+
 /// A caller asks for a large file and never reads it. It can't hold a slot of
 /// the backend server for good.
 #[test]
