--- a/crates/decisions/tests/once_machine.rs
+++ b/crates/decisions/tests/once_machine.rs
@@ -28,73 +28,56 @@
 
 #[derive(Debug, Clone, Copy)]
 enum Step {
-    Mint {
-        owner: usize,
-    },
-    Send {
-        ticket: usize,
-        sender: usize,
-        body: bool,
-    },
-    Deliver {
-        copy: usize,
-        keep: bool,
-    },
-    Lose {
-        copy: usize,
-    },
-    Start {
-        job: usize,
-    },
-    Report {
-        job: usize,
-        kind: u8,
-        keep: bool,
-    },
-    Restart {
-        owner: usize,
-        clock_set_back: bool,
-    },
-    Freeze {
-        owner: usize,
-    },
-    Refresh {
-        sender: usize,
-        owner: usize,
-    },
-    Wait {
-        seconds: u16,
-    },
+    Mint(usize),
+    /// Ticket, sender, whether under another body, and whether the sender
+    /// fetched the ticket for this very request.
+    Send(usize, usize, bool, bool),
+    /// Copy, and whether the network keeps a double of it.
+    Deliver(usize, bool),
+    Lose(usize),
+    Start(usize),
+    /// Job, kind of report, and whether it comes again.
+    Report(usize, u8, bool),
+    /// Owner, and whether its clock was set back to the same start.
+    Restart(usize, bool),
+    Freeze(usize),
+    /// Sender, owner, and whether the row is known at all.
+    Refresh(usize, usize, bool),
+    Wait(u16),
 }
 
 fn steps() -> impl Strategy<Value = Step> {
     let place = 0..64usize;
     let flag = any::<bool>();
-    let step = prop_oneof![
-        8 => (0..OWNERS).prop_map(|owner| Step::Mint { owner }),
-        20 => (place.clone(), 0..SENDERS, prop::bool::weighted(0.1))
-            .prop_map(|(ticket, sender, body)| Step::Send { ticket, sender, body }),
-        30 => (place.clone(), flag).prop_map(|(copy, keep)| Step::Deliver { copy, keep }),
-        1 => place.clone().prop_map(|copy| Step::Lose { copy }),
-        20 => place.clone().prop_map(|job| Step::Start { job }),
-        20 => (place, 0..4u8, flag).prop_map(|(job, kind, keep)| Step::Report { job, kind, keep }),
-        1 => (0..OWNERS, flag)
-            .prop_map(|(owner, clock_set_back)| Step::Restart { owner, clock_set_back }),
-        1 => (0..OWNERS).prop_map(|owner| Step::Freeze { owner }),
-        1 => (0..SENDERS, 0..OWNERS).prop_map(|(sender, owner)| Step::Refresh { sender, owner }),
-        1 => (0..900u16).prop_map(|seconds| Step::Wait { seconds }),
-    ];
-    step.boxed()
+    let seldom = prop::bool::weighted(0.1);
+    prop_oneof![
+        8 => (0..OWNERS).prop_map(Step::Mint),
+        20 => (place.clone(), 0..SENDERS, seldom, flag).prop_map(|(a, b, c, d)| Step::Send(a, b, c, d)),
+        30 => (place.clone(), flag).prop_map(|(a, b)| Step::Deliver(a, b)),
+        1 => place.clone().prop_map(Step::Lose),
+        20 => place.clone().prop_map(Step::Start),
+        20 => (place, 0..4u8, flag).prop_map(|(a, b, c)| Step::Report(a, b, c)),
+        1 => (0..OWNERS, flag).prop_map(|(a, b)| Step::Restart(a, b)),
+        1 => (0..OWNERS).prop_map(Step::Freeze),
+        1 => (0..SENDERS, 0..OWNERS, flag).prop_map(|(a, b, c)| Step::Refresh(a, b, c)),
+        1 => (0..900u16).prop_map(Step::Wait),
+    ]
+}
+
+/// One copy of a ticketed request.
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    ticket: usize,
+    owner: usize,
+    body: bool,
 }
 
 /// One handing-over to a backend server.
 #[derive(Debug, Clone, Copy)]
 struct Job {
-    owner: usize,
+    copy: Sent,
     life: u32,
     run: RunKey,
-    ticket: usize,
-    body: bool,
     started: bool,
     refused: bool,
 }
@@ -107,18 +90,13 @@
     frozen: bool,
 }
 
-#[derive(Default)]
-struct Copy {
-    ticket: usize,
-    owner: usize,
-    body: bool,
-}
-
 /// What each ticket's order really went through, per body.
 #[derive(Default, Clone)]
 struct Truth {
     runs: [u32; 2],
     told_not_run: [bool; 2],
+    sent: bool,
+    dropped: bool,
 }
 
 struct World {
@@ -128,7 +106,7 @@
     views: Vec<Vec<Option<MemberRow>>>,
     tickets: Vec<(OnceTicket, usize)>,
     truths: Vec<Truth>,
-    copies: Vec<Copy>,
+    copies: Vec<Sent>,
     jobs: Vec<Job>,
     maybe_run: u32,
     replays: u32,
@@ -155,6 +133,15 @@
     TicketLedger::new(owner, settings)
 }
 
+fn answer_to(copy: Sent) -> StoredAnswer {
+    let body = vec![copy.ticket as u8, copy.body.into()];
+    StoredAnswer {
+        status: 201,
+        headers: vec![],
+        body,
+    }
+}
+
 impl World {
     fn new() -> Self {
         let node = |owner| {
@@ -184,78 +171,75 @@
     }
 
     fn take(&mut self, step: Step) {
+        let (tickets, copies, jobs) = (self.tickets.len(), self.copies.len(), self.jobs.len());
         match step {
-            Step::Mint { owner } => {
-                let node = &mut self.nodes[owner];
-                let since = self.now.saturating_sub(node.born);
-                let ticket = node.ledger.mint(since, "hotel", &mut self.rng);
-                let read: OnceTicket = ticket.to_string().parse().unwrap();
-                assert_eq!(read, ticket);
-                self.tickets.push((ticket, owner));
-                self.truths.push(Truth::default());
-            }
-            Step::Send {
-                ticket,
-                sender,
-                body,
-            } if !self.tickets.is_empty() => {
-                self.send(ticket % self.tickets.len(), sender, body);
-            }
-            Step::Deliver { copy, keep } if !self.copies.is_empty() => {
-                self.deliver(copy % self.copies.len(), keep);
+            Step::Mint(owner) => self.mint(owner),
+            Step::Send(ticket, sender, body, fresh) if tickets > 0 => {
+                self.send(ticket % tickets, sender, body, fresh);
             }
-            Step::Lose { copy } if !self.copies.is_empty() => {
-                self.copies.swap_remove(copy % self.copies.len());
-            }
-            Step::Start { job } if !self.jobs.is_empty() => self.start(job % self.jobs.len()),
-            Step::Report { job, kind, keep } if !self.jobs.is_empty() => {
-                self.report(job % self.jobs.len(), kind, keep);
-            }
-            Step::Restart {
-                owner,
-                clock_set_back,
-            } => {
+            Step::Deliver(copy, keep) if copies > 0 => self.deliver(copy % copies, keep),
+            Step::Lose(copy) if copies > 0 => _ = self.copies.swap_remove(copy % copies),
+            Step::Start(job) if jobs > 0 => self.start(job % jobs),
+            Step::Report(job, kind, keep) if jobs > 0 => self.report(job % jobs, kind, keep),
+            Step::Restart(owner, set_back) => {
                 let node = &mut self.nodes[owner];
-                let raise = u64::from(!clock_set_back);
+                let raise = u64::from(!set_back);
                 node.row = row(owner, node.row.started.get() + raise);
                 node.ledger = ledger(&node.row);
                 (node.born, node.frozen) = (self.now, false);
                 node.life += 1;
             }
-            Step::Freeze { owner } => self.nodes[owner].frozen ^= true,
-            Step::Refresh { sender, owner } => {
-                self.views[sender][owner] = Some(self.nodes[owner].row.clone());
+            Step::Freeze(owner) => self.nodes[owner].frozen ^= true,
+            Step::Refresh(sender, owner, known) => {
+                self.views[sender][owner] = known.then(|| self.nodes[owner].row.clone());
             }
-            Step::Wait { seconds } => self.now += Duration::from_secs(seconds.into()),
+            Step::Wait(seconds) => self.now += Duration::from_secs(seconds.into()),
             _ => {}
         }
     }
 
-    fn send(&mut self, ticket: usize, sender: usize, body: bool) {
+    fn mint(&mut self, owner: usize) {
+        let node = &mut self.nodes[owner];
+        let since = self.now.saturating_sub(node.born);
+        let ticket = node.ledger.mint(since, "hotel", &mut self.rng);
+        assert_eq!(ticket.to_string().parse(), Ok(ticket.clone()));
+        self.tickets.push((ticket, owner));
+        self.truths.push(Truth::default());
+    }
+
+    fn send(&mut self, ticket: usize, sender: usize, body: bool, fresh: bool) {
         let (paper, owner) = &self.tickets[ticket];
+        let truth = &mut self.truths[ticket];
+        if truth.dropped {
+            return;
+        }
+        let fresh = fresh && !truth.sent;
+        let history = if fresh {
+            TicketHistory::FreshHere
+        } else {
+            TicketHistory::Unknown
+        };
         let row = self.views[sender][*owner].as_ref();
-        match TicketRouting.decide(paper, &service(), row, TicketHistory::Unknown) {
+        match TicketRouting.decide(paper, &service(), row, history) {
             RoutingDecision::Send => {
+                truth.sent = true;
                 let owner = *owner;
-                self.copies.push(Copy {
+                self.copies.push(Sent {
                     ticket,
                     owner,
                     body,
                 });
             }
             RoutingDecision::Final { outcome, .. } | RoutingDecision::AskAgain { outcome, .. } => {
+                truth.dropped = fresh;
                 self.tell(ticket, body, outcome);
             }
         }
     }
 
     fn deliver(&mut self, index: usize, keep: bool) {
-        let Copy {
-            ticket,
-            owner,
-            body,
-        } = self.copies[index];
-        let node = &mut self.nodes[owner];
+        let copy = self.copies[index];
+        let node = &mut self.nodes[copy.owner];
         if node.frozen {
             return;
         }
@@ -263,39 +247,31 @@
             self.copies.swap_remove(index);
         }
         let since = self.now.saturating_sub(node.born);
-        let verdict = node
-            .ledger
-            .admit(since, &self.tickets[ticket].0, body.into());
+        let ticket = &self.tickets[copy.ticket].0;
+        let verdict = node.ledger.admit(since, ticket, copy.body.into());
         if let LedgerVerdict::Run(run) = verdict {
             let life = node.life;
-            let job = Job {
-                owner,
+            self.jobs.push(Job {
+                copy,
                 life,
                 run,
-                ticket,
-                body,
                 started: false,
                 refused: false,
-            };
-            self.jobs.push(job);
+            });
             return;
         }
         if let LedgerVerdict::Replay(answer) = &verdict {
             self.replays += 1;
-            assert_eq!(
-                answer.body,
-                [ticket as u8, body.into()],
-                "another order's answer"
-            );
+            assert_eq!(*answer.as_ref(), answer_to(copy), "another order's answer");
         }
-        self.tell(ticket, body, verdict.outcome());
+        self.tell(copy.ticket, copy.body, verdict.outcome());
     }
 
     fn start(&mut self, index: usize) {
         let job = &mut self.jobs[index];
         if !job.started && !job.refused {
             job.started = true;
-            self.truths[job.ticket].runs[usize::from(job.body)] += 1;
+            self.truths[job.copy.ticket].runs[usize::from(job.copy.body)] += 1;
         }
     }
 
@@ -303,21 +279,16 @@
     /// 2 refused and the caller is told, 3 refused and the node tries again.
     fn report(&mut self, index: usize, kind: u8, keep: bool) {
         let job = self.jobs[index];
-        let node = &mut self.nodes[job.owner];
+        let node = &mut self.nodes[job.copy.owner];
         let same_life = node.life == job.life && !node.frozen;
         let may_refuse = !job.started && kind >= 2;
         self.jobs[index].refused |= may_refuse;
         let refused = self.jobs[index].refused;
-        let answer = StoredAnswer {
-            status: 201,
-            headers: vec![],
-            body: vec![job.ticket as u8, job.body.into()],
-        };
         let mut told = None;
         match kind {
             _ if !same_life => {}
             0 if job.started => {
-                node.ledger.finished(job.run, answer);
+                node.ledger.finished(job.run, answer_to(job.copy));
                 told = Some(Outcome::Ran);
             }
             1 => {
@@ -336,7 +307,7 @@
             _ => return,
         }
         if let Some(outcome) = told {
-            self.tell(job.ticket, job.body, outcome);
+            self.tell(job.copy.ticket, job.copy.body, outcome);
         }
         if !keep && (job.started || refused) {
             self.jobs.swap_remove(index);
@@ -367,34 +338,29 @@
 
 #[test]
 fn each_ticket_runs_at_most_once() {
-    let (taken, maybe, replays) = (Cell::new(0u64), Cell::new(0u64), Cell::new(0u64));
-    let runs = Cell::new(0u64);
+    let sums = Cell::new([0u64; 4]);
     let config = Config {
         cases: CASES,
         failure_persistence: None,
         ..Config::default()
     };
-    let mut runner = TestRunner::new(config);
     let cases = prop::collection::vec(steps(), 1..240);
-    let result = runner.run(&cases, |steps| {
+    let result = TestRunner::new(config).run(&cases, |steps| {
         let mut world = World::new();
-        taken.set(taken.get() + steps.len() as u64);
+        let taken = steps.len() as u64;
         for step in steps {
             world.take(step);
         }
         world.check();
-        maybe.set(maybe.get() + u64::from(world.maybe_run));
-        replays.set(replays.get() + u64::from(world.replays));
-        let ran: u32 = world.truths.iter().flat_map(|truth| truth.runs).sum();
-        runs.set(runs.get() + u64::from(ran));
+        let runs: u32 = world.truths.iter().flat_map(|truth| truth.runs).sum();
+        let [a, b, c, d] = sums.get();
+        let (replays, maybe_run) = (u64::from(world.replays), u64::from(world.maybe_run));
+        sums.set([a + taken, b + u64::from(runs), c + replays, d + maybe_run]);
         Ok(())
     });
+    let [taken, runs, replays, maybe_run] = sums.get();
     println!(
-        "{CASES} cases, {} steps, {} runs, {} replays, {} told maybe-run",
-        taken.get(),
-        runs.get(),
-        replays.get(),
-        maybe.get()
+        "{CASES} cases, {taken} steps, {runs} runs, {replays} replays, {maybe_run} told maybe-run"
     );
     result.unwrap();
 }
--- a/crates/decisions/tests/picking_model.rs
+++ b/crates/decisions/tests/picking_model.rs
@@ -8,50 +8,34 @@
 use geranium_model::{InstanceName, MemberRow, MemberState, ResultCode, ServiceName};
 use proptest::prelude::*;
 use rand::{SeedableRng, rngs::StdRng};
+use strum::VariantArray;
 
 const INSTANCES: usize = 6;
 const SERVICES: [&str; 2] = ["verdskra", "pantanir"];
 const CENTRES: [&str; 3] = ["sundahofn", "hofdi", "kopavogur"];
 
+const STATES: &[MemberState] = MemberState::VARIANTS;
+
 #[derive(Debug, Clone)]
 enum Step {
-    Upsert {
-        instance: usize,
-        service: usize,
-        centre: usize,
-        started: u64,
-        state: usize,
-    },
-    Remove {
-        instance: usize,
-    },
-    Pick {
-        service: usize,
-        exclude: usize,
-    },
-    Done {
-        flight: usize,
-        result: u8,
-        millis: u16,
-    },
-    Wait {
-        millis: u16,
-    },
+    /// Instance, service, data centre, start and state.
+    Upsert(usize, usize, usize, u64, usize),
+    Remove(usize),
+    /// Service, and how many members to exclude.
+    Pick(usize, usize),
+    /// Flight, result and milliseconds.
+    Done(usize, u8, u16),
+    Wait(u16),
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let state = 0..6usize;
+    let rows = (0..INSTANCES, 0..2usize, 0..3usize, 1..4u64, 0..STATES.len());
     prop_oneof![
-        2 => (0..INSTANCES, 0..2usize, 0..3usize, 1..4u64, state).prop_map(
-            |(instance, service, centre, started, state)| Step::Upsert {
-                instance, service, centre, started, state
-            }
-        ),
-        1 => (0..INSTANCES).prop_map(|instance| Step::Remove { instance }),
-        6 => (0..2usize, 0..=INSTANCES).prop_map(|(service, exclude)| Step::Pick { service, exclude }),
-        5 => (0..64usize, 0..5u8, 1..2_000u16)
-            .prop_map(|(flight, result, millis)| Step::Done { flight, result, millis }),
-        1 => (0..20_000u16).prop_map(|millis| Step::Wait { millis }),
+        2 => rows.prop_map(|(a, b, c, d, e)| Step::Upsert(a, b, c, d, e)),
+        1 => (0..INSTANCES).prop_map(Step::Remove),
+        6 => (0..2usize, 0..=INSTANCES).prop_map(|(a, b)| Step::Pick(a, b)),
+        5 => (0..64usize, 0..5u8, 1..2_000u16).prop_map(|(a, b, c)| Step::Done(a, b, c)),
+        1 => (0..20_000u16).prop_map(Step::Wait),
     ]
 }
 
@@ -76,14 +60,7 @@
 fn row_of(instance: usize, service: usize, centre: usize, started: u64, state: usize) -> MemberRow {
     let name = format!("till-{instance}");
     let mut row = common::row(&name, SERVICES[service], CENTRES[centre], started);
-    row.state = [
-        MemberState::Starting,
-        MemberState::Warming,
-        MemberState::Live,
-        MemberState::Suspect,
-        MemberState::Draining,
-        MemberState::Gone,
-    ][state];
+    row.state = STATES[state];
     row
 }
 
@@ -119,7 +96,7 @@
         let mut removed: Vec<BackendKey> = Vec::new();
         for step in steps {
             match step {
-                Step::Upsert { instance, service, centre, started, state } => {
+                Step::Upsert(instance, service, centre, started, state) => {
                     let row = row_of(instance, service, centre, started, state);
                     let key = picker.upsert(now, &row);
                     let known = list.rows.get(&row.instance);
@@ -127,12 +104,12 @@
                         list.rows.insert(row.instance.clone(), (key, row));
                     }
                 }
-                Step::Remove { instance } => {
+                Step::Remove(instance) => {
                     let name: InstanceName = format!("till-{instance}").parse().unwrap();
                     picker.remove(&name);
                     removed.extend(list.rows.remove(&name).map(|(key, _)| key));
                 }
-                Step::Pick { service, exclude } => {
+                Step::Pick(service, exclude) => {
                     let service: ServiceName = SERVICES[service].parse().unwrap();
                     let keys = list.rows.values().map(|(key, _)| *key);
                     let exclude: Vec<_> = keys.take(exclude).collect();
@@ -149,15 +126,15 @@
                         }
                     }
                 }
-                Step::Done { flight, result, millis } if !flights.is_empty() => {
+                Step::Done(flight, result, millis) if !flights.is_empty() => {
                     let (key, sent) = flights.swap_remove(flight % flights.len());
                     now = now.max(sent + Duration::from_millis(millis.into()));
                     let latency = now.saturating_sub(sent);
                     let result = result_of(result);
                     picker.done(now, key, PickReport { latency, result, load: Some(500) });
                 }
-                Step::Wait { millis } => now += Duration::from_millis(millis.into()),
-                Step::Done { .. } => {}
+                Step::Wait(millis) => now += Duration::from_millis(millis.into()),
+                Step::Done(..) => {}
             }
             for (key, row) in list.rows.values() {
                 prop_assert_eq!(picker.row(*key), Some(row));
