Let whoever is asked to check a member judge it, and nobody while cut off

A neighbour elsewhere may not judge, so its check came to nothing; and a node that began a check while cut off finished it after. After: members asked to check one that gave no answer judge it themselves, two of its own data centre are asked first, whoever asks is answered, and a check begun while alone proves nothing. Digests go each 0.8 s in place of 1 s. Ruled out: shorter waits for an answer; a busy instance would be suspected.

--- a/crates/spread/src/core_detection.rs
+++ b/crates/spread/src/core_detection.rs
@@ -18,11 +18,14 @@
 /// Time for which a tombstone is kept: longer than a split, so that no far side
 /// brings a member back that left meanwhile.
 const TOMBSTONE_KEPT: Duration = Duration::from_secs(3 * 3_600);
-/// A node that heard nobody for this long may itself be cut off: two digests
-/// are due within it.
-const ALONE_AFTER: Duration = Duration::from_millis(2_500);
-/// Members asked to check another on this node's behalf.
-const INDIRECT_CHECKS: usize = 2;
+/// A node that heard nobody for this long may itself be cut off. Shorter than
+/// the wait for indirect checks, within which those asked answer: a node that
+/// lost its network during a check must not blame the one it checked.
+const ALONE_AFTER: Duration = Duration::from_millis(1_400);
+/// Members of the same data centre asked to check another: they may judge it.
+const NEAR_CHECKS: usize = 2;
+/// Links elsewhere asked to, in case that data centre is hard to reach.
+const FAR_CHECKS: usize = 1;
 /// Members of a data centre from which on half of them silent is a split.
 const SPLIT_MEMBERS_MIN: usize = 6;
 /// Gap between messages to a member out of reach, to find that it is back.
@@ -37,21 +40,27 @@
         target: &InstanceName,
         out: &mut Vec<FleetAction>,
     ) {
+        // Whoever asks may be the one that is cut off: an answer tells it.
+        self.reply(from, out);
         let known = self.table.get(target).is_some();
         if known && self.detector.relay(self.now, target.clone(), from.clone()) {
+            // This node may be in a position to judge where the other isn't.
+            let alone = self.is_alone();
+            self.detector.check(self.now, target, alone);
             self.ask(target, out);
         }
     }
 
     /// Moves checks on and acts on what they came to.
     pub(crate) fn advance_detector(&mut self, out: &mut Vec<FleetAction>) {
-        for outcome in self.detector.advance(self.now) {
+        let alone = self.is_alone();
+        for outcome in self.detector.advance(self.now, alone) {
             match outcome {
                 ProbeOutcome::AskOthers(target) => self.ask_others(&target, out),
-                ProbeOutcome::Silent { target, vouched } => {
+                ProbeOutcome::Silent { target, excused } => {
                     self.links_stale = true;
                     // Another member reaches it: the path is broken, not it.
-                    if !vouched {
+                    if !excused {
                         self.suspect(&target, out);
                     }
                 }
@@ -61,16 +70,25 @@
 
     fn ask_others(&mut self, target: &InstanceName, out: &mut Vec<FleetAction>) {
         self.ask(target, out);
-        let others: Vec<_> = self
-            .links
-            .iter()
-            .filter(|link| *link != target && !self.detector.is_silent(link))
-            .cloned()
-            .collect();
-        let asked: Vec<_> = others
-            .sample(&mut self.rng, INDIRECT_CHECKS)
-            .cloned()
-            .collect();
+        let place = self.table.get(target).map(|row| row.data_centre.clone());
+        let usable = |row: &&MemberRow| {
+            row.instance != *target
+                && row.instance != self.own.instance
+                && row.state != MemberState::Suspect
+                && !self.detector.is_silent(&row.instance)
+        };
+        let rows = self.table.rows().filter(usable);
+        let (near, far): (Vec<_>, Vec<_>) =
+            rows.partition(|row| Some(&row.data_centre) == place.as_ref());
+        let far = far
+            .into_iter()
+            .filter(|row| self.links.contains(&row.instance));
+        let far: Vec<_> = far.collect();
+        let mut asked: Vec<InstanceName> = Vec::new();
+        for (rows, count) in [(near, NEAR_CHECKS), (far, FAR_CHECKS)] {
+            let chosen = rows.sample(&mut self.rng, count);
+            asked.extend(chosen.map(|row| row.instance.clone()));
+        }
         for other in asked {
             self.send(&other, ControlMessage::ProbeRequest(target.clone()), out);
         }
@@ -83,11 +101,10 @@
     /// refutations on the mend. A node judges only members of its own data
     /// centre, and none while it hears nobody itself.
     fn suspect(&mut self, target: &InstanceName, out: &mut Vec<FleetAction>) {
-        let alone = self.now.saturating_sub(self.heard_any_at) > ALONE_AFTER;
         let Some(row) = self.table.get(target).cloned() else {
             return;
         };
-        if alone || !self.may_judge(&row) {
+        if self.is_alone() || !self.may_judge(&row) {
             return;
         }
         match row.state {
@@ -102,6 +119,11 @@
         }
     }
 
+    /// Reports whether this node heard nobody of late.
+    fn is_alone(&self) -> bool {
+        self.now.saturating_sub(self.heard_any_at) > ALONE_AFTER
+    }
+
     /// Reports whether this node may judge a member: it is of the same data
     /// centre, or the only one of its own.
     fn may_judge(&self, row: &MemberRow) -> bool {
--- a/crates/spread/src/core_exchange.rs
+++ b/crates/spread/src/core_exchange.rs
@@ -34,6 +34,12 @@
         self.send(to, message, out);
     }
 
+    /// Sends a digest that asks for nothing.
+    pub(crate) fn reply(&mut self, to: &InstanceName, out: &mut Vec<FleetAction>) {
+        let message = self.digest(DigestKind::Reply);
+        self.send(to, message, out);
+    }
+
     /// Tells a newly chosen link that it was chosen.
     pub(crate) fn greet(&mut self, to: &InstanceName, out: &mut Vec<FleetAction>) {
         if let Some(row) = self.table.get(to) {
@@ -70,8 +76,7 @@
         self.note_peer(from, digest);
         let asked = digest.kind == DigestKind::Reply;
         if !asked {
-            let reply = self.digest(DigestKind::Reply);
-            self.send(from, reply, out);
+            self.reply(from, out);
         }
         self.compare_config(from, digest.config, out);
         // Only who asked begins a repair, or both would at once.
--- a/crates/spread/src/failure_detector.rs
+++ b/crates/spread/src/failure_detector.rs
@@ -21,8 +21,9 @@
     Direct,
     /// Asked again, also through others.
     Indirect {
-        /// Whether another member reached it.
-        vouched: bool,
+        /// Whether silence proves nothing: another member reached it, or this
+        /// node was itself alone when it asked.
+        excused: bool,
     },
 }
 
@@ -45,8 +46,8 @@
 pub(crate) enum ProbeOutcome {
     /// No direct answer: ask again, and ask others to.
     AskOthers(InstanceName),
-    /// No answer at all. `vouched` when another member reached it.
-    Silent { target: InstanceName, vouched: bool },
+    /// No answer at all; see [`ProbeStage::Indirect`].
+    Silent { target: InstanceName, excused: bool },
 }
 
 /// Checks under way and members that gave no sign.
@@ -86,9 +87,9 @@
     /// Notes that another member reached `target`.
     pub fn vouched(&mut self, target: &InstanceName) {
         if let Some(probe) = self.probes.get_mut(target)
-            && let ProbeStage::Indirect { vouched } = &mut probe.stage
+            && let ProbeStage::Indirect { excused } = &mut probe.stage
         {
-            *vouched = true;
+            *excused = true;
         }
     }
 
@@ -106,8 +107,20 @@
         room
     }
 
-    /// Returns the checks that came to something.
-    pub fn advance(&mut self, now: Duration) -> Vec<ProbeOutcome> {
+    /// Starts a check of a member that another found silent, without asking
+    /// others: each would ask more in turn.
+    pub fn check(&mut self, now: Duration, target: &InstanceName, alone: bool) {
+        // Silent before: the path from here is known to be broken.
+        if !self.silent.contains_key(target) {
+            let stage = ProbeStage::Indirect { excused: alone };
+            let probe = Probe { stage, since: now };
+            self.probes.entry(target.clone()).or_insert(probe);
+        }
+    }
+
+    /// Returns the checks that came to something. `alone`: this node heard
+    /// nobody of late.
+    pub fn advance(&mut self, now: Duration, alone: bool) -> Vec<ProbeOutcome> {
         self.relays
             .retain(|relay| now.saturating_sub(relay.since) < INDIRECT_WAIT);
         let mut outcomes = Vec::new();
@@ -115,13 +128,13 @@
             let waited = now.saturating_sub(probe.since);
             match probe.stage {
                 ProbeStage::Direct if waited >= DIRECT_WAIT => {
-                    probe.stage = ProbeStage::Indirect { vouched: false };
+                    probe.stage = ProbeStage::Indirect { excused: alone };
                     probe.since = now;
                     outcomes.push(ProbeOutcome::AskOthers(target.clone()));
                 }
-                ProbeStage::Indirect { vouched } if waited >= INDIRECT_WAIT => {
+                ProbeStage::Indirect { excused } if waited >= INDIRECT_WAIT => {
                     let target = target.clone();
-                    outcomes.push(ProbeOutcome::Silent { target, vouched });
+                    outcomes.push(ProbeOutcome::Silent { target, excused });
                 }
                 _ => {}
             }
--- a/crates/spread/src/fleet_core.rs
+++ b/crates/spread/src/fleet_core.rs
@@ -40,8 +40,9 @@
 /// A gap between two calls after which this node itself stood still: the
 /// control thread calls ten times a second.
 const STOOD_STILL: Duration = Duration::from_secs(3);
-/// Gap between digests.
-pub(crate) const EXCHANGE_GAP: Duration = Duration::from_secs(1);
+/// Gap between digests: with seven links each neighbour is heard every 6 s, and
+/// a member that fails is missed by one of its neighbours within about one.
+pub(crate) const EXCHANGE_GAP: Duration = Duration::from_millis(800);
 /// Gap between scans of what only time changes.
 const SCAN_GAP: Duration = Duration::from_secs(1);
 
