Show the preset in force and the start on the admin port

Cause: a burn report needs the objectives in force and must tell the counters of one node process from those of the next. Neither was on any page: /status names the preset only, and has the start on another page than the counters.

Ruled out: reading the start from /status, since a restart between two requests would take one process's counters for the other's; reading presets from the platform, whose reads don't grow with the operators' tools.

The page is written once a change, so a question costs the control thread nothing. Code 504 (partial-report) is new.

--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -138,6 +138,8 @@
     AdminBadAnswer = 502,
     /// A file can't be read or written.
     FileUnreadable = 503,
+    /// Some nodes couldn't be read, so a report covers a part of the fleet.
+    PartialReport = 504,
 }
 
 impl ResultCode {
--- a/crates/node/src/admin/admin_port.rs
+++ b/crates/node/src/admin/admin_port.rs
@@ -96,6 +96,10 @@
     let response = match (request.method(), path.as_str()) {
         (Method::Get, "/status") => json(parts.status.report_json()),
         (Method::Get, "/members") => json(parts.status.members_json()),
+        (Method::Get, "/preset") => match parts.status.preset_json() {
+            Some(page) => json(page),
+            None => fault(503, ResultCode::NotReady, "no preset is in force yet"),
+        },
         (Method::Get, "/metrics") => {
             Response::from_data(parts.metrics.text()).with_header(header("text/plain"))
         }
--- a/crates/node/src/admin/status_report.rs
+++ b/crates/node/src/admin/status_report.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Mutex, PoisonError};
 
-use geranium_model::{MemberRow, MemberState, ServiceName};
+use geranium_model::{InForce, MemberRow, MemberState, Preset, ServiceName};
 use serde::Serialize;
 
 /// State of a node at one moment.
@@ -50,6 +50,8 @@
 #[derive(Debug, Default)]
 pub struct StatusCell {
     inner: Mutex<(Option<StatusReport>, Vec<MemberRow>)>,
+    /// Page of the preset in force; empty before the first.
+    preset: Mutex<Vec<u8>>,
 }
 
 impl StatusCell {
@@ -62,6 +64,22 @@
         }
     }
 
+    /// Replaces the preset in force.
+    pub fn set_preset(&self, in_force: &InForce, preset: &Preset) {
+        let page = serde_json::json!({
+            "version": in_force.version,
+            "preset": in_force.preset,
+            "document": preset.document(),
+        });
+        *self.preset.lock().unwrap_or_else(PoisonError::into_inner) = page.to_string().into_bytes();
+    }
+
+    /// Returns the preset in force as JSON; `None` before the first.
+    pub fn preset_json(&self) -> Option<Vec<u8>> {
+        let page = self.preset.lock().unwrap_or_else(PoisonError::into_inner);
+        (!page.is_empty()).then(|| page.clone())
+    }
+
     /// Returns the report as JSON.
     pub fn report_json(&self) -> Vec<u8> {
         let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/control/control_loop.rs
+++ b/crates/node/src/control/control_loop.rs
@@ -212,6 +212,7 @@
                     "version" => in_force.version.get(), "preset" => %in_force.preset);
                 self.parts.metrics.version(in_force.version.get());
                 self.in_force_since_ms = wall_clock_ms();
+                self.parts.status.set_preset(&in_force, &preset);
                 let _ = self
                     .parts
                     .guard
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geranium_model::{Outcome, RequestClass, ResultCode, ServiceName};
+use geranium_model::{Incarnation, Outcome, RequestClass, ResultCode, ServiceName};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram, MeterProvider},
@@ -51,7 +51,11 @@
     /// # Errors
     ///
     /// When the exporter refuses its registry.
-    pub fn new(instance: &str, data_centre: &str) -> Result<Self, Box<dyn std::error::Error>> {
+    pub fn new(
+        instance: &str,
+        data_centre: &str,
+        started: Incarnation,
+    ) -> Result<Self, Box<dyn std::error::Error>> {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
@@ -68,6 +72,12 @@
                 KeyValue::new("data_centre", data_centre.to_owned()),
             ],
         );
+        // On the same page as the counters, so that a reader can't take the
+        // counters of one process for those of the next.
+        meter
+            .u64_gauge("geranium_node_started")
+            .build()
+            .record(started.get(), &[]);
         Ok(Self {
             registry,
             requests: meter.u64_counter("geranium_requests").build(),
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -99,7 +99,11 @@
         let Self { settings, log } = self;
         let origin = Instant::now();
         let started = wall_clock();
-        let metrics = NodeMetrics::new(settings.instance.as_str(), settings.data_centre.as_str());
+        let metrics = NodeMetrics::new(
+            settings.instance.as_str(),
+            settings.data_centre.as_str(),
+            started,
+        );
         let metrics = Arc::new(metrics.map_err(|error| setup("metrics", &error))?);
         let rings = Rings {
             guard: bounded(GUARD_RING),
