Bound the memory of request bodies, and blame no server for impatience

Every connection could bring a 4 MiB body at once, which together is eight times the node's memory; room is now reserved first, 64 MiB in all, and callers beyond it are refused at once. A request with a ticket that a front refuses by itself is maybe-run: a copy may have run before.

--- a/crates/decisions/src/picking/backend_evidence.rs
+++ b/crates/decisions/src/picking/backend_evidence.rs
@@ -91,6 +91,7 @@
                 self.fail();
             }
             PickResult::Broke => self.fail(),
+            PickResult::Abandoned => {}
         }
     }
 
--- a/crates/decisions/src/picking/backend_picker.rs
+++ b/crates/decisions/src/picking/backend_picker.rs
@@ -163,7 +163,10 @@
                 pool.pressure[place.tier].answered(now, report.latency);
             }
             PickResult::Refused { .. } => pool.pressure[place.tier].refused(now),
-            PickResult::Broke | PickResult::Unreachable | PickResult::TimedOut => {}
+            PickResult::Broke
+            | PickResult::Unreachable
+            | PickResult::TimedOut
+            | PickResult::Abandoned => {}
         }
         let judge = EjectionJudge { now, pool, place };
         if ejection.ends_probe(now, report.latency) {
--- a/crates/decisions/src/picking/ejection_judge.rs
+++ b/crates/decisions/src/picking/ejection_judge.rs
@@ -69,8 +69,8 @@
                 evidence.reinstate(self.now);
                 slot.cold_since = self.now;
             }
-            // A refusal says nothing about speed or soundness: probe again.
-            PickResult::Refused { .. } => evidence.ejection.probe_again(),
+            // Neither says anything about speed or soundness: probe again.
+            PickResult::Refused { .. } | PickResult::Abandoned => evidence.ejection.probe_again(),
             _ => evidence.ejection.eject(self.now, cause),
         }
     }
--- a/crates/decisions/src/picking/pick_report.rs
+++ b/crates/decisions/src/picking/pick_report.rs
@@ -31,4 +31,9 @@
     Unreachable,
     /// No answer came before the deadline.
     TimedOut,
+    /// Its caller left, or had asked for less time than the route gives.
+    ///
+    /// Guards against impatient callers: if their hanging up counted against
+    /// the server, one of them could have a whole service ejected.
+    Abandoned,
 }
--- a/crates/node/src/callers/caller_request.rs
+++ b/crates/node/src/callers/caller_request.rs
@@ -24,6 +24,8 @@
     pub service: ServiceName,
     /// Class from the route.
     pub class: RequestClass,
+    /// The caller gives it at least half of the route's time.
+    pub patient: bool,
     /// When it arrived.
     pub arrived: Instant,
     /// When the caller stops waiting.
@@ -68,6 +70,7 @@
         }
         let arrived = Instant::now();
         Ok(Self {
+            patient: 2 * deadline_ms >= route.deadline_ms,
             request_id: request_id(&parts.headers)?,
             service: route.service.clone(),
             class: route.class,
--- a/crates/node/src/callers/callers_port.rs
+++ b/crates/node/src/callers/callers_port.rs
@@ -19,10 +19,7 @@
     task::LocalSet,
 };
 
-use super::{
-    front_state::FrontState,
-    request_flow::{self, RequestLimits},
-};
+use super::{caller_body::BodyLimits, front_state::FrontState, request_flow};
 
 /// Connections that may wait to be accepted: a herd of tills reconnecting.
 const BACKLOG: i32 = 1_024;
@@ -200,9 +197,9 @@
         // ends a connection whose bytes stay unacknowledged this long.
         let socket = SockRef::from(&stream);
         let _ = socket.set_tcp_user_timeout(Some(self.parts.stall_timeout));
-        let limits = RequestLimits {
-            body_bytes_max: self.parts.body_bytes_max,
-            body_timeout: self.parts.head_timeout,
+        let limits = BodyLimits {
+            bytes_max: self.parts.body_bytes_max,
+            timeout: self.parts.head_timeout,
         };
         let state = Rc::clone(&self.state);
         let handler = service_fn(move |request: hyper::Request<Incoming>| {
--- a/crates/node/src/callers/front_state.rs
+++ b/crates/node/src/callers/front_state.rs
@@ -17,7 +17,7 @@
 };
 use rand::{SeedableRng, rngs::SmallRng};
 
-use super::FrontEvent;
+use super::{FrontEvent, body_budget::BodyBudget};
 use crate::{guard::GuardEvent, link::LinkPool, metrics::NodeMetrics};
 
 /// Routing state, owned by one thread.
@@ -31,6 +31,8 @@
     pub links: Arc<LinkPool>,
     /// Ring of this node's guard.
     pub guard: Sender<GuardEvent>,
+    /// Room for request bodies.
+    pub bodies: BodyBudget,
     /// Counters.
     pub metrics: Arc<NodeMetrics>,
     /// Origin of the monotonic clock that decisions are given.
@@ -58,6 +60,7 @@
             own,
             links,
             guard,
+            bodies: BodyBudget::default(),
             metrics,
             origin,
             events,
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -6,7 +6,9 @@
 //! slow connection and ends a broken body as if it were whole.
 
 mod attempt;
+mod body_budget;
 mod caller_answer;
+mod caller_body;
 mod caller_request;
 mod callers_port;
 mod front_event;
@@ -15,6 +17,7 @@
 mod request_flow;
 mod stream_fetch;
 mod ticket_flow;
+mod try_end;
 
 pub use callers_port::{CallersParts, CallersPort};
 pub use front_event::FrontEvent;
--- a/crates/node/src/callers/request_flow.rs
+++ b/crates/node/src/callers/request_flow.rs
@@ -9,33 +9,30 @@
 use bytes::Bytes;
 use geranium_decisions::{
     once::{OnceTicket, RoutingDecision, TicketHistory, TicketRouting},
-    picking::{BackendKey, PickReport, PickResult},
+    picking::BackendKey,
     poison::fingerprint,
     retry::{HopDeadline, RetryCase, RetryDecision, RetryRule},
 };
-use geranium_model::{MemberRow, Outcome, PresetVersion, ResultCode};
-use http_body_util::{BodyExt, Limited};
+use geranium_model::{MemberRow, Outcome, PresetVersion, ResultCode, headers};
 use hyper::{Request, Response, body::Incoming, http::request::Parts};
 
 use super::{
     attempt,
     caller_answer::{AnswerMarks, passed_on, refused},
+    caller_body::{BodyLimits, CallerBody},
     caller_request::{CallerRequest, named_request_id},
     front_state::FrontState,
     part_body::PartBody,
     stream_fetch,
     ticket_flow::{self, TICKETS_PATH},
+    try_end::{PendingReport, TryEnd, UNREACHABLE_RETRY_MS, unsure},
 };
-use crate::{
-    link::LinkError,
-    wire::{AnswerHead, BodyPart, PeerAnswer, PeerQuestion, PeerRequest, Refusal},
-};
+use crate::wire::{PeerQuestion, PeerRequest, Refusal};
 
 /// Advice while the node has no preset yet; it usually has one in a second.
 const NOT_READY_RETRY_MS: u32 = 1_000;
-/// Advice after a node could not be reached: by then its neighbours know.
-const UNREACHABLE_RETRY_MS: u32 = 500;
-
+/// Advice after a body was refused for lack of room.
+const BODY_RETRY_MS: u32 = 1_000;
 /// Least time worth a retry: a try that can't be answered in it only adds load.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(10);
 
@@ -43,19 +40,10 @@
 /// has fewer instances of one service.
 const REDIRECTS_MAX: usize = 8;
 
-/// Limits on one request.
-#[derive(Debug, Clone, Copy)]
-pub struct RequestLimits {
-    /// Largest body in bytes.
-    pub body_bytes_max: usize,
-    /// Time for the body to arrive.
-    pub body_timeout: Duration,
-}
-
 /// Answers one request.
 pub async fn answer(
     state: Rc<FrontState>,
-    limits: RequestLimits,
+    limits: BodyLimits,
     request: Request<Incoming>,
     peer: SocketAddr,
 ) -> Response<PartBody> {
@@ -68,63 +56,62 @@
         leaving: state.is_leaving(),
     };
     let Some((version, preset)) = state.preset() else {
-        return refused(
-            Refusal::not_run(ResultCode::NotReady, NOT_READY_RETRY_MS),
-            &marks,
-        );
+        return refuse_here(&parts, ResultCode::NotReady, NOT_READY_RETRY_MS, &marks);
     };
     marks.version = version;
     if parts.uri.path() == TICKETS_PATH {
         return ticket_flow::mint(&state, &parts, peer, &marks).await;
     }
+    marks.request_id = named_request_id(&parts.headers);
     let request = match CallerRequest::check(&parts, &preset, peer) {
         Ok(request) => request,
-        Err(code) => {
-            marks.request_id = named_request_id(&parts.headers);
-            return refused(Refusal::not_run(code, 0), &marks);
-        }
+        Err(code) => return refuse_here(&parts, code, 0, &marks),
     };
     marks.request_id.clone_from(&request.request_id);
-    let body = match whole_body(&parts, incoming, limits).await {
+    let body = match CallerBody::read(&parts, incoming, limits, &state.bodies).await {
         Ok(body) => body,
-        Err(code) => return refused(Refusal::not_run(code, 0), &marks),
+        Err(code) => return refuse_here(&parts, code, BODY_RETRY_MS, &marks),
     };
     let flow = RequestFlow {
         state: &state,
         request: &request,
         version,
     };
-    let response = flow.run(body, &mut marks).await;
+    let response = flow.run(&body.bytes, &mut marks).await;
     record(&state, &request, &response);
     response
 }
 
-async fn whole_body(
+/// Refuses a request before it was sent anywhere.
+///
+/// With a ticket the outcome stays open: another copy may have run before.
+fn refuse_here(
     parts: &Parts,
-    incoming: Incoming,
-    limits: RequestLimits,
-) -> Result<Bytes, ResultCode> {
-    let named = parts.headers.get(hyper::header::CONTENT_LENGTH);
-    let named: Option<usize> = named.and_then(|value| value.to_str().ok()?.parse().ok());
-    if named.is_some_and(|length| length > limits.body_bytes_max) {
-        return Err(ResultCode::BodyTooLarge);
-    }
-    let collected = Limited::new(incoming, limits.body_bytes_max).collect();
-    match tokio::time::timeout(limits.body_timeout, collected).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(ResultCode::BodyTooLarge)
-        }
-        Ok(Err(_)) => Err(ResultCode::BadRequest),
-        Err(_elapsed) => Err(ResultCode::RequestTimeout),
-    }
+    code: ResultCode,
+    retry_after_ms: u32,
+    marks: &AnswerMarks,
+) -> Response<PartBody> {
+    let has_ticket = parts.headers.contains_key(headers::TICKET);
+    let outcome = if has_ticket {
+        Outcome::MaybeRun
+    } else {
+        Outcome::NotRun
+    };
+    refused(
+        Refusal {
+            code,
+            outcome,
+            retry_after_ms,
+        },
+        marks,
+    )
 }
 
 fn record(state: &FrontState, request: &CallerRequest, response: &Response<PartBody>) {
     let header = |name: &str| response.headers().get(name)?.to_str().ok();
-    let outcome = header(geranium_model::headers::OUTCOME).and_then(|text| text.parse().ok());
-    let code = header(geranium_model::headers::RESULT_CODE)
-        .and_then(|text| ResultCode::from_repr(text.parse().ok()?));
+    let outcome = header(headers::OUTCOME).and_then(|text| text.parse().ok());
+    let code =
+        header(headers::RESULT_CODE).and_then(|text| ResultCode::from_repr(text.parse().ok()?));
     state.metrics.request(
         &request.service,
         request.class,
@@ -135,12 +122,6 @@
     );
 }
 
-/// How one try ended.
-enum TryEnd {
-    Answered(AnswerHead, BodyPart),
-    Refused(Refusal),
-}
-
 struct RequestFlow<'a> {
     state: &'a Rc<FrontState>,
     request: &'a CallerRequest,
@@ -148,7 +129,7 @@
 }
 
 impl RequestFlow<'_> {
-    async fn run(&self, body: Bytes, marks: &mut AnswerMarks) -> Response<PartBody> {
+    async fn run(&self, body: &Bytes, marks: &mut AnswerMarks) -> Response<PartBody> {
         match &self.request.ticket {
             Some(ticket) => self.run_once(ticket, body, marks).await,
             None => self.run_repeatable(body, marks).await,
@@ -159,7 +140,7 @@
     async fn run_once(
         &self,
         text: &str,
-        body: Bytes,
+        body: &Bytes,
         marks: &mut AnswerMarks,
     ) -> Response<PartBody> {
         let Ok(ticket) = text.parse::<OnceTicket>() else {
@@ -186,14 +167,14 @@
         };
         let key = self.state.key_of(&target.instance);
         self.state.metrics.attempt(false);
-        let end = match self.try_at(key, &target, &body, marks).await {
+        let end = match self.try_at(key, &target, body, marks).await {
             TryEnd::Refused(refusal) => TryEnd::Refused(unsure(refusal)),
             answered @ TryEnd::Answered(..) => answered,
         };
         self.finish(end, &target, marks)
     }
 
-    async fn run_repeatable(&self, body: Bytes, marks: &mut AnswerMarks) -> Response<PartBody> {
+    async fn run_repeatable(&self, body: &Bytes, marks: &mut AnswerMarks) -> Response<PartBody> {
         let mut tried: Vec<BackendKey> = Vec::new();
         loop {
             let picked = self.state.pick(&self.request.service, &tried);
@@ -205,7 +186,7 @@
                 }
             };
             self.state.metrics.attempt(!tried.is_empty());
-            let end = self.try_at(Some(key), &target, &body, marks).await;
+            let end = self.try_at(Some(key), &target, body, marks).await;
             let refusal = match &end {
                 TryEnd::Refused(refusal) => *refusal,
                 TryEnd::Answered(..) => return self.finish(end, &target, marks),
@@ -269,20 +250,10 @@
         };
         let left = next.left();
         let question = PeerQuestion::Run(Box::new(self.peer_request(left, body)));
-        let started = Instant::now();
-        if let Some(key) = key {
-            self.state.sent(key);
-        }
-        let mut done = DoneOnDrop {
-            state: self.state,
-            key,
-            started,
-            report: None,
-        };
-        let answer = attempt::ask(self.state, target, question, started + left).await;
-        let (end, report) = judge(answer, started.elapsed());
-        done.report = Some(report);
-        drop(done);
+        let report = PendingReport::begin(self.state, key);
+        let deadline = Instant::now() + left;
+        let end = TryEnd::of(attempt::ask(self.state, target, question, deadline).await);
+        report.end(&end, self.request.patient);
         if matches!(end, TryEnd::Answered(..)) {
             self.state
                 .with_budget(&self.request.service, |budget, _| budget.succeeded());
@@ -325,89 +296,3 @@
         }
     }
 }
-
-/// Takes back "not run" where only this copy of a ticket is known of.
-///
-/// A caller may have sent the same ticket through another node before. Only
-/// the ticket's owner can say that none of the copies ran or ever will; what
-/// this node found out about its own copy proves less.
-const fn unsure(refusal: Refusal) -> Refusal {
-    let own_finding = matches!(
-        refusal.code,
-        ResultCode::NodeUnreachable | ResultCode::DeadlineBeforeRun
-    );
-    if own_finding {
-        Refusal {
-            outcome: Outcome::MaybeRun,
-            ..refusal
-        }
-    } else {
-        refusal
-    }
-}
-
-/// Reports a try to the picker even when its caller left in the middle.
-struct DoneOnDrop<'a> {
-    state: &'a FrontState,
-    key: Option<BackendKey>,
-    started: Instant,
-    report: Option<PickReport>,
-}
-
-impl Drop for DoneOnDrop<'_> {
-    fn drop(&mut self) {
-        // A caller that gave up says as much about the server as a timeout.
-        let cancelled = PickReport {
-            latency: self.started.elapsed(),
-            result: PickResult::TimedOut,
-            load: None,
-        };
-        if let Some(key) = self.key {
-            self.state
-                .done(key, self.report.take().unwrap_or(cancelled));
-        }
-    }
-}
-
-fn judge(answer: Result<PeerAnswer, LinkError>, latency: Duration) -> (TryEnd, PickReport) {
-    let mut load = None;
-    let (end, result) = match answer {
-        Ok(PeerAnswer::Answered { head, part }) => {
-            load = head.load;
-            (TryEnd::Answered(head, part), PickResult::Answered)
-        }
-        Ok(PeerAnswer::Refused(refusal)) => (TryEnd::Refused(refusal), refused_result(refusal)),
-        Ok(_) | Err(LinkError::Broke) => (
-            TryEnd::Refused(Refusal::maybe_run(ResultCode::NodeBroke)),
-            PickResult::Broke,
-        ),
-        Err(LinkError::NotSent) => {
-            let refusal = Refusal::not_run(ResultCode::NodeUnreachable, UNREACHABLE_RETRY_MS);
-            (TryEnd::Refused(refusal), PickResult::Unreachable)
-        }
-        Err(LinkError::TimedOut) => {
-            let refusal = Refusal::maybe_run(ResultCode::DeadlineWhileRunning);
-            (TryEnd::Refused(refusal), PickResult::TimedOut)
-        }
-    };
-    (
-        end,
-        PickReport {
-            latency,
-            result,
-            load,
-        },
-    )
-}
-
-fn refused_result(refusal: Refusal) -> PickResult {
-    match refusal.code {
-        ResultCode::DeadlineWhileRunning => PickResult::TimedOut,
-        ResultCode::BackendBroke | ResultCode::NodeBroke => PickResult::Broke,
-        ResultCode::NoBackend => PickResult::Unreachable,
-        _ => {
-            let retry_after = Duration::from_millis(u64::from(refusal.retry_after_ms));
-            PickResult::Refused { retry_after }
-        }
-    }
-}
--- a/crates/tests/tests/all/hostile_callers.rs
+++ b/crates/tests/tests/all/hostile_callers.rs
@@ -111,6 +111,31 @@
     drop(held);
 }
 
+/// Callers announce more bytes of bodies than the node has room for, and send
+/// none. Those beyond the room hear at once that there is none, and when to come
+/// back; the node's memory isn't taken.
+#[test]
+fn bodies_beyond_the_room_are_refused_at_once() {
+    let fleet = Fleet::small();
+    let node = fleet.node("verdskra-1");
+    let announced = b"POST /verdskra/fish HTTP/1.1\r\nhost: x\r\ncontent-length: 4000000\r\n\r\n";
+    let held: Vec<_> = (0..24)
+        .map(|_| {
+            let mut stream = connect(node);
+            stream.write_all(announced).expect("a head");
+            stream
+        })
+        .collect();
+    let answer = Call::post(node, "/verdskra/fish", &"a".repeat(4_000_000)).send();
+    // The port may close before all of the body was sent.
+    if let Ok(answer) = answer {
+        assert_eq!(answer.code, ResultCode::QueueFull.number(), "{answer:?}");
+        assert!(answer.says_when);
+    }
+    assert_serves(&fleet);
+    drop(held);
+}
+
 /// Malformed, oversized and contradictory requests are refused, nothing runs,
 /// and the node lives on.
 #[test]
