--- a/crates/standins/src/backend/backend_server.rs
+++ b/crates/standins/src/backend/backend_server.rs
@@ -3,7 +3,6 @@
 use std::{
     io,
     net::SocketAddr,
-    process,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -12,19 +11,12 @@
     time::Duration,
 };
 
-use serde_json::json;
 use snafu::{ResultExt, Whatever};
-use tiny_http::{Request, Server};
+use tiny_http::Server;
 
 use super::{
-    Announcement, BackendOptions, FaultSettings, RequestDirections, RunEnd, RunRecord,
-    active_run::ActiveRun,
-    backend_state::BackendState,
-    call_head::CallHead,
-    nodelay_listener,
-    request_target::RequestTarget,
-    run_answer::{answer_given_up, answer_json, answer_run, answer_shed},
-    work_wait::{WorkEnd, work_through},
+    Announcement, BackendOptions, RunRecord, backend_state::BackendState, nodelay_listener,
+    request_serving::serve,
 };
 
 /// Workers beyond the slots, which refuse and answer questions when all slots
@@ -37,8 +29,6 @@
 /// A drained server stays this long after its last run, so that its node has
 /// read the last answer.
 const DRAIN_LINGER: Duration = Duration::from_millis(300);
-/// Exit status of a process that a request crashed.
-const CRASH_EXIT: i32 = 86;
 
 /// A stand-in backend server that is listening.
 ///
@@ -169,84 +159,3 @@
         }
     }
 }
-
-fn serve(request: Request, state: &BackendState) {
-    match RequestTarget::from(request.url()) {
-        RequestTarget::Journal => answer_json(request, 200, &state.journal.records()),
-        RequestTarget::Faults => serve_faults(request, state),
-        RequestTarget::Cancel(request_id) => {
-            let cancelled = state.running.cancel(&request_id);
-            let status = if cancelled { 200 } else { 404 };
-            answer_json(request, status, &json!({ "cancelled": cancelled }));
-        }
-        _ if state.faults().frozen => state.parked.push(request),
-        RequestTarget::Health => serve_health(request, state),
-        RequestTarget::Work(directions) => serve_work(request, state, &directions),
-    }
-}
-
-fn serve_health(request: Request, state: &BackendState) {
-    let healthy = state.faults().false_health.unwrap_or(!state.is_draining());
-    let health = json!({
-        "healthy": healthy,
-        "load": state.reported_load(),
-        "slots": state.options.slots,
-    });
-    answer_json(request, if healthy { 200 } else { 503 }, &health);
-}
-
-fn serve_faults(mut request: Request, state: &BackendState) {
-    if request.method().as_str() == "GET" {
-        answer_json(request, 200, &state.faults());
-        return;
-    }
-    match serde_json::from_reader::<_, FaultSettings>(request.as_reader()) {
-        Ok(faults) => {
-            let thawed = !faults.frozen;
-            state.set_faults(faults);
-            answer_json(request, 200, &state.faults());
-            if thawed {
-                state
-                    .parked
-                    .take_all()
-                    .into_iter()
-                    .for_each(|parked| serve(parked, state));
-            }
-        }
-        Err(error) => answer_json(request, 400, &json!({ "error": error.to_string() })),
-    }
-}
-
-fn serve_work(mut request: Request, state: &BackendState, directions: &RequestDirections) {
-    let Ok(call) = CallHead::read(&mut request) else {
-        return;
-    };
-    let refused = state.faults().shed_all || state.is_draining() || call.is_overdue();
-    let slot = if refused { None } else { state.gate.enter() };
-    let Some(slot) = slot else {
-        state.journal.shed(&call, &directions.path);
-        answer_shed(request, state);
-        return;
-    };
-    let active = ActiveRun::start(state, slot, &call, directions);
-    if directions.crash {
-        process::exit(CRASH_EXIT);
-    }
-    let work = state.work_time(directions);
-    match work_through(work, &call, directions, active.cancellation()) {
-        WorkEnd::GivenUp => {
-            active.end(RunEnd::Cancelled);
-            drop(active);
-            answer_given_up(request, state);
-        }
-        WorkEnd::Done => {
-            let how = if directions.die_mid_body {
-                RunEnd::Broke
-            } else {
-                RunEnd::Ran
-            };
-            active.end(how);
-            answer_run(request, state, &call, directions, active);
-        }
-    }
-}
--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -23,6 +23,7 @@
 mod parked_requests;
 mod pool_nudge;
 mod request_directions;
+mod request_serving;
 mod request_target;
 mod run_answer;
 mod run_content;
