--- a/crates/tests/tests/all/leaving.rs
+++ b/crates/tests/tests/all/leaving.rs
@@ -28,18 +28,18 @@
             .into_iter()
             .flat_map(|node| paths.map(|path| (node, path)))
             .flat_map(|call| [call; 3])
-            .map(|(node, path)| thread::spawn(move || Call::get(node, path).send()))
+            .map(|(node, path)| (path, thread::spawn(move || Call::get(node, path).send())))
             .collect();
         wait_until("requests in flight", || fleet.runs().len() >= 6);
         fleet
             .pair_mut("verdskra-1")
             .signal(part, ProcessSignal::Terminate);
-        for call in calls {
+        for (path, call) in calls {
             let answer = call.join().expect("a caller ends").expect("an answer");
             assert_eq!(
                 (answer.status, answer.outcome),
                 (200, Outcome::Ran),
-                "{answer:?}"
+                "{path}: {answer:?}"
             );
             assert!(answer.body.is_ok(), "{:?}", answer.body.err());
         }
