Test the burn report with a running fleet

Two stories with real nodes: a service that sheds all load pages, in its class and data centre, and leaves the other service alone; a killed node is named, makes the report partial (exit status 54), and its restart is told from a negative count. A caller's own fault (a reused ticket) counts neither way.

A first form of the test expected an order without a ticket among the caller's faults and failed: nodes don't count requests that they refuse before they know the service.

--- a/crates/tests/tests/all/main.rs
+++ b/crates/tests/tests/all/main.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod at_most_once;
+mod burn;
 mod caller;
 mod fleet;
 mod hostile_callers;
