--- a/crates/ctl/tests/all/code_table.rs
+++ b/crates/ctl/tests/all/code_table.rs
@@ -13,9 +13,9 @@
 
 Every refusal, error and log line carries one of these numbers. A number never
 gets another meaning. The HTTP status is what callers see; the exit status is
-that of `geranium-ctl` (first and last digit of the number; 2 stands for a bad
-command line). This table is made from the code: `GERANIUM_UPDATE=1 cargo test
--p geranium-ctl code_table`.
+that of `geranium-ctl` and `geranium-burn` (first and last digit of the number;
+2 stands for a bad command line). This table is made from the code:
+`GERANIUM_UPDATE=1 cargo test -p geranium-ctl code_table`.
 
 | number | name | HTTP status | exit status | meaning |
 | --- | --- | --- | --- | --- |
