--- a/crates/tests/tests/all/burn.rs
+++ b/crates/tests/tests/all/burn.rs
@@ -7,31 +7,38 @@
 
 use crate::{
     caller::Call,
-    fleet::{Fleet, wait_until},
+    fleet::{Fleet, document, wait_until},
 };
 
-/// Runs a report; returns its exit status and what it printed as JSON.
-///
-/// One file of samples carries the counts from report to report.
-fn burn(fleet: &Fleet) -> (Option<i32>, Value) {
+/// Runs the program; returns its exit status and each report that it printed.
+fn run(fleet: &Fleet, arguments: &[&str]) -> (Option<i32>, Vec<Value>) {
     let program = ProgramPaths::find()
         .program("geranium-burn")
         .expect("it is built");
     let node = fleet.pair("verdskra-1").addresses.admin.to_string();
     let mut command = Command::new(program);
     command.env_clear().current_dir(fleet.run.work_dir());
-    command.args(["--node", &node, "--samples", "burn.jsonl"]);
-    command.args(["--picture", "burn.svg", "--output", "json"]);
-    command.args(["once", "--over", "1"]);
+    command
+        .args(["--node", &node, "--output", "json"])
+        .args(arguments);
     let output = command.output().expect("it runs");
+    let reports: Result<_, _> = serde_json::Deserializer::from_slice(&output.stdout)
+        .into_iter()
+        .collect();
     let text = String::from_utf8_lossy(&output.stderr);
-    let report = serde_json::from_slice(&output.stdout);
     (
         output.status.code(),
-        report.unwrap_or_else(|error| panic!("{error}: {text}")),
+        reports.unwrap_or_else(|error| panic!("{error}: {text}")),
     )
 }
 
+/// Takes one report; a file of samples carries the counts to the next.
+fn burn(fleet: &Fleet) -> (Option<i32>, Value) {
+    let files = ["--samples", "burn.jsonl", "--picture", "burn.svg"];
+    let (status, mut reports) = run(fleet, &[&files[..], &["once", "--over", "1"]].concat());
+    (status, reports.pop().expect("a report"))
+}
+
 fn service<'a>(report: &'a Value, name: &str) -> &'a Value {
     let services = report["services"].as_array().expect("services");
     let found = services.iter().find(|service| service["service"] == name);
@@ -127,3 +134,36 @@
             && prices["availability"]["of"] == 2
     });
 }
+
+/// An operator watches a fleet, weighs it by a preset that isn't in force yet,
+/// and mistypes the second node's address. Each report is printed as it comes,
+/// has the file's objectives, and says that nobody answers at that address.
+#[test]
+fn watching_reports_after_each_sample_by_the_objectives_of_a_file() {
+    let fleet = Fleet::small();
+    let mut strict = document(64);
+    strict.services.retain(|entry| entry.name == "verdskra");
+    strict.routes.retain(|entry| entry.service == "verdskra");
+    strict.services[0].objective.latency_ms = 1;
+    let file = fleet.run.work_dir().join("strict.json");
+    std::fs::write(&file, strict.canonical_bytes()).expect("a file");
+    let watch = ["watch", "--every", "1", "--for", "3"];
+    let (status, reports) = run(
+        &fleet,
+        &[
+            &["--preset", "strict.json", "--node", "127.0.0.1:1"],
+            &watch[..],
+        ]
+        .concat(),
+    );
+    assert_eq!((status, reports.len()), (Some(54), 3), "{reports:#?}");
+    for report in &reports {
+        assert_eq!(report["missing"][0]["admin_addr"], "127.0.0.1:1");
+        assert_eq!(
+            (&report["nodes_read"], &report["version"]),
+            (&json!(4), &json!(0))
+        );
+        assert_eq!(report["services"].as_array().map(Vec::len), Some(1));
+        assert_eq!(service(report, "verdskra")["latency_ms"], 1);
+    }
+}
