Say in the picture which colour is which

Cause: looking through the SVG of the test's report, nothing told availability from latency, and labels were eight pixels high. Bars had the right lengths (60.0% left is 185 of 309 pixels).

--- a/crates/burn/src/report/burn_picture.rs
+++ b/crates/burn/src/report/burn_picture.rs
@@ -41,7 +41,7 @@
     let (left, right) = root.split_horizontally(WIDTH / 2);
     let partial = if report.partial { " (PARTIAL)" } else { "" };
     let budget = Panel {
-        title: format!("Budget left, %{partial}"),
+        title: format!("Budget left, %: blue availability, green latency{partial}"),
         max: 100.0,
         value: |part| part.budget_left.map(|left| left * 100.0),
     };
@@ -86,6 +86,7 @@
         .configure_mesh()
         .disable_y_mesh()
         .y_labels(rows)
+        .label_style(TEXT)
         .y_label_formatter(&name)
         .draw()?;
     let parts = services.iter().enumerate().flat_map(|(row, service)| {
