Give a queue that begins to wait a head start

The drain meter takes a tenth of its memory, 0.1 s, as evidence; a burst of jobs longer than that fills every slot, none leaves the queue in that time, the rate becomes nil, and all that waits is hopeless. Ruled out: lack of capacity (it failed with 0.6 s jobs as well) and the adaptive limit, whose floor is a quarter. Half of the slots now count as left when a queue begins to wait, and fade.

--- a/crates/decisions/src/admission/gate/mod.rs
+++ b/crates/decisions/src/admission/gate/mod.rs
@@ -386,7 +386,8 @@
         for lane in [JobLane::Prompt, JobLane::Bulk] {
             let service_us = self.lane_service_us(lane).unwrap_or(0.0);
             let busy = !self.lane(lane).is_empty();
-            self.meters[lane as usize].advance(self.now, busy, service_us);
+            let slots = self.lane_slots(lane);
+            self.meters[lane as usize].advance(self.now, busy, slots, service_us);
         }
     }
 
--- a/crates/decisions/src/admission/gate/rates.rs
+++ b/crates/decisions/src/admission/gate/rates.rs
@@ -23,11 +23,7 @@
     /// Returns jobs a second that leave the lane to run.
     pub(super) fn drain_rate(&self, lane: JobLane) -> Option<f64> {
         let service_us = self.lane_service_us(lane)?;
-        let slots = match lane {
-            JobLane::Prompt => self.limit.get(),
-            JobLane::Bulk => self.bulk_slots(),
-        };
-        let by_slots = f64::from(slots) / (service_us.max(1.0) * 1e-6);
+        let by_slots = f64::from(self.lane_slots(lane)) / (service_us.max(1.0) * 1e-6);
         Some(
             self.meters[lane as usize]
                 .rate(service_us)
@@ -35,6 +31,14 @@
         )
     }
 
+    /// Returns the slots that a lane's jobs may hold.
+    pub(super) fn lane_slots(&self, lane: JobLane) -> u32 {
+        match lane {
+            JobLane::Prompt => self.limit.get(),
+            JobLane::Bulk => self.bulk_slots(),
+        }
+    }
+
     /// Returns the mean service time of what runs in a lane.
     pub(super) fn lane_service_us(&self, lane: JobLane) -> Option<f64> {
         let mean = |class: RequestClass| self.estimates[class as usize].mean_us();
--- a/crates/decisions/tests/admission_slowdown.rs
+++ b/crates/decisions/tests/admission_slowdown.rs
@@ -2,6 +2,8 @@
 
 mod admission_support;
 
+use std::time::Duration;
+
 use admission_support::{
     CAPACITY, QUEUE, SLOTS, Speed, WatchedGate, gate,
     naive_queue::NaiveQueue,
@@ -10,6 +12,10 @@
     steady,
     traffic::{SHORT, Stream, arrivals},
 };
+use geranium_decisions::admission::{
+    AdmissionGate, AdmissionInput, AdmissionSettings, GateDecision, JobEnd, JobId, JobOffer,
+    JobReport,
+};
 use geranium_model::RequestClass;
 
 /// A dependency answers ten times more slowly between 10 and 20 s.
@@ -195,3 +201,50 @@
     assert_eq!(long.good(), long.offered());
     assert!(short.good() as f64 >= 0.95 * 11.0 / 12.0 * 60.0 * CAPACITY);
 }
+
+/// A burst of jobs longer than usual fills every slot of a small server at once,
+/// and others wait behind them. Until the first of them ends no job leaves the
+/// queue. Those that wait can well be answered in time and must not be refused.
+#[test]
+fn a_burst_of_longer_jobs_does_not_make_the_queue_hopeless() {
+    let input = AdmissionInput {
+        slots: 4,
+        queue: 64,
+        bulk_share: 0.5,
+    };
+    let mut gate = AdmissionGate::new(AdmissionSettings::try_from(input).expect("good settings"));
+    let offer = |id: u64, now: Duration| JobOffer {
+        id: JobId(id),
+        class: RequestClass::Short,
+        caller: id,
+        key: None,
+        deadline: now + Duration::from_secs(5),
+    };
+    let mut decisions = Vec::new();
+    let start = Duration::from_secs(1);
+    gate.offer(start, offer(0, start));
+    gate.poll(start, &mut decisions);
+    let report = JobReport {
+        service: Duration::from_millis(1),
+        end: JobEnd::Ran,
+    };
+    gate.finish(start + Duration::from_millis(1), JobId(0), report);
+    for id in 1..=14 {
+        gate.offer(start + Duration::from_millis(2), offer(id, start));
+    }
+    let long = Duration::from_millis(600);
+    for step in 2..2_000 {
+        let now = start + Duration::from_millis(step);
+        decisions.clear();
+        gate.poll(now, &mut decisions);
+        for decision in &decisions {
+            assert!(
+                matches!(decision, GateDecision::Run(_)),
+                "{decision:?} after {step} ms"
+            );
+        }
+        if now > start + long {
+            break;
+        }
+    }
+}
