--- a/crates/node/src/callers/callers_port.rs
+++ b/crates/node/src/callers/callers_port.rs
@@ -11,7 +11,7 @@
 use geranium_model::ResultCode;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::SockRef;
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -20,9 +20,8 @@
 };
 
 use super::{caller_body::BodyLimits, front_state::FrontState, request_flow};
+use crate::bound_socket::BoundSocket;
 
-/// Connections that may wait to be accepted: a herd of tills reconnecting.
-const BACKLOG: i32 = 1_024;
 /// Answer on a connection over the limit, written without reading a request:
 /// reading one is what the limit protects from.
 const OVER_LIMIT_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
@@ -71,7 +70,7 @@
         parts: CallersParts,
         make_state: impl FnOnce() -> FrontState + Send + 'static,
     ) -> std::io::Result<Self> {
-        let listener = listen(parts.addr)?;
+        let socket = BoundSocket::bind(parts.addr)?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
@@ -81,7 +80,7 @@
             .spawn(move || {
                 let local = LocalSet::new();
                 let state = Rc::new(make_state());
-                local.block_on(&runtime, serve(parts, listener, state, stopped));
+                local.block_on(&runtime, serve(parts, socket, state, stopped));
             })?;
         Ok(Self { stop, thread })
     }
@@ -98,28 +97,19 @@
     }
 }
 
-fn listen(addr: SocketAddr) -> std::io::Result<std::net::TcpListener> {
-    let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    // Accepted connections inherit it; without it a kept-alive connection
-    // waits 40 ms for the peer's delayed acknowledgement.
-    socket.set_tcp_nodelay(true)?;
-    socket.bind(&addr.into())?;
-    socket.listen(BACKLOG)?;
-    socket.set_nonblocking(true)?;
-    Ok(socket.into())
-}
-
 async fn serve(
     parts: CallersParts,
-    listener: std::net::TcpListener,
+    socket: BoundSocket,
     state: Rc<FrontState>,
     mut stopped: watch::Receiver<bool>,
 ) {
-    let listener =
-        TcpListener::from_std(listener).expect("the listener was made non-blocking above");
     let open = Rc::new(Cell::new(0_usize));
     let absorbing = tokio::task::spawn_local(absorb(Rc::clone(&state)));
+    let listener = tokio::select! {
+        listener = listen_when_ready(&socket, &state) => listener,
+        _ = stopped.changed() => return,
+    };
+    drop(socket);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -151,6 +141,23 @@
     absorbing.abort();
 }
 
+/// Listens once requests can be served.
+///
+/// A caller that connected before that would be refused by the node; refused by
+/// the system it takes the next node of its list by itself.
+async fn listen_when_ready(socket: &BoundSocket, state: &FrontState) -> TcpListener {
+    loop {
+        if state.is_ready() {
+            match socket.listen() {
+                Ok(listener) => return listener,
+                // Another process took the address after this one bound it.
+                Err(_) => state.metrics.connection_fault(ResultCode::CannotListen),
+            }
+        }
+        tokio::time::sleep(ABSORB_PERIOD).await;
+    }
+}
+
 async fn absorb(state: Rc<FrontState>) {
     loop {
         state.absorb_events();
--- a/crates/node/src/callers/front_state.rs
+++ b/crates/node/src/callers/front_state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -20,6 +20,11 @@
 use super::{FrontEvent, body_budget::BodyBudget};
 use crate::{guard::GuardEvent, link::LinkPool, metrics::NodeMetrics};
 
+/// Wait for the first backend server that takes work, once there is a preset.
+/// Members become known within about a second; a fleet whose backend servers
+/// are all down must say so to its callers.
+const TAKERS_WAIT: Duration = Duration::from_secs(3);
+
 /// Routing state, owned by one thread.
 ///
 /// Borrows of the inner cells never live across an `await`.
@@ -39,6 +44,8 @@
     pub origin: Instant,
     events: Receiver<FrontEvent>,
     leaving: Cell<bool>,
+    takers: RefCell<HashSet<InstanceName>>,
+    routed_since: Cell<Option<Duration>>,
     routes: RefCell<Option<(InForce, Arc<Preset>)>>,
     picker: RefCell<BackendPicker>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -65,6 +72,8 @@
             origin,
             events,
             leaving: Cell::new(false),
+            takers: RefCell::default(),
+            routed_since: Cell::new(None),
             routes: RefCell::new(None),
             picker: RefCell::new(picker),
             budgets: RefCell::new(HashMap::new()),
@@ -83,9 +92,18 @@
         match event {
             FrontEvent::Preset(in_force, preset) => {
                 self.renew_budgets(&preset);
+                if self.routed_since.get().is_none() {
+                    self.routed_since.set(Some(self.now()));
+                }
                 *self.routes.borrow_mut() = Some((in_force, preset));
             }
             FrontEvent::Member(row) => {
+                let mut takers = self.takers.borrow_mut();
+                if row.state.takes_work() {
+                    takers.insert(row.instance.clone());
+                } else {
+                    takers.remove(&row.instance);
+                }
                 self.picker.borrow_mut().upsert(self.now(), &row);
             }
             FrontEvent::Gone(instance) => {
@@ -93,6 +111,7 @@
                 if let Some(row) = former {
                     self.links.forget(row.data_addr);
                 }
+                self.takers.borrow_mut().remove(&instance);
                 self.picker.borrow_mut().remove(&instance);
             }
             FrontEvent::Draining => self.leaving.set(true),
@@ -116,6 +135,15 @@
         self.origin.elapsed()
     }
 
+    /// Reports whether callers can be served: a preset is in force, and some
+    /// backend server takes work or none came forth in time.
+    pub fn is_ready(&self) -> bool {
+        let Some(since) = self.routed_since.get() else {
+            return false;
+        };
+        !self.takers.borrow().is_empty() || self.now().saturating_sub(since) > TAKERS_WAIT
+    }
+
     /// Reports whether this node leaves.
     pub fn is_leaving(&self) -> bool {
         self.leaving.get()
--- a/crates/node/src/guard/backend_client.rs
+++ b/crates/node/src/guard/backend_client.rs
@@ -8,8 +8,9 @@
 
 use geranium_model::headers;
 use snafu::Snafu;
-use ureq::{Agent, Body, SendBody, Timeout};
+use ureq::{Agent, Body, SendBody, Timeout, unversioned::transport::DefaultConnector};
 
+use super::address_resolver::AddressResolver;
 use crate::wire::{AnswerHead, HeaderPair, PeerRequest};
 
 /// A connection on the same machine takes well under a millisecond; a backend
@@ -96,7 +97,7 @@
             .allow_non_standard_methods(true)
             .build();
         Self {
-            agent: config.new_agent(),
+            agent: Agent::with_parts(config, DefaultConnector::default(), AddressResolver),
             addr,
         }
     }
--- a/crates/node/src/guard/mod.rs
+++ b/crates/node/src/guard/mod.rs
@@ -6,6 +6,7 @@
 //! worker threads, one for each slot, which call the backend server and report
 //! back through the guard's own ring.
 
+mod address_resolver;
 mod backend_call;
 mod backend_client;
 mod canceller;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod timer;
 pub mod wire;
 
+mod bound_socket;
 mod data_port;
 mod log_setup;
 mod metrics;
--- a/crates/rig/src/fleet_run.rs
+++ b/crates/rig/src/fleet_run.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs, io,
-    net::SocketAddr,
+    net::{SocketAddr, TcpStream},
     path::Path,
     process::Command,
     thread,
@@ -21,6 +21,8 @@
 
 /// Time between looks at a fleet that is to become ready.
 const POLL: Duration = Duration::from_millis(50);
+/// A listening port on the same machine takes a connection at once.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// A deployment that runs.
 ///
@@ -157,7 +159,8 @@
         let describe = |pair: &BackendPair| match pair.status() {
             None => Some(format!("{}: no answer", pair.instance)),
             Some(status) => {
-                let ready = status.state == "live"
+                let ready = takes_callers(pair.addresses.callers)
+                    && status.state == "live"
                     && status.version >= version
                     && status.member_count() >= self.pairs.len();
                 let (state, known) = (&status.state, status.member_count());
@@ -172,3 +175,8 @@
         self.pairs.iter().filter_map(describe).collect()
     }
 }
+
+/// Reports whether a node's callers' port is open.
+fn takes_callers(callers: SocketAddr) -> bool {
+    TcpStream::connect_timeout(&callers, CONNECT_TIMEOUT).is_ok()
+}
