--- a/crates/spread/tests/all/splits.rs
+++ b/crates/spread/tests/all/splits.rs
@@ -142,3 +142,20 @@
     fleet.run(12.0);
     fleet.assert_members(32);
 }
+
+/// Two regions are apart for longer than rows are kept, and each gives the other
+/// up. No link is left between them: when the network is back they must find
+/// each other all the same.
+#[test]
+fn halves_that_gave_each_other_up_meet_again() {
+    let mut fleet = Fleet::new(12);
+    fleet.start("a1", 3);
+    fleet.start("b1", 3);
+    fleet.run(12.0);
+    fleet.cuts.push(("a".to_owned(), "b".to_owned()));
+    fleet.run(2.0 * 3_600.0 + 120.0);
+    fleet.assert_members(3);
+    fleet.cuts.clear();
+    fleet.run(60.0);
+    fleet.assert_members(6);
+}
