Ask members again that always lose, and drop two idle guards

Cause: taking guards out one by one showed that four had no test. A member that lost every comparison was never asked again: its old latency was capped at the service's usual one, which still lost to a quick neighbour. It now wins one comparison after five silent seconds. The silent server's deadline in the test is three times the usual latency; it is not noticed as slow. Seen failing when taken out: revisit, probe matching, doubled retry-after, unreachable, slow start, spill, failure score, latency in the score, bound on claims. Not seen failing: timeouts as failures.

--- a/crates/decisions/src/picking/backend_evidence.rs
+++ b/crates/decisions/src/picking/backend_evidence.rs
@@ -35,11 +35,8 @@
 /// probably leaving; one that is merely full answers some in between. Sixteen
 /// times fifty milliseconds still finds it within a second of its return.
 const REFUSAL_DOUBLINGS: u32 = 4;
-/// Time out after one failed connection: shorter than a restart, longer than
-/// a resend would take.
-const UNREACHABLE_HOLD: Duration = Duration::from_millis(500);
-/// Silence after which an old latency is no longer held against a member: one
-/// request in this time finds out whether it has mended.
+/// Silence after which a member wins the next comparison: one request in this
+/// time finds out whether one that lost all comparisons has mended.
 const REVISIT: Duration = Duration::from_secs(5);
 
 /// Latency, failures, refusals and ejection of one backend server.
@@ -53,7 +50,6 @@
     failure_streak: u32,
     refusals_in_row: u32,
     refusing_until: Duration,
-    unreachable_until: Duration,
     last_sent: Duration,
 }
 
@@ -82,15 +78,11 @@
                 self.refusing_until = now + hold.clamp(REFUSAL_MIN, REFUSAL_MAX);
                 self.refusals_in_row = self.refusals_in_row.saturating_add(1);
             }
-            PickResult::Unreachable => {
-                self.unreachable_until = now + UNREACHABLE_HOLD;
-                self.fail();
-            }
             PickResult::TimedOut => {
                 self.latency.observe(report.latency);
                 self.fail();
             }
-            PickResult::Broke => self.fail(),
+            PickResult::Broke | PickResult::Unreachable => self.fail(),
         }
     }
 
@@ -105,9 +97,6 @@
 
     /// Returns how fit the backend server is.
     pub(super) fn grade(&self, now: Duration) -> MemberGrade {
-        if now < self.unreachable_until {
-            return MemberGrade::Broken;
-        }
         match self.ejection.cause() {
             Some(_) if self.ejection.may_probe(now) => MemberGrade::Fit,
             Some(EjectionCause::Breaking) => MemberGrade::Broken,
@@ -120,15 +109,12 @@
     /// Returns the cost of one more request; lower is better.
     ///
     /// `typical` is the service's usual latency in seconds, taken for a
-    /// backend server without samples or with old ones.
+    /// backend server without samples.
     pub(super) fn score(&self, now: Duration, typical: f64) -> f64 {
-        let measured = self.latency.estimate().unwrap_or(typical);
-        let stale = now.saturating_sub(self.last_sent) > REVISIT;
-        let latency = if stale {
-            measured.min(typical)
-        } else {
-            measured
-        };
+        if now.saturating_sub(self.last_sent) > REVISIT {
+            return 0.0;
+        }
+        let latency = self.latency.estimate().unwrap_or(typical);
         let failing = 1.0 + FAILURE_SCORE * self.failure_share;
         f64::from(self.outstanding + 1) * latency * failing * self.hint.factor(now)
     }
--- a/crates/decisions/src/picking/backend_picker.rs
+++ b/crates/decisions/src/picking/backend_picker.rs
@@ -165,7 +165,7 @@
             PickResult::Refused { .. } => pool.pressure[place.tier].refused(now),
             PickResult::Broke | PickResult::Unreachable | PickResult::TimedOut => {}
         }
-        let judge = EjectionJudge { now, pool, place };
+        let judge = EjectionJudge { now, pool };
         if ejection.ends_probe(now, report.latency) {
             judge.end_probe(&mut self.arena, key, report);
         } else if ejection.cause().is_none() {
--- a/crates/decisions/src/picking/ejection_judge.rs
+++ b/crates/decisions/src/picking/ejection_judge.rs
@@ -7,7 +7,7 @@
 use super::{
     backend_arena::BackendArena,
     backend_key::BackendKey,
-    backend_slot::{BackendSlot, PoolPlace},
+    backend_slot::BackendSlot,
     ejection_state::EjectionCause,
     pick_report::{PickReport, PickResult},
     service_pool::ServicePool,
@@ -29,7 +29,6 @@
 pub(super) struct EjectionJudge<'a> {
     pub(super) now: Duration,
     pub(super) pool: &'a ServicePool,
-    pub(super) place: PoolPlace,
 }
 
 impl EjectionJudge<'_> {
@@ -83,15 +82,17 @@
     }
 
     /// Returns the median latency of the neighbours, as a logarithm.
-    ///
-    /// Neighbours are the others at the same distance, if any has answered,
-    /// else all others. A saturated data centre is slower than an idle one
-    /// farther away; that is for the pressure to mend, and ejecting its
-    /// members would take away the capacity it lacks.
     fn median_log(&self, arena: &BackendArena, but: BackendKey) -> Option<f64> {
-        let near = &self.pool.tiers[self.place.tier];
-        median_of(arena, near.iter().copied(), but)
-            .or_else(|| median_of(arena, self.pool.members(), but))
+        let members = self.pool.members().filter(|&index| index != but.index);
+        let mut logs: SmallVec<[f64; MEDIAN_MEMBERS]> = members
+            .filter_map(|index| arena.at(index))
+            .map(|slot| slot.evidence.latency)
+            .filter(|latency| latency.samples() > 0)
+            .map(|latency| latency.mean_log())
+            .take(MEDIAN_MEMBERS)
+            .collect();
+        logs.sort_unstable_by(f64::total_cmp);
+        logs.get(logs.len() / 2).copied()
     }
 
     /// Reports whether the service can do without one more member.
@@ -110,20 +111,3 @@
         out <= self.pool.len() / divisor
     }
 }
-
-fn median_of(
-    arena: &BackendArena,
-    members: impl Iterator<Item = u32>,
-    but: BackendKey,
-) -> Option<f64> {
-    let mut logs: SmallVec<[f64; MEDIAN_MEMBERS]> = members
-        .filter(|&index| index != but.index)
-        .filter_map(|index| arena.at(index))
-        .map(|slot| slot.evidence.latency)
-        .filter(|latency| latency.samples() > 0)
-        .map(|latency| latency.mean_log())
-        .take(MEDIAN_MEMBERS)
-        .collect();
-    logs.sort_unstable_by(f64::total_cmp);
-    logs.get(logs.len() / 2).copied()
-}
--- a/crates/decisions/src/picking/member_grade.rs
+++ b/crates/decisions/src/picking/member_grade.rs
@@ -16,7 +16,7 @@
     Slow,
     /// Refused work, and its retry-after hasn't passed.
     Refusing,
-    /// Ejected because it breaks, or just found unreachable.
+    /// Ejected because it breaks.
     Broken,
 }
 
--- a/crates/decisions/tests/picking_model.rs
+++ b/crates/decisions/tests/picking_model.rs
@@ -144,3 +144,68 @@
         }
     }
 }
+
+/// Two members of one service at home, each with twenty answers.
+fn pair(latencies: [u64; 2]) -> (BackendPicker, [BackendKey; 2]) {
+    let region = "reykjavik".parse().unwrap();
+    let data_centre = CENTRES[0].parse().unwrap();
+    let mut picker = BackendPicker::new(PickerHome {
+        data_centre,
+        region,
+    });
+    let keys = [0, 1].map(|instance| picker.upsert(Duration::ZERO, &row_of(instance, 0, 0, 1, 2)));
+    for (key, millis) in keys.into_iter().zip(latencies).cycle().take(40) {
+        finish(&mut picker, key, 20_000, millis, PickResult::Answered);
+    }
+    (picker, keys)
+}
+
+/// Sends a request that ends at `now` milliseconds.
+fn finish(picker: &mut BackendPicker, key: BackendKey, now: u64, millis: u64, result: PickResult) {
+    picker.sent(Duration::from_millis(now - millis), key);
+    end(picker, key, now, millis, result);
+}
+
+fn end(picker: &mut BackendPicker, key: BackendKey, now: u64, millis: u64, result: PickResult) {
+    let latency = Duration::from_millis(millis);
+    let report = PickReport {
+        latency,
+        result,
+        load: None,
+    };
+    picker.done(Duration::from_millis(now), key, report);
+}
+
+fn picks_of(picker: &mut BackendPicker, now: u64, wanted: BackendKey) -> usize {
+    let mut rng = StdRng::seed_from_u64(1);
+    let service = SERVICES[0].parse().unwrap();
+    let now = Duration::from_millis(now);
+    let picks = (0..200).filter(|_| picker.pick(now, &service, &[], &mut rng) == Ok(wanted));
+    picks.count()
+}
+
+/// A member is a little slower and loses every comparison. It mends, which
+/// only a request can find out.
+#[test]
+fn a_member_that_always_loses_is_asked_again() {
+    let (mut picker, [slower, quick]) = pair([25, 10]);
+    assert!(picks_of(&mut picker, 20_100, slower) < 10);
+    picker.sent(Duration::from_millis(25_500), quick);
+    assert!(picks_of(&mut picker, 25_600, slower) > 100);
+}
+
+/// A request takes six seconds on a server that was ejected meanwhile, and
+/// breaks off while the probe is out. The probe's own good answer counts.
+#[test]
+fn a_late_answer_does_not_end_a_probe() {
+    let (mut picker, [ejected, _]) = pair([10, 10]);
+    picker.sent(Duration::from_secs(20), ejected);
+    for _ in 0..3 {
+        finish(&mut picker, ejected, 20_100, 1, PickResult::Broke);
+    }
+    assert_eq!(picks_of(&mut picker, 20_200, ejected), 0);
+    picker.sent(Duration::from_secs(26), ejected);
+    end(&mut picker, ejected, 26_005, 6_005, PickResult::Broke);
+    end(&mut picker, ejected, 26_010, 10, PickResult::Answered);
+    assert!(picks_of(&mut picker, 35_000, ejected) > 50);
+}
--- a/crates/decisions/tests/picking_scenarios/main.rs
+++ b/crates/decisions/tests/picking_scenarios/main.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use mesh::{Choice, Mesh, Received, Server};
+use mesh::{Choice, Fault, Mesh, Received, Server};
 
 const CENTRES: [&str; 3] = ["sundahofn", "hofdi", "kopavogur"];
 
@@ -102,7 +102,7 @@
             server.claim = Some(950);
         }
         servers[0].claim = Some(0);
-        servers[0].breaks = |_| true;
+        servers[0].fault = |_| Some(Fault::Breaks);
         servers[1].claim = Some(0);
         servers[1].mean_ms = |_| 100.0;
         Mesh::new(servers, everywhere(), 2_500.0)
@@ -142,6 +142,7 @@
     };
     let (picked, random) = twins(make, Choice::Random);
     assert!(picked.quantile_ms(0.99) * 4.0 < random.quantile_ms(0.99));
+    assert!(picked.quantile_ms(0.999) * 3.0 < random.quantile_ms(0.999));
 }
 
 /// All senders stand in one data centre, whose two servers can bear two
@@ -168,13 +169,13 @@
 /// is told that the service doesn't exist, and work returns when it does.
 #[test]
 fn a_total_outage_ends_with_the_outage() {
-    fn out(now: Duration) -> bool {
-        (5..15).contains(&now.as_secs())
+    fn out(now: Duration) -> Option<Fault> {
+        (5..15).contains(&now.as_secs()).then_some(Fault::Breaks)
     }
     let make = || {
         let mut servers = verdskra();
         for server in &mut servers {
-            server.breaks = out;
+            server.fault = out;
         }
         let mut mesh = Mesh::new(servers, everywhere(), 2_500.0);
         mesh.judge_from = Duration::from_millis(15_100);
@@ -192,7 +193,7 @@
     let make = || {
         let mut servers = verdskra();
         for server in &mut servers[1..] {
-            server.breaks = |now| now.as_millis() % 10 < 6;
+            server.fault = |now| (now.as_millis() % 10 < 6).then_some(Fault::Breaks);
         }
         Mesh::new(servers, everywhere(), 2_500.0)
     };
@@ -257,7 +258,7 @@
 fn a_server_that_breaks_at_times_gets_less() {
     let make = || {
         let mut servers = verdskra_here();
-        servers[0].breaks = |now| now.as_micros() % 5 == 0;
+        servers[0].fault = |now| (now.as_micros() % 5 == 0).then_some(Fault::Breaks);
         Mesh::new(servers, everywhere(), 2_500.0)
     };
     let (picked, random) = twins(make, Choice::Random);
@@ -270,7 +271,7 @@
 fn a_mended_server_comes_back() {
     let mut servers = verdskra_here();
     servers[0].mean_ms = |now| if now.as_secs() < 8 { 100.0 } else { 10.0 };
-    servers[1].breaks = |now| now.as_secs() < 8;
+    servers[1].fault = |now| (now.as_secs() < 8).then_some(Fault::Breaks);
     let mut mesh = Mesh::new(servers, everywhere(), 2_500.0);
     mesh.judge_from = Duration::from_secs(35);
     mesh.until = Duration::from_secs(45);
@@ -278,3 +279,38 @@
     print("picker", &received);
     assert!(received.share_of(0) > 0.1 && received.share_of(1) > 0.1);
 }
+
+/// One instance is gone and can't be connected to, another takes requests and
+/// never answers. Membership hasn't noticed. Each request sent to the second
+/// keeps a caller waiting until the deadline.
+#[test]
+fn dead_and_silent_servers_are_left_out() {
+    let make = || {
+        let mut servers = verdskra_here();
+        servers[0].fault = |_| Some(Fault::Unreachable);
+        servers[1].fault = |_| Some(Fault::Silent);
+        Mesh::new(servers, everywhere(), 2_500.0)
+    };
+    let (picked, random) = twins(make, Choice::Random);
+    assert!(picked.failed_share() * 20.0 < random.failed_share());
+    assert!(picked.share_of(0) < 0.005 && picked.share_of(1) < 0.005);
+}
+
+/// Four of six servers stand in another region, ten milliseconds away. They
+/// are idle while there is room at home, and help when home is full.
+#[test]
+fn another_region_is_the_last_resort() {
+    let make = |rate| {
+        let mut servers = verdskra_here();
+        for server in &mut servers[2..] {
+            server.row.region = "wallonia".parse().unwrap();
+            server.row.data_centre = "namur-vault".parse().unwrap();
+        }
+        Mesh::new(servers, vec![CENTRES[0]; 12], rate)
+    };
+    let calm = make(800.0).run();
+    print("calm", &calm);
+    assert!(calm.share_of(0) + calm.share_of(1) > 0.95);
+    let (picked, held) = twins(|| make(3_600.0), Choice::RandomHere);
+    assert!(picked.failed_share() < 0.002 && held.failed_share() > 0.1);
+}
--- a/crates/decisions/tests/picking_scenarios/mesh.rs
+++ b/crates/decisions/tests/picking_scenarios/mesh.rs
@@ -12,6 +12,9 @@
 use hdrhistogram::Histogram;
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 
+const REGION: &str = "reykjavik";
+/// Three times the usual latency: too short to be noticed as slowness.
+const DEADLINE: Duration = Duration::from_millis(30);
 const SEEDS: [u64; 4] = [11, 12, 13, 14];
 
 /// Way in which a sender chooses.
@@ -24,6 +27,17 @@
     RandomHere,
 }
 
+/// What can be wrong with a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// It breaks off each request at once.
+    Breaks,
+    /// No connection can be made.
+    Unreachable,
+    /// It takes requests and never answers.
+    Silent,
+}
+
 /// A backend server and its character.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -32,8 +46,8 @@
     pub mean_ms: fn(Duration) -> f64,
     /// Load claimed with each answer, in thousandths.
     pub claim: Option<u16>,
-    /// Requests break at once while this holds.
-    pub breaks: fn(Duration) -> bool,
+    /// What is wrong with it at a moment.
+    pub fault: fn(Duration) -> Option<Fault>,
     busy: usize,
     waiting: VecDeque<usize>,
 }
@@ -44,7 +58,7 @@
             row: crate::common::row(name, "verdskra", data_centre, 1),
             mean_ms: |_| 10.0,
             claim: None,
-            breaks: |_| false,
+            fault: |_| None,
             busy: 0,
             waiting: VecDeque::new(),
         }
@@ -80,6 +94,8 @@
     Answered,
     Full,
     Broke,
+    Unreachable,
+    TimedOut,
 }
 
 /// What callers received, and where work went.
@@ -170,7 +186,7 @@
 
     fn run_once(self, seed: u64) -> Received {
         let pickers = self.senders.iter().map(|centre| {
-            let region = "reykjavik".parse().unwrap();
+            let region = REGION.parse().unwrap();
             let home = PickerHome {
                 data_centre: centre.parse().unwrap(),
                 region,
@@ -291,16 +307,30 @@
     }
 
     fn way(&self, sender: usize, server: usize) -> Duration {
-        let same = self.mesh.servers[server].row.data_centre.as_str() == self.mesh.senders[sender];
-        Duration::from_micros(if same { 50 } else { 500 })
+        let row = &self.mesh.servers[server].row;
+        let same = row.data_centre.as_str() == self.mesh.senders[sender];
+        let far = row.region.as_str() != REGION;
+        Duration::from_micros(if same {
+            50
+        } else if far {
+            10_000
+        } else {
+            500
+        })
     }
 
     fn reach(&mut self, now: Duration, request: usize) {
         let index = self.requests[request].server;
         let server = &mut self.mesh.servers[index];
-        if (server.breaks)(now) {
-            self.answer(now, request, Word::Broke);
-        } else if server.busy < usize::from(server.row.slots) {
+        match (server.fault)(now) {
+            Some(Fault::Breaks) => return self.answer(now, request, Word::Broke),
+            Some(Fault::Unreachable) => return self.answer(now, request, Word::Unreachable),
+            Some(Fault::Silent) => {
+                return self.push(now + DEADLINE, Event::Return(request, Word::TimedOut));
+            }
+            None => {}
+        }
+        if server.busy < usize::from(server.row.slots) {
             server.busy += 1;
             self.start(now, request);
         } else if server.waiting.len() < server.queue_max() {
@@ -346,6 +376,8 @@
                 retry_after: Duration::from_millis(50),
             },
             Word::Broke => PickResult::Broke,
+            Word::Unreachable => PickResult::Unreachable,
+            Word::TimedOut => PickResult::TimedOut,
         };
         let load = self.mesh.servers[server].claim;
         let latency = now.saturating_sub(sent);
@@ -359,7 +391,8 @@
             },
         );
         let judged = began >= self.mesh.judge_from;
-        if word == Word::Full && tries < 2 {
+        let not_run = matches!(word, Word::Full | Word::Unreachable);
+        if not_run && tries < 2 {
             self.send(now, began, sender, tries + 1, &[key]);
         } else if word != Word::Answered {
             self.received.failed += u64::from(judged);
