--- a/crates/decisions/src/picking/backend_picker.rs
+++ b/crates/decisions/src/picking/backend_picker.rs
@@ -168,7 +168,7 @@
             | PickResult::TimedOut
             | PickResult::Abandoned => {}
         }
-        let judge = EjectionJudge { now, pool, place };
+        let judge = EjectionJudge { now, pool };
         if ejection.ends_probe(now, report.latency) {
             judge.end_probe(&mut self.arena, key, report);
         } else if ejection.cause().is_none() {
