Restart a node in the scale experiment after its end

Cause: the experiment sent SIGKILL and started the successor at once. A killed process holds its listening ports until it has ended; the successor then ends with "[403] data 127.0.0.1:15023: Address in use", and the fleet waits in vain for "a node to know all others". A fault of the rig, not of the nodes: FleetRun reaps the old process before it starts a new one.

Ruled out: membership. In a loop of kill -9 and restart (ten nodes, one per data centre, five restarts a round) the nine others were live and agreed on nine members; the tenth process had exited with status 2.

The experiment itself hasn't been run again for this.

--- a/crates/rig/src/scale/scale_fleet.rs
+++ b/crates/rig/src/scale/scale_fleet.rs
@@ -21,7 +21,8 @@
     node_probe::{NodeSample, sample},
 };
 use crate::{
-    ChildProcess, FreePorts, NodeStatus, PairAddresses, ProgramPaths, RigError, work_dir::WorkDir,
+    ChildProcess, FreePorts, NodeStatus, PairAddresses, ProcessSignal, ProgramPaths, RigError,
+    work_dir::WorkDir,
 };
 
 /// Data centres, two to a region.
@@ -144,8 +145,16 @@
         ChildProcess::spawn(&format!("node-{index}"), command, self.work_dir.path())
     }
 
-    /// Starts a node again at its addresses.
+    /// Kills a node and starts it again at its addresses.
+    ///
+    /// Failure guarded against: a killed process holds its ports until it has
+    /// ended, some milliseconds after the signal, and its successor ends with
+    /// "address in use". It shows as a fleet that never knows all its nodes.
+    /// The successor is started only once the system has reported the end.
     pub(super) fn restart(&mut self, index: usize) -> Result<(), RigError> {
+        let process = &mut self.nodes[index].process;
+        process.signal(ProcessSignal::Kill);
+        process.wait(LIMIT)?;
         let arguments = self.nodes[index].arguments.clone();
         self.nodes[index].process = self.run_node(index, &arguments)?;
         Ok(())
--- a/crates/rig/src/scale/scale_run.rs
+++ b/crates/rig/src/scale/scale_run.rs
@@ -193,7 +193,6 @@
     let started = Instant::now();
     let count = options.restarts.min(fleet.nodes.len() / 2);
     for index in 0..count {
-        fleet.nodes[index].process.signal(ProcessSignal::Kill);
         fleet.restart(index)?;
         thread::sleep(RESTART_PERIOD);
     }
