--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub mod demo;
 pub mod scale;
+pub mod soak;
 
 pub use backend_pair::{BackendPair, PairAddresses, PairPart};
 pub use child_process::{ChildProcess, ProcessSignal};
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,12 +3,13 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use geranium_rig::{RigCommand, RigOptions, demo, scale};
+use geranium_rig::{RigCommand, RigOptions, demo, scale, soak};
 
 fn main() -> ExitCode {
     let result = match RigOptions::parse().command {
         RigCommand::Demo(options) => demo::run_demo(&options),
         RigCommand::Scale(options) => scale::run_scale(&options),
+        RigCommand::Soak(options) => soak::run_soak(&options),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/rig/src/rig_command.rs
+++ b/crates/rig/src/rig_command.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::{demo::DemoOptions, scale::ScaleOptions};
+use crate::{demo::DemoOptions, scale::ScaleOptions, soak::SoakOptions};
 
 /// Runs whole fleets on this machine.
 #[derive(Debug, Parser)]
@@ -20,4 +20,6 @@
     Demo(DemoOptions),
     /// Runs fleets of several sizes and measures what control costs.
     Scale(ScaleOptions),
+    /// Many failures at once, drawn from a seed, and all promises checked.
+    Soak(SoakOptions),
 }
--- a/crates/rig/tests/all/main.rs
+++ b/crates/rig/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod load_checks;
 mod mixes;
 mod processes;
+mod soaks;
 mod watching;
