--- a/crates/tests/tests/all/main.rs
+++ b/crates/tests/tests/all/main.rs
@@ -14,3 +14,5 @@
 mod operators;
 mod poison;
 mod presets;
+mod settings_page;
+mod unsized_answers;
