Say "not run" only if no try of the request may have run

Cause: an idempotent request that ended as maybe-run (its node died under it) was tried again, and the caller heard the outcome of the last try alone. When that was refused as not run, the caller heard "not run" of a request that had run.

Ruled out: the link's "not sent" (the retries truly weren't sent), the journals (each id ran once, started before the kill), and requests with tickets, which have one try each.

The final refusal now keeps that an earlier try may have run.

--- a/crates/node/src/callers/request_flow.rs
+++ b/crates/node/src/callers/request_flow.rs
@@ -195,13 +195,14 @@
 
     async fn run_repeatable(&self, body: Bytes, marks: &mut AnswerMarks) -> Response<PartBody> {
         let mut tried: Vec<BackendKey> = Vec::new();
+        let mut may_have_run = false;
         loop {
             let picked = self.state.pick(&self.request.service, &tried);
             let (key, target) = match picked {
                 Ok(picked) => picked,
                 Err(code) => {
                     let refusal = Refusal::not_run(code, UNREACHABLE_RETRY_MS);
-                    return refused(refusal, marks);
+                    return refused(of_all_tries(refusal, may_have_run), marks);
                 }
             };
             self.state.metrics.attempt(!tried.is_empty());
@@ -210,6 +211,7 @@
                 TryEnd::Refused(refusal) => *refusal,
                 TryEnd::Answered(..) => return self.finish(end, &target, marks),
             };
+            may_have_run |= refusal.outcome != Outcome::NotRun;
             tried.push(key);
             if refusal.code == ResultCode::Draining && tried.len() < REDIRECTS_MAX {
                 // A leaving server's refusal isn't a sign of load: the request
@@ -219,7 +221,7 @@
             }
             match self.retry(refusal, &tried) {
                 Some(after) => tokio::time::sleep(after).await,
-                None => return refused(refusal, marks),
+                None => return refused(of_all_tries(refusal, may_have_run), marks),
             }
         }
     }
@@ -326,6 +328,23 @@
     }
 }
 
+/// Makes the final refusal out of the last try's.
+///
+/// Failure guarded against: a node dies under an idempotent request, the retry
+/// at the next backend server is refused as not run, and the caller hears "not
+/// run" although the first try ran. It shows as a run in a backend server's
+/// journal under a refusal as not run. A request did not run only if none of
+/// its tries may have.
+const fn of_all_tries(last: Refusal, may_have_run: bool) -> Refusal {
+    match last.outcome {
+        Outcome::NotRun if may_have_run => Refusal {
+            outcome: Outcome::MaybeRun,
+            ..last
+        },
+        _ => last,
+    }
+}
+
 /// Takes back "not run" where only this copy of a ticket is known of.
 ///
 /// A caller may have sent the same ticket through another node before. Only
--- a/crates/tests/tests/all/not_run.rs
+++ b/crates/tests/tests/all/not_run.rs
@@ -123,3 +123,32 @@
     });
     assert_truthful(&fleet, &answers);
 }
+
+/// A till looks up a price. The node of the backend server that works on it
+/// dies, so whether it ran is open; the lookup may be repeated, and the other
+/// backend server refuses it as not run. The till must not hear "not run": that
+/// is true of the last try only, and the first one did run.
+#[test]
+fn a_refused_retry_does_not_take_back_that_the_first_try_may_have_run() {
+    let mut fleet = Fleet::small();
+    let node = fleet.node("pantanir-1");
+    let call = Call::get(node, "/verdskra/cod?work_ms=3000").header(headers::REQUEST_ID, "lookup");
+    let caller = thread::spawn(move || call.send());
+    wait_until("the lookup to run", || fleet.runs_of_request("lookup") == 1);
+    let first = fleet.run.pairs.iter().find(|pair| {
+        let journal = std::fs::read_to_string(pair.journal_path());
+        journal.is_ok_and(|text| text.contains("\"lookup\""))
+    });
+    let first = first.expect("it runs somewhere").instance.clone();
+    let other = ["verdskra-1", "verdskra-2"]
+        .into_iter()
+        .find(|instance| *instance != first);
+    let refuse = serde_json::json!({"shed_all": true});
+    fleet.backend_faults(other.expect("there are two"), &refuse);
+    fleet
+        .pair_mut(&first)
+        .signal(PairPart::Node, ProcessSignal::Kill);
+    let answer = caller.join().expect("a caller ends").expect("an answer");
+    assert_eq!(fleet.runs_of_request("lookup"), 1);
+    assert_eq!(answer.outcome, Outcome::MaybeRun, "{answer:?}");
+}
