--- a/crates/rig/src/soak/soak_fleet.rs
+++ b/crates/rig/src/soak/soak_fleet.rs
@@ -6,6 +6,7 @@
 };
 
 use geranium_load::MixEntry;
+use geranium_model::RequestClass;
 use snafu::ResultExt;
 
 use crate::{
@@ -69,11 +70,38 @@
         operator.put(name, &path)?;
         mix = load_mix(&path)?;
     }
+    mix.extend(long_requests());
     operator.activate(PRESETS[0].0)?;
     fleet.wait_ready(1, READY_LIMIT)?;
     Ok((fleet, mix))
 }
 
+/// Requests that take long enough for some to be in flight at any moment: what
+/// a graceful end cuts off shows by them.
+fn long_requests() -> [MixEntry; 2] {
+    let entry = |class, weight, path: &str, service: &str| MixEntry {
+        class,
+        weight,
+        path: path.to_owned(),
+        service: service.to_owned(),
+        bytes: 0,
+    };
+    [
+        entry(
+            RequestClass::Short,
+            2,
+            "/verdskra/long?work_ms=600",
+            "verdskra",
+        ),
+        entry(
+            RequestClass::Once,
+            1,
+            "/pantanir/orders/long?work_ms=400",
+            "pantanir",
+        ),
+    ]
+}
+
 /// Puts the first preset in force, again if the platform isn't well yet.
 pub(super) fn activate_last(fleet: &FleetRun, limit: Duration) -> Result<(), RigError> {
     let until = Instant::now() + limit;
--- a/crates/rig/src/soak/soak_run.rs
+++ b/crates/rig/src/soak/soak_run.rs
@@ -63,19 +63,24 @@
         let text = serde_json::to_string_pretty(&plan).expect("a plan is plain data");
         write(out, &format!("schedule-{}.json", plan.seed), &text)?;
     }
-    let (mut fleet, line) = carry_out(options, &plan)?;
+    let (fleet, line, tries) = carry_out(options, &plan)?;
     let text = serde_json::to_string(&line).expect("a result is plain data");
     if let Some(out) = &options.out {
         write(out, &format!("result-{}.json", plan.seed), &text)?;
         if !line.breaches.is_empty() {
-            keep_files(&mut fleet, &out.join(format!("seed-{}", plan.seed)))?;
+            let kept = out.join(format!("seed-{}", plan.seed));
+            keep_files(&fleet, &kept)?;
+            write(&kept, "tries.jsonl", &lines(&tries))?;
         }
     }
     println!("{text}");
     Ok(line.breaches.is_empty())
 }
 
-fn carry_out(options: &SoakOptions, plan: &FailurePlan) -> Result<(FleetRun, SoakLine), RigError> {
+fn carry_out(
+    options: &SoakOptions,
+    plan: &FailurePlan,
+) -> Result<(FleetRun, SoakLine, Vec<TryRecord>), RigError> {
     let (mut fleet, mix) = start_fleet()?;
     let mut load_plan = LoadPlan::new(fleet.callers(), mix.clone());
     load_plan.rate = RATE;
@@ -139,7 +144,7 @@
     };
     drop(sightings);
     println!("{}", outcome.report);
-    Ok((fleet, line))
+    Ok((fleet, line, tries))
 }
 
 fn journal_breaches(findings: &JournalFindings, tries: &[TryRecord]) -> Vec<Breach> {
@@ -180,13 +185,18 @@
     )
 }
 
+fn lines(tries: &[TryRecord]) -> String {
+    let line = |record| serde_json::to_string(record).expect("a record is plain data") + "\n";
+    tries.iter().map(line).collect()
+}
+
 fn write(out: &Path, name: &str, text: &str) -> Result<(), RigError> {
     let path = out.join(name);
     fs::write(&path, text).context(FileSnafu { path })
 }
 
 /// Copies logs and journals, which are removed with the fleet otherwise.
-fn keep_files(fleet: &mut FleetRun, to: &Path) -> Result<(), RigError> {
+fn keep_files(fleet: &FleetRun, to: &Path) -> Result<(), RigError> {
     fs::create_dir_all(to).context(FileSnafu { path: to })?;
     let entries = fs::read_dir(fleet.work_dir()).context(FileSnafu { path: to })?;
     for entry in entries.filter_map(Result::ok) {
