--- a/crates/node/src/callers/request_flow.rs
+++ b/crates/node/src/callers/request_flow.rs
@@ -25,7 +25,7 @@
     part_body::PartBody,
     stream_fetch,
     ticket_flow::{self, TICKETS_PATH},
-    try_end::{PendingReport, TryEnd, UNREACHABLE_RETRY_MS, unsure},
+    try_end::{PendingReport, TryEnd, UNREACHABLE_RETRY_MS, of_all_tries, unsure},
 };
 use crate::wire::{PeerQuestion, PeerRequest, Refusal};
 
@@ -176,13 +176,14 @@
 
     async fn run_repeatable(&self, body: &Bytes, marks: &mut AnswerMarks) -> Response<PartBody> {
         let mut tried: Vec<BackendKey> = Vec::new();
+        let mut may_have_run = false;
         loop {
             let picked = self.state.pick(&self.request.service, &tried);
             let (key, target) = match picked {
                 Ok(picked) => picked,
                 Err(code) => {
                     let refusal = Refusal::not_run(code, UNREACHABLE_RETRY_MS);
-                    return refused(refusal, marks);
+                    return refused(of_all_tries(refusal, may_have_run), marks);
                 }
             };
             self.state.metrics.attempt(!tried.is_empty());
@@ -191,6 +192,7 @@
                 TryEnd::Refused(refusal) => *refusal,
                 TryEnd::Answered(..) => return self.finish(end, &target, marks),
             };
+            may_have_run |= refusal.outcome != Outcome::NotRun;
             tried.push(key);
             if refusal.code == ResultCode::Draining && tried.len() < REDIRECTS_MAX {
                 // A leaving server's refusal isn't a sign of load: the request
@@ -200,7 +202,7 @@
             }
             match self.retry(refusal, &tried) {
                 Some(after) => tokio::time::sleep(after).await,
-                None => return refused(refusal, marks),
+                None => return refused(of_all_tries(refusal, may_have_run), marks),
             }
         }
     }
--- a/crates/node/src/callers/try_end.rs
+++ b/crates/node/src/callers/try_end.rs
@@ -76,6 +76,24 @@
     }
 }
 
+/// Makes the final refusal out of the last try's.
+///
+/// Failure guarded against: a node dies under an idempotent request, the retry
+/// at the next backend server is refused as not run, and the caller hears "not
+/// run" although the first try ran. It shows as a run in a backend server's
+/// journal under a refusal as not run. A request did not run only if none of
+/// its tries may have.
+#[must_use]
+pub const fn of_all_tries(last: Refusal, may_have_run: bool) -> Refusal {
+    match last.outcome {
+        Outcome::NotRun if may_have_run => Refusal {
+            outcome: Outcome::MaybeRun,
+            ..last
+        },
+        _ => last,
+    }
+}
+
 /// Takes back "not run" where only this copy of a ticket is known of.
 ///
 /// A caller may have sent the same ticket through another node before. Only
