--- a/crates/tests/tests/all/hostile_callers.rs
+++ b/crates/tests/tests/all/hostile_callers.rs
@@ -50,29 +50,46 @@
     });
 }
 
-/// Connections with half a head, and posts whose bodies never come, take every
-/// place there is. They are ended, and ordinary callers are served again.
+/// Connections with half a head, and then posts whose bodies never come, take
+/// every place there is. They are ended, and ordinary callers are served again.
 #[test]
 fn slow_callers_do_not_hold_the_port() {
     let fleet = strict_fleet();
     let node = fleet.node("verdskra-1");
-    let half = b"GET /verdskra/fish HTTP/1.1\r\nhost: x\r\n";
+    let half = b"GET /verdskra/fish HTTP/1.1\r\nhost: x\r\n".as_slice();
     let stalled = b"POST /verdskra/fish HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\nabc";
-    let held: Vec<_> = (0..40)
-        .map(|turn| {
-            let mut stream = connect(node);
-            let _ = stream.write_all(if turn % 2 == 0 { half } else { stalled });
-            stream
-        })
-        .collect();
-    assert_serves(&fleet);
-    for mut stream in held {
-        let mut answer = String::new();
-        let _ = stream.read_to_string(&mut answer);
-        assert!(!answer.contains("x-outcome: ran"), "{answer}");
+    for slow in [half, stalled] {
+        let held: Vec<_> = (0..40)
+            .map(|_| {
+                let mut stream = connect(node);
+                let _ = stream.write_all(slow);
+                stream
+            })
+            .collect();
+        assert_serves(&fleet);
+        for mut stream in held {
+            let mut answer = String::new();
+            let _ = stream.read_to_string(&mut answer);
+            assert!(!answer.contains("x-outcome: ran"), "{answer}");
+        }
     }
 }
 
+/// More connections than there are places are turned away at once, with a time
+/// to come back, and without reading what they have to say.
+#[test]
+fn connections_over_the_limit_are_turned_away() {
+    let fleet = strict_fleet();
+    let node = fleet.node("verdskra-1");
+    let _held: Vec<_> = (0..40).map(|_| connect(node)).collect();
+    let turned_away = (0..40).any(|_| {
+        let mut answer = String::new();
+        let read = connect(node).read_to_string(&mut answer);
+        read.is_ok() && answer.contains("x-result-code: 109") && answer.contains("retry-after")
+    });
+    assert!(turned_away, "forty connections fill the port");
+}
+
 /// Connections on which nothing is ever sent, and others that stay open after
 /// one answer, take every place there is. They are closed, and ordinary callers
 /// are served again.
