Let a popular request back after a minute

Cause: every killed backend server counts a crash against everything in flight there, a good past pays for one only, and a refused request can't complete, so popular lookups stayed refused (118) for up to 600 s. Weighed: counting crashes of one moment as one (a crashing request sent in parallel would get another round; rows that reach a restarted node all at once would count as one) and unbounded credit (a request that turns bad after a change of data would take more servers). A request whose past paid for a crash is now held for a tenth of the hold.

Before: refused at 2, 61 and 300 s. After: at 2 s only.

--- a/crates/decisions/src/poison/poison_register.rs
+++ b/crates/decisions/src/poison/poison_register.rs
@@ -134,6 +134,10 @@
 
     fn hold_of(&self, fingerprint: u64, suspect: &SuspectRecord) -> Duration {
         let beyond = suspect.unpaid() > u32::from(self.policy.poison_crashes);
+        // Several servers that end together, as of a bad release, each have the
+        // popular requests in flight. One that was answered well before is more
+        // likely such a bystander than guilty, and refused it can't show it.
+        let beyond = beyond && !suspect.was_good();
         if beyond || self.was_alone(fingerprint) {
             self.memory()
         } else {
--- a/crates/decisions/src/poison/suspect_record.rs
+++ b/crates/decisions/src/poison/suspect_record.rs
@@ -49,6 +49,11 @@
         self.crashes - self.paid
     }
 
+    /// Reports whether good completions paid for one of the crashes.
+    pub(super) const fn was_good(&self) -> bool {
+        self.paid > 0
+    }
+
     /// Returns the time since the latest crash.
     pub(super) fn age(&self, now: Duration) -> Duration {
         now.saturating_sub(self.latest)
--- a/crates/decisions/tests/poison_scenarios.rs
+++ b/crates/decisions/tests/poison_scenarios.rs
@@ -143,6 +143,22 @@
     assert_eq!(crashes, 3);
 }
 
+/// Four backend servers of a service end together, each with the same popular
+/// lookup and others in flight. The lookup is innocent and was answered a
+/// thousand times. Refused, it can't show that; a minute later it must be served
+/// again, not after the whole hold.
+#[test]
+fn servers_lost_together_shut_a_popular_lookup_out_for_a_minute() {
+    let mut register = PoisonRegister::new(FleetPolicy::default());
+    (0..1_000).for_each(|_| register.completed(7));
+    for instance in 0..4 {
+        register.record(SECOND, row(7, instance, 1));
+        register.record(SECOND, row(100 + instance as u64, instance, 1));
+    }
+    let verdicts = [2, 61, 300].map(|at| refused(register.verdict(SECOND * at, 7)));
+    assert_eq!(verdicts, [true, false, false]);
+}
+
 /// A bad release crashes hundreds of servers. Memory stays bounded, and the
 /// rows of the latest crashes are the ones kept.
 #[test]
