--- a/crates/rig/src/scale/scale_run.rs
+++ b/crates/rig/src/scale/scale_run.rs
@@ -16,7 +16,7 @@
 use crate::{NodeStatus, ProcessSignal, RigError};
 
 /// Time for the fleet to come to rest before anything is measured.
-const SETTLE: Duration = Duration::from_secs(5);
+const SETTLE: Duration = Duration::from_secs(30);
 /// Time between changes: far more often than 1,400 a day, so that a change's
 /// own cost stands out from the idle cost.
 const CHANGE_PERIOD: Duration = Duration::from_secs(1);
