Keep the stand-in platform from forgetting a connection, too

The same trap of tiny_http as at the stand-in backend server: of a burst of connections one may wait until another closes. The nudge is shared by both now.

--- a/crates/standins/src/backend/backend_state.rs
+++ b/crates/standins/src/backend/backend_state.rs
@@ -8,10 +8,11 @@
     time::{Duration, Instant},
 };
 
+use crate::pool_nudge::PoolNudge;
+
 use super::{
     BackendOptions, FaultSettings, JournalError, RequestDirections, RunJournal,
-    parked_requests::ParkedRequests, pool_nudge::PoolNudge, running_set::RunningSet,
-    slot_gate::SlotGate,
+    parked_requests::ParkedRequests, running_set::RunningSet, slot_gate::SlotGate,
 };
 
 /// A request right after the start takes this many times as long; the figure
--- a/crates/standins/src/backend/mod.rs
+++ b/crates/standins/src/backend/mod.rs
@@ -21,7 +21,6 @@
 mod journal_error;
 mod nodelay_listener;
 mod parked_requests;
-mod pool_nudge;
 mod request_directions;
 mod request_serving;
 mod request_target;
--- a/crates/standins/src/platform/platform_server.rs
+++ b/crates/standins/src/platform/platform_server.rs
@@ -3,7 +3,10 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
@@ -11,6 +14,8 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tiny_http::Server;
 
+use crate::pool_nudge::PoolNudge;
+
 use super::{
     CountsReport, FaultPlan, FaultRequest, ServerSettings, request_handler,
     shared_state::SharedState,
@@ -28,6 +33,7 @@
     addr: SocketAddr,
     shared: Arc<SharedState>,
     server: Arc<Server>,
+    stopping: Arc<AtomicBool>,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -80,21 +86,28 @@
         let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
         let server = Arc::new(server);
         let shared = Arc::new(SharedState::new(plan));
+        let nudge = Arc::new(PoolNudge::new());
+        let stopping = Arc::new(AtomicBool::new(false));
         let mut threads = Vec::new();
         for _ in 0..WORKERS {
             let (server, shared) = (Arc::clone(&server), Arc::clone(&shared));
+            let nudge = Arc::clone(&nudge);
             threads.push(thread::spawn(move || {
                 while let Ok(request) = server.recv() {
+                    nudge.see(request.remote_addr());
                     request_handler::handle(&shared, request);
                 }
             }));
         }
+        let stop = Arc::clone(&stopping);
+        threads.push(thread::spawn(move || nudge.run(addr, &stop)));
         let leases = Arc::clone(&shared);
         threads.push(thread::spawn(move || end_lapsed_leases(&leases)));
         Ok(Self {
             addr,
             shared,
             server,
+            stopping,
             threads,
         })
     }
@@ -126,6 +139,7 @@
 impl Drop for PlatformServer {
     fn drop(&mut self) {
         self.shared.stop();
+        self.stopping.store(true, Ordering::SeqCst);
         for _ in 0..WORKERS {
             self.server.unblock();
         }
--- a/crates/standins/src/backend/pool_nudge.rs
+++ b/crates/standins/src/pool_nudge.rs
@@ -36,13 +36,13 @@
 /// alive. A connection that closes at once frees a thread, which serves what
 /// is queued. It is reset, so that no closed connections pile up.
 #[derive(Debug)]
-pub(super) struct PoolNudge {
+pub(crate) struct PoolNudge {
     owed: (Sender<()>, Receiver<()>),
     clients: Mutex<HashSet<SocketAddr>>,
 }
 
 impl PoolNudge {
-    pub(super) fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             owed: bounded(NUDGES_MAX),
             clients: Mutex::default(),
@@ -50,7 +50,7 @@
     }
 
     /// Takes in that a client was served: where one is new, others may wait.
-    pub(super) fn see(&self, client: Option<&SocketAddr>) {
+    pub(crate) fn see(&self, client: Option<&SocketAddr>) {
         let Some(client) = client else {
             return;
         };
@@ -66,7 +66,7 @@
     }
 
     /// Nudges the server at `address` until told to stop.
-    pub(super) fn run(&self, address: SocketAddr, stopping: &AtomicBool) {
+    pub(crate) fn run(&self, address: SocketAddr, stopping: &AtomicBool) {
         while !stopping.load(Ordering::SeqCst) {
             self.owed.1.recv_timeout(PERIOD).ok();
             nudge(address).ok();
