Have several writes in flight at each kill, and some past their deadline

With broken connections or timeouts called "not run" the two tests passed: one caller had at most one write in flight at a kill, and the gate refused what would have timed out.

--- a/crates/tests/tests/all/not_run.rs
+++ b/crates/tests/tests/all/not_run.rs
@@ -21,7 +21,7 @@
                 let node = fleet.node(["verdskra-1", "pantanir-2"][caller % 2]);
                 scope.spawn(move || {
                     let send = |turn| {
-                        let id = format!("burst-{caller}-{turn}");
+                        let id = format!("burst-{deadline_ms}-{caller}-{turn}");
                         let answer = Call::post(node, path, "count stock")
                             .header(headers::REQUEST_ID, &id)
                             .header(headers::CALLER, format!("till-{caller}"))
@@ -82,7 +82,9 @@
 #[test]
 fn deadlines_that_pass_tell_the_truth() {
     let fleet = Fleet::small();
-    let answers = burst(&fleet, "/pantanir/stock?work_ms=50", 120);
+    let mut answers = burst(&fleet, "/pantanir/stock?work_ms=50", 120);
+    // These run on past their deadline at the backend server.
+    answers.extend(burst(&fleet, "/pantanir/stock?late=1&work_ms=200", 100));
     assert_truthful(&fleet, &answers);
     assert!(
         answers
@@ -98,16 +100,20 @@
     let mut fleet = Fleet::small();
     let answers = thread::scope(|scope| {
         let node = fleet.node("verdskra-1");
-        let sending = scope.spawn(move || {
+        let send_all = move |caller: usize| {
             let send = |turn: usize| {
-                let id = format!("kill-{turn}");
+                let id = format!("kill-{caller}-{turn}");
                 let answer = Call::post(node, "/pantanir/stock?work_ms=20", "count stock")
                     .header(headers::REQUEST_ID, &id)
                     .send();
                 Some((id, answer.ok()?))
             };
-            (0..120).filter_map(send).collect::<Vec<_>>()
-        });
+            (0..60).filter_map(send).collect::<Vec<_>>()
+        };
+        // Several at a time, so that each kill finds some in flight.
+        let callers: Vec<_> = (0..6)
+            .map(|caller| scope.spawn(move || send_all(caller)))
+            .collect();
         wait_until("some runs", || fleet.runs().len() > 5);
         fleet
             .pair_mut("pantanir-1")
@@ -119,7 +125,10 @@
             .signal(PairPart::Node, ProcessSignal::Kill);
         wait_until("more runs yet", || fleet.runs().len() > 50);
         fleet.restart("pantanir-2", PairPart::Node);
-        sending.join().expect("the caller ends")
+        let ended = callers
+            .into_iter()
+            .map(|caller| caller.join().expect("a caller ends"));
+        ended.flatten().collect::<Vec<_>>()
     });
     assert_truthful(&fleet, &answers);
 }
