--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 mod metrics;
 mod node;
 mod node_error;
+mod node_parts;
 
 pub use data_port::{DataPort, QuestionHandler};
 pub use log_setup::make_logger;
