--- a/crates/tests/tests/all/not_run.rs
+++ b/crates/tests/tests/all/not_run.rs
@@ -161,3 +161,32 @@
     assert_eq!(fleet.runs_of_request("lookup"), 1);
     assert_eq!(answer.outcome, Outcome::MaybeRun, "{answer:?}");
 }
+
+/// A clerk books stock out, without a ticket. The node that works on it dies and
+/// is back at its address within the clerk's deadline. The link between the nodes
+/// must not send the booking again by itself: it would be booked out twice.
+#[test]
+fn a_link_never_sends_a_request_again() {
+    let mut fleet = Fleet::small();
+    let node = fleet.node("verdskra-1");
+    let call = Call::post(node, "/pantanir/stock?work_ms=300&late=1", "two boxes out")
+        .header(headers::REQUEST_ID, "booking");
+    let clerk = thread::spawn(move || call.send());
+    wait_until("the booking to run", || {
+        fleet.runs_of_request("booking") == 1
+    });
+    let worker = fleet.run.pairs.iter().find(|pair| {
+        let journal = std::fs::read_to_string(pair.journal_path());
+        journal.is_ok_and(|text| text.contains("\"booking\""))
+    });
+    let worker = worker.expect("it runs somewhere").instance.clone();
+    let pair = fleet.pair_mut(&worker);
+    pair.signal(PairPart::Node, ProcessSignal::Kill);
+    let process = pair.process(PairPart::Node).expect("it was started");
+    process.wait(crate::fleet::LIMIT).expect("it ends");
+    fleet.restart(&worker, PairPart::Node);
+    fleet.wait_ready();
+    let answer = clerk.join().expect("the clerk ends").expect("an answer");
+    assert_eq!(answer.outcome, Outcome::MaybeRun, "{answer:?}");
+    assert_eq!(fleet.runs_of_request("booking"), 1);
+}
