Check that no write runs twice while servers are killed

With broken connections called "not run" the test passed: the node sent the write to the next server, and its caller heard of one run.

--- a/crates/tests/tests/all/not_run.rs
+++ b/crates/tests/tests/all/not_run.rs
@@ -47,6 +47,15 @@
         .filter(|run| run.ran())
         .map(|run: &RunLine| run.request_id.as_str())
         .collect();
+    // These are writes: a node that took a broken connection for "not run" would
+    // send one to the next server, and its caller would hear of one run only.
+    for (id, answer) in answers {
+        let times = runs
+            .iter()
+            .filter(|run| run.request_id == *id && run.ran())
+            .count();
+        assert!(times <= 1, "{id} ran {times} times: {answer:?}");
+    }
     let refused: Vec<_> = answers
         .iter()
         .filter(|(_, answer)| answer.outcome == Outcome::NotRun)
