Copy only the answers that are kept, and drop what nothing uses

Read over the whole change: every short answer's body and head were copied for the ticket ledger, though only requests with a ticket are recorded; whether a worker records first stood in the order beside the request that says so; a wrapper type only added one header; the front had a tick that nobody sends; two comments spoke of parameters that are gone. No speed was measured.

--- a/crates/node/src/callers/front_event.rs
+++ b/crates/node/src/callers/front_event.rs
@@ -15,6 +15,4 @@
     Gone(InstanceName),
     /// This node leaves: answers tell callers to go elsewhere.
     Draining,
-    /// Time passed.
-    Tick,
 }
--- a/crates/node/src/callers/front_state.rs
+++ b/crates/node/src/callers/front_state.rs
@@ -115,7 +115,6 @@
                 self.picker.borrow_mut().remove(&instance);
             }
             FrontEvent::Draining => self.leaving.set(true),
-            FrontEvent::Tick => {}
         }
     }
 
--- a/crates/node/src/guard/backend_call.rs
+++ b/crates/node/src/guard/backend_call.rs
@@ -25,15 +25,16 @@
 /// How a call to the backend server ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallEnd {
-    /// It answered, and the answer was short enough to travel whole.
+    /// It answered a ticket's request; the answer is to be kept.
     Whole {
         /// Status and headers.
         head: AnswerHead,
         /// Body.
         body: Vec<u8>,
     },
-    /// It answered with a long body.
-    Streamed,
+    /// It answered; the answer is too long to keep, or has no ticket to keep
+    /// it for.
+    Unkept,
     /// It said that it did not run the request, or wasn't reached.
     NotRun(ResultCode),
     /// The deadline passed while it may have been running.
@@ -63,10 +64,10 @@
 }
 
 impl BackendCall {
-    /// Makes the call; `settle` gets the end before a long body is streamed.
+    /// Makes the call, and streams a long body to its end.
     ///
-    /// The returned answer must be given to the asker by the caller of this
-    /// function, except after [`CallEnd::Streamed`], where it was given.
+    /// Returns the answer that is still to be given to the asker, if any: the
+    /// head of a long body was given already.
     pub fn run(self, sink: ReplySink) -> (CallEnd, Option<(ReplySink, PeerAnswer)>) {
         let left = self.deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
@@ -116,17 +117,19 @@
         };
         match body.next_part() {
             Ok(StreamPart::Last(bytes)) => {
+                // Only a ticket's answer is kept, so only that is copied.
+                let end = match self.request.ticket {
+                    Some(_) => CallEnd::Whole {
+                        head: reply.head.clone(),
+                        body: bytes.clone(),
+                    },
+                    None => CallEnd::Unkept,
+                };
                 let answer = PeerAnswer::Answered {
-                    head: reply.head.clone(),
-                    part: BodyPart::Last(bytes.clone()),
+                    head: reply.head,
+                    part: BodyPart::Last(bytes),
                 };
-                (
-                    CallEnd::Whole {
-                        head: reply.head,
-                        body: bytes,
-                    },
-                    Some((sink, answer)),
-                )
+                (end, Some((sink, answer)))
             }
             Ok(StreamPart::More(bytes)) => {
                 self.streams.open(self.stream, bytes.len() as u64);
@@ -162,7 +165,7 @@
                 self.client.cancel(&self.request.request_id);
             }
             if ends || !taken {
-                return CallEnd::Streamed;
+                return CallEnd::Unkept;
             }
         }
     }
--- a/crates/node/src/guard/backend_client.rs
+++ b/crates/node/src/guard/backend_client.rs
@@ -125,13 +125,11 @@
         let body = if request.body.is_empty() {
             SendBody::none()
         } else {
+            // With its length named it isn't sent in chunks.
+            builder = builder.header(http::header::CONTENT_LENGTH, request.body.len());
             SendBody::from_owned_reader(std::io::Cursor::new(request.body.clone()))
         };
-        let body = SendBodyOf {
-            body,
-            length: request.body.len(),
-        };
-        let http_request = body.attach(builder).map_err(|_error| CallError::NotSent)?;
+        let http_request = builder.body(body).map_err(|_error| CallError::NotSent)?;
         let http_request = self
             .agent
             .configure_request(http_request)
@@ -162,24 +160,6 @@
     }
 }
 
-/// A body whose length is known, so that it isn't sent in chunks.
-struct SendBodyOf {
-    body: SendBody<'static>,
-    length: usize,
-}
-
-impl SendBodyOf {
-    fn attach(
-        self,
-        mut builder: http::request::Builder,
-    ) -> Result<http::Request<SendBody<'static>>, http::Error> {
-        if self.length > 0 {
-            builder = builder.header(http::header::CONTENT_LENGTH, self.length);
-        }
-        builder.body(self.body)
-    }
-}
-
 fn call_error(error: &ureq::Error) -> CallError {
     match error {
         ureq::Error::ConnectionFailed
@@ -225,7 +205,6 @@
         load,
         replayed: false,
     };
-    // A head request's answer names a length that no body follows.
     BackendReply {
         head,
         not_run,
--- a/crates/node/src/guard/guard_loop.rs
+++ b/crates/node/src/guard/guard_loop.rs
@@ -249,12 +249,7 @@
             streams: Arc::clone(&self.parts.streams),
             stall_timeout: self.parts.stall_timeout,
         };
-        let order = WorkOrder {
-            id,
-            call,
-            sink,
-            record_first: job.ticket.is_some(),
-        };
+        let order = WorkOrder { id, call, sink };
         if let Err(order) = self.pool.submit(order) {
             job.sink = Some(order.sink);
             self.give_back(id, ResultCode::QueueFull);
@@ -284,7 +279,7 @@
     fn finished(&mut self, id: JobId, end: CallEnd, service: Duration) {
         let now = self.now();
         let job_end = match &end {
-            CallEnd::Whole { .. } | CallEnd::Streamed => JobEnd::Ran,
+            CallEnd::Whole { .. } | CallEnd::Unkept => JobEnd::Ran,
             CallEnd::NotRun(_) => JobEnd::ShedNotRun,
             CallEnd::TimedOut | CallEnd::Broke { .. } => JobEnd::Broke,
         };
@@ -301,7 +296,7 @@
         };
         match &end {
             CallEnd::Broke { crashed: true } => self.crashed(&job),
-            CallEnd::Whole { .. } | CallEnd::Streamed => self.poison.completed(job.fingerprint),
+            CallEnd::Whole { .. } | CallEnd::Unkept => self.poison.completed(job.fingerprint),
             _ => {}
         }
         if let Some(ticket) = job.ticket {
--- a/crates/node/src/guard/ticket_desk.rs
+++ b/crates/node/src/guard/ticket_desk.rs
@@ -129,7 +129,7 @@
                 return;
             }
             // The body went straight to its asker and wasn't kept.
-            CallEnd::Streamed => {
+            CallEnd::Unkept => {
                 self.ledger.finished_unkept(ticket.run);
                 let (code, outcome) = (ResultCode::AnswerBroken, Outcome::Ran);
                 PeerAnswer::Refused(Refusal {
--- a/crates/node/src/guard/worker_pool.rs
+++ b/crates/node/src/guard/worker_pool.rs
@@ -28,8 +28,6 @@
     pub call: BackendCall,
     /// Where the answer goes.
     pub sink: ReplySink,
-    /// The end must be recorded before the answer goes out.
-    pub record_first: bool,
 }
 
 /// Grows with the requests that run at a time and shrinks when idle.
@@ -102,12 +100,8 @@
 }
 
 fn run(order: WorkOrder, results: &Sender<GuardEvent>) {
-    let WorkOrder {
-        id,
-        call,
-        sink,
-        record_first,
-    } = order;
+    let WorkOrder { id, call, sink } = order;
+    let has_ticket = call.request.ticket.is_some();
     let started = Instant::now();
     let (end, answer) = call.run(sink);
     let finished = GuardEvent::Finished {
@@ -119,7 +113,7 @@
         let _ = results.send(finished);
         return;
     };
-    if record_first {
+    if has_ticket {
         // A resend that comes right after the answer must find the record.
         let _ = results.send(finished);
         sink.reply(answer);
