--- /dev/null
+++ b/crates/proxy/src/answer_body.rs
@@ -0,0 +1,129 @@
+//! Bodies of answers.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use crate::{door::RunSlot, front::SentMark, node_core::OpenMark};
+
+#[derive(Debug)]
+enum BodySource {
+    Whole(Option<Bytes>),
+    Stream(Incoming),
+}
+
+/// Body of an answer, with what is held until its end.
+///
+/// A stream that breaks ends with an error, upon which the server closes the
+/// connection: a broken answer never looks complete.
+#[derive(Debug)]
+pub struct AnswerBody {
+    source: BodySource,
+    slot: Option<RunSlot>,
+    mark: Option<SentMark>,
+    open: Option<OpenMark>,
+}
+
+impl AnswerBody {
+    /// Makes a body that is there in full.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::from_source(BodySource::Whole(Some(bytes.into())))
+    }
+
+    /// Makes a body that passes on what comes in.
+    pub fn stream(incoming: Incoming) -> Self {
+        Self::from_source(BodySource::Stream(incoming))
+    }
+
+    /// Holds a slot of the backend server until the end.
+    #[must_use]
+    pub fn with_slot(mut self, slot: RunSlot) -> Self {
+        self.slot = Some(slot);
+        self
+    }
+
+    /// Holds the note of an open request until the end.
+    #[must_use]
+    pub fn with_mark(mut self, mark: SentMark) -> Self {
+        self.mark = Some(mark);
+        self
+    }
+
+    /// Counts the request as open until the end.
+    #[must_use]
+    pub fn with_open(mut self, open: OpenMark) -> Self {
+        self.open = Some(open);
+        self
+    }
+
+    const fn from_source(source: BodySource) -> Self {
+        Self {
+            source,
+            slot: None,
+            mark: None,
+            open: None,
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(slot) = self.slot.take() {
+            slot.complete();
+        }
+        if let Some(mark) = self.mark.take() {
+            mark.complete();
+        }
+        self.open = None;
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let this = self.get_mut();
+        let incoming = match &mut this.source {
+            BodySource::Whole(bytes) => {
+                let frame = bytes.take().map(|bytes| Ok(Frame::data(bytes)));
+                this.finish();
+                return Poll::Ready(frame);
+            }
+            BodySource::Stream(incoming) => incoming,
+        };
+        let polled = Pin::new(incoming).poll_frame(cx);
+        // The server stops asking once the promised length is reached, so the
+        // end has to be noticed with the last frame.
+        let ended = match &polled {
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Ok(_))) => this.is_end_stream(),
+            _ => false,
+        };
+        if ended {
+            this.finish();
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            BodySource::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            BodySource::Stream(incoming) => incoming.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            BodySource::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+            }
+            BodySource::Stream(incoming) => incoming.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/door/door_flow.rs
@@ -0,0 +1,403 @@
+//! The path of a request from the door to the backend server and back.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use snafu::Snafu;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
+};
+
+use super::{
+    DoorQueue, DoorRefusal, DoorRequest, EndpointGate, JobKey, JobOffer, OfferVerdict,
+    RefusalReason, RunSlot,
+};
+use crate::{
+    answer_body::AnswerBody,
+    header_set::{HeaderSet, strip_connection, strip_hop},
+    hop::{ConnectionPool, ExchangeError, PoolSettings, PooledSender},
+    member::LoadReport,
+    node_clock::NodeClock,
+};
+
+/// Longest time to open a connection to the backend server on this machine;
+/// it takes a millisecond unless the server is overloaded or dark.
+const CONNECT_TIME: Duration = Duration::from_millis(250);
+/// Longest use of an idle connection for what may run twice. Backend servers
+/// close idle connections after about ten seconds, some without notice.
+const IDLE_REPEATABLE: Duration = Duration::from_secs(4);
+/// Longest use of an idle connection for what must not run twice: a request
+/// that crosses a close can't be sent again, and a new connection costs only a
+/// millisecond.
+const IDLE_ONCE: Duration = Duration::from_secs(1);
+/// Longest answer that is read whole before its head is passed on. A break in
+/// it is then known while another try is still possible; larger ones cost
+/// memory and are passed on as they come.
+const WHOLE_MAX: u64 = 32 * 1024;
+/// Time beyond the caller's after which the backend server is given up on;
+/// usually the sender's cancel comes first.
+const OVERTIME: Duration = Duration::from_millis(100);
+/// Advice after a refusal that isn't about load: another node is asked at once.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// Settings of a door.
+#[derive(Debug, Clone)]
+pub struct DoorSettings {
+    /// Address of the backend server.
+    pub endpoint: SocketAddr,
+    /// Slots assumed until the backend server tells.
+    pub slots: u32,
+    /// How long a leaving backend server still takes work, in which the news
+    /// reaches the other nodes.
+    pub leaving_grace: Duration,
+}
+
+/// Failure at the door.
+#[derive(Debug, Snafu)]
+pub enum DoorError {
+    /// The request certainly didn't run.
+    #[snafu(display("refused: {refusal}"))]
+    Refused {
+        /// Reason and advice.
+        refusal: DoorRefusal,
+    },
+    /// The request may have run; there is no usable answer.
+    #[snafu(display("broke: {reason}"))]
+    Broke {
+        /// What was met.
+        reason: String,
+    },
+}
+
+/// State of the door.
+#[derive(Debug)]
+pub(super) struct DoorInner {
+    pub(super) endpoints: ConnectionPool,
+    clock: NodeClock,
+    queue: RefCell<DoorQueue>,
+    waiters: RefCell<HashMap<JobKey, oneshot::Sender<()>>>,
+}
+
+impl DoorInner {
+    /// Frees a slot and starts who is next.
+    pub(super) fn finish(&self, class: u64, took: Option<Duration>) {
+        let granted = self
+            .queue
+            .borrow_mut()
+            .finish(self.clock.now(), class, took);
+        self.wake(granted);
+    }
+
+    fn wake(&self, granted: Vec<JobKey>) {
+        for key in granted {
+            let waiter = self.waiters.borrow_mut().remove(&key);
+            // A waiter that has just gone frees its slot itself.
+            if let Some(waiter) = waiter {
+                let _gone = waiter.send(());
+            }
+        }
+    }
+}
+
+/// A place in the queue; dropped early, it is given up.
+struct QueuePlace<'a> {
+    inner: &'a Rc<DoorInner>,
+    key: JobKey,
+    class: u64,
+    taken: bool,
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        self.inner.waiters.borrow_mut().remove(&self.key);
+        let waited = self.inner.queue.borrow_mut().withdraw(self.key);
+        if !waited {
+            // Granted in the moment in which the caller left.
+            self.inner.finish(self.class, None);
+        }
+    }
+}
+
+/// The only way in to the backend server beside this node.
+#[derive(Debug)]
+pub struct DoorFlow {
+    inner: Rc<DoorInner>,
+    settings: DoorSettings,
+    headers: HeaderSet,
+    gate: RefCell<EndpointGate>,
+    stopping_since: Cell<Option<Duration>>,
+}
+
+impl DoorFlow {
+    /// Makes a door that is shut until the backend server reports.
+    pub fn new(settings: DoorSettings, headers: HeaderSet, clock: NodeClock) -> Self {
+        let endpoints = ConnectionPool::new(PoolSettings {
+            connect_time: CONNECT_TIME,
+            idle_time: IDLE_REPEATABLE,
+        });
+        let inner = DoorInner {
+            endpoints,
+            clock,
+            queue: RefCell::new(DoorQueue::new(settings.slots)),
+            waiters: RefCell::default(),
+        };
+        Self {
+            inner: Rc::new(inner),
+            settings,
+            headers,
+            gate: RefCell::default(),
+            stopping_since: Cell::new(None),
+        }
+    }
+
+    /// Returns the gate, to report to it.
+    pub fn gate(&self) -> &RefCell<EndpointGate> {
+        &self.gate
+    }
+
+    /// Takes the number of slots that the backend server reports.
+    pub fn set_slots(&self, slots: u32) {
+        let now = self.inner.clock.now();
+        let granted = self.inner.queue.borrow_mut().set_slots(now, slots);
+        self.inner.wake(granted);
+    }
+
+    /// Refuses what comes from other nodes, once they have had time to hear
+    /// that this one stops.
+    pub fn stop(&self) {
+        self.stopping_since.set(Some(self.inner.clock.now()));
+    }
+
+    /// Whether requests of other nodes are refused.
+    pub fn refuses_hops(&self) -> bool {
+        let now = self.inner.clock.now();
+        let since = self.stopping_since.get();
+        since.is_some_and(|since| now >= since + self.settings.leaving_grace)
+    }
+
+    /// Returns the load of the backend server.
+    pub fn load(&self) -> LoadReport {
+        let queue = self.inner.queue.borrow();
+        LoadReport {
+            running: queue.running(),
+            waiting: queue.waiting(),
+            service: queue.service(),
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn sweep(&self) {
+        self.inner.endpoints.sweep();
+    }
+
+    /// Runs a request at the backend server.
+    ///
+    /// Dropping the future withdraws the request from the queue, or closes the
+    /// connection that carries it.
+    ///
+    /// # Errors
+    ///
+    /// Whether it may have run.
+    pub async fn run(
+        &self,
+        request: DoorRequest,
+        idempotent: bool,
+    ) -> Result<Response<AnswerBody>, DoorError> {
+        let instance = self.admit(&request)?;
+        let slot = self.wait_for_slot(&request).await?;
+        // The backend server may have begun to leave meanwhile.
+        self.admit(&request)?;
+        let ends_at = request.ends_at + OVERTIME;
+        let answer = timeout_at(ends_at, self.call(request, idempotent, slot, instance)).await;
+        answer.unwrap_or_else(|_elapsed| broke("no answer in time"))
+    }
+
+    fn admit(&self, request: &DoorRequest) -> Result<String, DoorError> {
+        let gate = self.gate.borrow();
+        let grace = self.settings.leaving_grace;
+        let now = self.inner.clock.now();
+        match gate.admits(now, request.instance.as_deref(), grace) {
+            Ok(current) => Ok(current.report.instance.clone()),
+            Err(reason) => refused(reason, RETRY_ELSEWHERE),
+        }
+    }
+
+    async fn wait_for_slot(&self, request: &DoorRequest) -> Result<RunSlot, DoorError> {
+        let class = request.class;
+        let offer = JobOffer {
+            rank: request.rank,
+            class,
+            useful_until: self.inner.clock.at(request.useful_until),
+        };
+        let now = self.inner.clock.now();
+        let verdict = self.inner.queue.borrow_mut().offer(now, offer);
+        let (key, latest) = match verdict {
+            OfferVerdict::Run => return Ok(RunSlot::new(Rc::clone(&self.inner), class)),
+            OfferVerdict::Refuse { retry_after } => {
+                return refused(RefusalReason::Full, retry_after);
+            }
+            OfferVerdict::Wait { key, latest } => (key, latest),
+        };
+        let (grant, granted) = oneshot::channel();
+        self.inner.waiters.borrow_mut().insert(key, grant);
+        let mut place = QueuePlace {
+            inner: &self.inner,
+            key,
+            class,
+            taken: false,
+        };
+        let latest = self.inner.clock.instant(latest);
+        if timeout_at(latest, granted).await.is_ok() {
+            place.taken = true;
+            return Ok(RunSlot::new(Rc::clone(&self.inner), class));
+        }
+        drop(place);
+        let retry_after = self.inner.queue.borrow().wait_of(request.rank);
+        refused(RefusalReason::Full, retry_after.max(RETRY_ELSEWHERE))
+    }
+
+    async fn call(
+        &self,
+        request: DoorRequest,
+        idempotent: bool,
+        slot: RunSlot,
+        instance: String,
+    ) -> Result<Response<AnswerBody>, DoorError> {
+        let id = request.headers.get(&self.headers.request_id).cloned();
+        let outgoing = self.outgoing(request, &instance);
+        let idle_time = if idempotent {
+            IDLE_REPEATABLE
+        } else {
+            IDLE_ONCE
+        };
+        let addr = self.settings.endpoint;
+        let exchange = self
+            .inner
+            .endpoints
+            .exchange(addr, outgoing, idle_time)
+            .await;
+        let (response, sender) = match exchange {
+            Ok(answer) => answer,
+            Err(ExchangeError::NotSent { .. }) => {
+                return refused(RefusalReason::EndpointDown, RETRY_ELSEWHERE);
+            }
+            Err(ExchangeError::Broke { reason }) => return broke(reason),
+        };
+        self.check(&response, id.as_ref())?;
+        deliver(response, slot, sender).await
+    }
+
+    fn outgoing(&self, request: DoorRequest, instance: &str) -> Request<Full<Bytes>> {
+        let mut headers = request.headers;
+        strip_hop(&mut headers);
+        let left = request.ends_at.saturating_duration_since(Instant::now());
+        headers.insert(
+            &self.headers.deadline_ms,
+            HeaderValue::from(left.as_millis() as u64),
+        );
+        match HeaderValue::from_str(instance) {
+            Ok(value) => drop(headers.insert(&self.headers.expected_instance, value)),
+            // An identifier that is no header value was refused as a report.
+            Err(_) => drop(headers.remove(&self.headers.expected_instance)),
+        }
+        let mut outgoing = Request::new(Full::new(request.body));
+        *outgoing.method_mut() = request.method;
+        *outgoing.uri_mut() = request.uri;
+        *outgoing.headers_mut() = headers;
+        outgoing
+    }
+
+    /// Tells answers of the backend server to this request from refusals and
+    /// from bytes that belong to no request or to another.
+    fn check(
+        &self,
+        response: &Response<Incoming>,
+        id: Option<&HeaderValue>,
+    ) -> Result<(), DoorError> {
+        let headers = response.headers();
+        let status = response.status();
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            if let Some(actual) = text(headers, &self.headers.instance) {
+                self.gate.borrow_mut().corrected(actual);
+            }
+            return refused(RefusalReason::OtherInstance, RETRY_ELSEWHERE);
+        }
+        if id.is_some() && headers.get(&self.headers.request_id) != id {
+            // An answer that came late, or twice, to an earlier request.
+            return broke("the answer names another request");
+        }
+        if headers.contains_key(&self.headers.not_executed) {
+            return refused(RefusalReason::EndpointRefused, RETRY_ELSEWHERE);
+        }
+        if status.is_success() && !headers.contains_key(&self.headers.signature) {
+            return broke("the answer has no signature");
+        }
+        if headers.contains_key(header::CONTENT_ENCODING) {
+            return broke("the answer is encoded");
+        }
+        Ok(())
+    }
+}
+
+/// Passes an answer on: short ones once they are whole, long ones as they
+/// come.
+async fn deliver(
+    response: Response<Incoming>,
+    mut slot: RunSlot,
+    sender: PooledSender,
+) -> Result<Response<AnswerBody>, DoorError> {
+    let (mut head, body) = response.into_parts();
+    strip_connection(&mut head.headers);
+    strip_hop(&mut head.headers);
+    slot.hold(sender);
+    let short = body
+        .size_hint()
+        .exact()
+        .is_some_and(|bytes| bytes <= WHOLE_MAX);
+    if !short {
+        return Ok(Response::from_parts(
+            head,
+            AnswerBody::stream(body).with_slot(slot),
+        ));
+    }
+    match body.collect().await {
+        Ok(whole) => {
+            slot.complete();
+            Ok(Response::from_parts(
+                head,
+                AnswerBody::whole(whole.to_bytes()),
+            ))
+        }
+        Err(error) => broke(error.to_string()),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn refused<T>(reason: RefusalReason, retry_after: Duration) -> Result<T, DoorError> {
+    let refusal = DoorRefusal {
+        reason,
+        retry_after,
+    };
+    Err(DoorError::Refused { refusal })
+}
+
+fn broke<T>(reason: impl Into<String>) -> Result<T, DoorError> {
+    let reason = reason.into();
+    Err(DoorError::Broke { reason })
+}
--- /dev/null
+++ b/crates/proxy/src/door/door_request.rs
@@ -0,0 +1,28 @@
+//! Requests at the door.
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use tokio::time::Instant;
+
+/// A request for the backend server beside this node.
+#[derive(Debug, Clone)]
+pub struct DoorRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers, without those that concern one connection only.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Rank of the route.
+    pub rank: u8,
+    /// Hash of the route.
+    pub class: u64,
+    /// Time by which the answer is of full use.
+    pub useful_until: Instant,
+    /// Time at which the caller gets a final answer.
+    pub ends_at: Instant,
+    /// Start of the backend server that the sender picked.
+    pub instance: Option<String>,
+}
--- /dev/null
+++ b/crates/proxy/src/door/endpoint_gate.rs
@@ -0,0 +1,192 @@
+//! Which start of the backend server lives here, and whether it takes work.
+
+use std::{collections::VecDeque, time::Duration};
+
+use super::{EndpointReport, RefusalReason, ReportState};
+use crate::member::{MemberRecord, MemberState};
+
+/// Ends remembered, so that a delayed heartbeat of an earlier start changes
+/// nothing. Heartbeats are late by seconds; a backend server restarts in more.
+const RETIRED_MAX: usize = 16;
+
+/// What became of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportVerdict {
+    /// Another start of the backend server was adopted.
+    Adopted,
+    /// What is announced of it changed.
+    Changed,
+    /// Nothing new.
+    Unchanged,
+    /// Late, or of an earlier start: ignored.
+    Stale,
+}
+
+/// The backend server that lives here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LocalEndpoint {
+    /// Its last report.
+    pub report: EndpointReport,
+    /// Sequence of the report that last changed what is announced.
+    pub changed_by: u64,
+    /// Time for which it was to stay slow when it was first heard of.
+    pub cold: Duration,
+    /// Since when it has been leaving.
+    pub leaving_since: Option<Duration>,
+    /// Whether it has said its farewell.
+    pub deregistered: bool,
+}
+
+/// Which start of the backend server lives here, and whether it takes work.
+///
+/// **Failure.** Heartbeats come late, cross one another, or belong to a start
+/// that has crashed since. Taken at face value they would reopen a backend
+/// server that is leaving, or name one that is gone.
+///
+/// **Guard.** Reports of one start are ordered by their sequence, starts by
+/// their first appearance; ended starts stay ended. The backend server itself
+/// has the last word: it refuses requests that expect another start and names
+/// the one that it is ([`EndpointGate::corrected`]).
+#[derive(Debug, Default)]
+pub struct EndpointGate {
+    current: Option<LocalEndpoint>,
+    retired: VecDeque<String>,
+}
+
+impl EndpointGate {
+    /// Takes in a heartbeat.
+    pub fn report(&mut self, now: Duration, report: EndpointReport) -> ReportVerdict {
+        if self.retired.contains(&report.instance) {
+            return ReportVerdict::Stale;
+        }
+        match &mut self.current {
+            Some(current) if current.report.instance == report.instance => {
+                update(current, now, report)
+            }
+            _ => {
+                self.adopt(now, report);
+                ReportVerdict::Adopted
+            }
+        }
+    }
+
+    /// Takes in a farewell; `true` if it concerns the one that lives here.
+    pub fn deregister(&mut self, now: Duration, instance: &str) -> bool {
+        match &mut self.current {
+            Some(current) if current.report.instance == instance => {
+                current.leaving_since.get_or_insert(now);
+                current.deregistered = true;
+                true
+            }
+            _ => {
+                self.retire(instance.to_owned());
+                false
+            }
+        }
+    }
+
+    /// Takes in that the backend server named itself `instance`.
+    pub fn corrected(&mut self, instance: &str) {
+        self.retired.retain(|retired| retired != instance);
+        let other = |current: &LocalEndpoint| current.report.instance != instance;
+        if self.current.as_ref().is_some_and(other) {
+            let ended = self.current.take();
+            if let Some(ended) = ended {
+                self.retire(ended.report.instance);
+            }
+        }
+    }
+
+    /// Takes in what this node announced before it was restarted.
+    ///
+    /// Only a leaving start is restored: the acknowledgment binds this
+    /// process as well. A ready one is believed when it reports.
+    pub fn restore(&mut self, now: Duration, record: &MemberRecord) {
+        if self.current.is_some() || record.state != MemberState::Leaving {
+            return;
+        }
+        let report = EndpointReport {
+            instance: record.instance.clone(),
+            service: record.service.clone(),
+            data_centre: record.data_centre.clone(),
+            slots: record.slots,
+            state: ReportState::Leaving,
+            cold: Duration::ZERO,
+            sequence: record.sequence,
+        };
+        self.adopt(now, report);
+    }
+
+    /// Returns the backend server that lives here, if one is known.
+    pub const fn current(&self) -> Option<&LocalEndpoint> {
+        self.current.as_ref()
+    }
+
+    /// Says whether a request that expects `instance` may go in.
+    ///
+    /// One that is leaving takes work for `grace` longer, in which the news
+    /// reaches the other nodes.
+    ///
+    /// # Errors
+    ///
+    /// The reason of the refusal.
+    pub fn admits(
+        &self,
+        now: Duration,
+        instance: Option<&str>,
+        grace: Duration,
+    ) -> Result<&LocalEndpoint, RefusalReason> {
+        let current = self.current.as_ref().ok_or(RefusalReason::Shut)?;
+        if instance.is_some_and(|instance| instance != current.report.instance) {
+            return Err(RefusalReason::OtherInstance);
+        }
+        match current.leaving_since {
+            Some(since) if now >= since + grace => Err(RefusalReason::Leaving),
+            _ => Ok(current),
+        }
+    }
+
+    fn adopt(&mut self, now: Duration, report: EndpointReport) {
+        let leaving = report.state == ReportState::Leaving;
+        let next = LocalEndpoint {
+            changed_by: report.sequence,
+            cold: report.cold,
+            report,
+            leaving_since: leaving.then_some(now),
+            deregistered: false,
+        };
+        if let Some(ended) = self.current.replace(next) {
+            self.retire(ended.report.instance);
+        }
+    }
+
+    fn retire(&mut self, instance: String) {
+        if self.retired.contains(&instance) {
+            return;
+        }
+        if self.retired.len() == RETIRED_MAX {
+            self.retired.pop_front();
+        }
+        self.retired.push_back(instance);
+    }
+}
+
+fn update(current: &mut LocalEndpoint, now: Duration, report: EndpointReport) -> ReportVerdict {
+    if report.sequence <= current.report.sequence {
+        return ReportVerdict::Stale;
+    }
+    let told = |report: &EndpointReport| (report.state, report.slots, report.service.clone());
+    let changed = told(&report) != told(&current.report);
+    current.leaving_since = match report.state {
+        ReportState::Leaving => current.leaving_since.or(Some(now)),
+        ReportState::Ready if current.deregistered => current.leaving_since,
+        ReportState::Ready => None,
+    };
+    current.report = report;
+    if changed {
+        current.changed_by = current.report.sequence;
+        ReportVerdict::Changed
+    } else {
+        ReportVerdict::Unchanged
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/door/mod.rs
@@ -0,0 +1,22 @@
+//! The only way in to the backend server beside this node.
+//!
+//! Whether it lives, which start of it, whether it is leaving and what it has
+//! room for are decided here with certainty, whatever other nodes still
+//! believe. [`EndpointGate`] holds the first three, [`DoorQueue`] the last;
+//! both do no I/O. [`DoorFlow`] joins them to the connections.
+
+mod door_flow;
+mod door_queue;
+mod door_refusal;
+mod door_request;
+mod endpoint_gate;
+mod endpoint_report;
+mod run_slot;
+
+pub use door_flow::{DoorError, DoorFlow, DoorSettings};
+pub use door_queue::{DoorQueue, JobKey, JobOffer, OfferVerdict};
+pub use door_refusal::{DoorRefusal, RefusalReason};
+pub use door_request::DoorRequest;
+pub use endpoint_gate::{EndpointGate, LocalEndpoint, ReportVerdict};
+pub use endpoint_report::{EndpointReport, ReportState};
+pub use run_slot::RunSlot;
--- /dev/null
+++ b/crates/proxy/src/event_log.rs
@@ -0,0 +1,150 @@
+//! The log: one JSON object a line, bounded, never blocking.
+
+use std::{
+    cell::{Cell, RefCell},
+    io::Write,
+    rc::Rc,
+    sync::Mutex,
+    thread,
+    time::Duration,
+};
+
+use crossbeam::channel::{Receiver, Sender, TrySendError, bounded};
+use slog::{Drain, Logger, o};
+
+/// Lines that wait for the writing thread. At 300 bytes a line that is 150 kB,
+/// and two seconds of the most that [`LINES_MAX`] lets through.
+const RING_LINES: usize = 512;
+/// Lines a second about single requests. Beyond it they are only counted: a
+/// node under overload refuses hundreds a second for one and the same reason.
+const LINES_MAX: u32 = 200;
+/// Pause of the writing thread, in which lines gather to one write.
+const WRITE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Writer that cuts what is written into lines and hands them to a ring.
+#[derive(Debug)]
+struct LineWriter {
+    line: Vec<u8>,
+    ring: Sender<Vec<u8>>,
+    dropped: u64,
+}
+
+impl LineWriter {
+    fn send_line(&mut self) {
+        let line = std::mem::take(&mut self.line);
+        if self.dropped > 0 {
+            let note = format!(
+                "{{\"msg\":\"log lines dropped\",\"lines\":{}}}\n",
+                self.dropped
+            );
+            if self.ring.try_send(note.into_bytes()).is_ok() {
+                self.dropped = 0;
+            }
+        }
+        if let Err(TrySendError::Full(_)) = self.ring.try_send(line) {
+            self.dropped += 1;
+        }
+    }
+}
+
+impl Write for LineWriter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.line.extend_from_slice(bytes);
+        if bytes.ends_with(b"\n") {
+            self.send_line();
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Makes a logger whose lines a thread of its own writes to `output`.
+///
+/// **Failure.** Whoever reads the output stalls, the pipe fills up, and a
+/// write blocks the event loop with every request in it. **Guard.** The event
+/// loop only hands lines to a ring; when that is full, lines are dropped and
+/// counted, and the count is written as soon as there is room.
+pub fn make_logger(instance: &str, output: impl Write + Send + 'static) -> Logger {
+    let (ring, lines) = bounded(RING_LINES);
+    let writer = LineWriter {
+        line: Vec::new(),
+        ring,
+        dropped: 0,
+    };
+    let started = thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&lines, output));
+    // Without the thread the ring is closed, and the node runs without a log.
+    drop(started);
+    let json = slog_json::Json::default(writer);
+    Logger::root(Mutex::new(json).fuse(), o!("node" => instance.to_owned()))
+}
+
+fn write_lines(lines: &Receiver<Vec<u8>>, mut output: impl Write) {
+    while let Ok(mut batch) = lines.recv() {
+        thread::sleep(WRITE_PAUSE);
+        while let Ok(line) = lines.try_recv() {
+            batch.extend_from_slice(&line);
+        }
+        // There is no better place to report that the log can't be written.
+        drop(output.write_all(&batch).and_then(|()| output.flush()));
+    }
+}
+
+/// Bounds the lines about single requests.
+#[derive(Debug, Clone)]
+pub struct EventLog {
+    logger: Logger,
+    meter: Rc<LineMeter>,
+}
+
+#[derive(Debug, Default)]
+struct LineMeter {
+    second: Cell<u64>,
+    lines: Cell<u32>,
+    withheld: RefCell<Vec<(&'static str, u32)>>,
+}
+
+impl EventLog {
+    /// Makes the log of a node.
+    pub fn new(logger: Logger) -> Self {
+        Self {
+            logger,
+            meter: Rc::default(),
+        }
+    }
+
+    /// Returns the logger for what isn't about a single request.
+    pub const fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// Returns the logger for a line about a request, or none when this
+    /// second has had its share; `kind` is then counted.
+    pub fn for_request(&self, now: Duration, kind: &'static str) -> Option<&Logger> {
+        let meter = &self.meter;
+        if meter.second.replace(now.as_secs()) != now.as_secs() {
+            meter.lines.set(0);
+            self.write_withheld();
+        }
+        if meter.lines.get() < LINES_MAX {
+            meter.lines.set(meter.lines.get() + 1);
+            return Some(&self.logger);
+        }
+        let mut withheld = meter.withheld.borrow_mut();
+        match withheld.iter_mut().find(|(known, _)| *known == kind) {
+            Some((_, count)) => *count += 1,
+            None => withheld.push((kind, 1)),
+        }
+        None
+    }
+
+    fn write_withheld(&self) {
+        for (kind, count) in self.meter.withheld.borrow_mut().drain(..) {
+            slog::info!(self.logger, "lines withheld"; "kind" => kind, "count" => count);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/follow/announcer.rs
@@ -0,0 +1,241 @@
+//! Keeps the own announcement in the store.
+
+use std::{rc::Rc, time::Duration};
+
+use slog::{info, warn};
+use tokio::{
+    select,
+    time::{Instant, sleep, sleep_until},
+};
+
+use super::{MEMBER_PREFIX, StorePause};
+use crate::{
+    door::LocalEndpoint,
+    member::{MemberRecord, MemberState},
+    node_core::NodeCore,
+    store::{LeaseId, MetaStore, Revision, StoreError},
+};
+
+/// Time after which an announcement that isn't renewed vanishes. Others learn
+/// sooner from their requests that a node is gone; this is for those that
+/// have sent it none.
+const LEASE_TIME: Duration = Duration::from_secs(6);
+/// Time between renewals: two may fail before the lease ends.
+const RENEW_TIME: Duration = Duration::from_secs(2);
+
+/// What stands in the store, as far as this node knows.
+#[derive(Debug, Default)]
+struct Announcement {
+    lease: Option<LeaseId>,
+    revision: Revision,
+    record: Option<MemberRecord>,
+}
+
+/// Keeps the own announcement in the store until the node stops.
+///
+/// **Failures.** The lease lapses while the store is away; the store drops
+/// the key unseen; a write is done without an answer, or seconds later.
+/// **Guard.** The node sees its own key in the watch like any other, and
+/// writes again whatever doesn't stand there. Every write names the revision
+/// that it replaces, so that a late one finds another revision and fails.
+pub async fn keep_announced(core: Rc<NodeCore>, store: Rc<impl MetaStore>) {
+    let mut announcement = Announcement::default();
+    let mut pause = StorePause::default();
+    let mut renew_at = Instant::now();
+    loop {
+        let step = announcement.step(&core, &*store, &mut renew_at).await;
+        match step {
+            Ok(()) => {
+                if pause.is_failing() {
+                    info!(core.log.logger(), "store regained"; "for" => "announcement");
+                }
+                pause.succeeded();
+                select! {
+                    () = core.announce.notified() => {}
+                    () = sleep_until(renew_at) => {}
+                }
+            }
+            Err(failure) => {
+                if !pause.is_failing() {
+                    warn!(core.log.logger(), "store lost";
+                        "for" => "announcement", "cause" => %failure);
+                }
+                sleep(pause.failed(&mut rand::rng())).await;
+            }
+        }
+    }
+}
+
+impl Announcement {
+    /// Makes one call that is due, if any.
+    async fn step(
+        &mut self,
+        core: &NodeCore,
+        store: &impl MetaStore,
+        renew_at: &mut Instant,
+    ) -> Result<(), StoreError> {
+        let key = key_of(core);
+        let wanted = wanted(core);
+        self.see(core);
+        let Some(wanted) = wanted else {
+            *renew_at = Instant::now() + RENEW_TIME;
+            return self.withdraw(core, store, &key).await;
+        };
+        let lease = match self.lease {
+            Some(lease) if Instant::now() < *renew_at => lease,
+            Some(lease) => {
+                core.metrics.store_call("renew");
+                match store.renew(lease).await {
+                    Err(StoreError::NoLease) => self.grant(core, store).await?,
+                    renewed => {
+                        renewed?;
+                        lease
+                    }
+                }
+            }
+            None => self.grant(core, store).await?,
+        };
+        if Instant::now() >= *renew_at {
+            *renew_at = Instant::now() + RENEW_TIME;
+        }
+        if self.record.as_ref() == Some(&wanted) {
+            return Ok(());
+        }
+        self.write(core, store, &key, wanted, lease).await
+    }
+
+    async fn grant(
+        &mut self,
+        core: &NodeCore,
+        store: &impl MetaStore,
+    ) -> Result<LeaseId, StoreError> {
+        core.metrics.store_call("grant");
+        self.lease = None;
+        self.record = None;
+        let grant = store.grant(LEASE_TIME).await?;
+        self.lease = Some(grant.lease);
+        Ok(grant.lease)
+    }
+
+    async fn write(
+        &mut self,
+        core: &NodeCore,
+        store: &impl MetaStore,
+        key: &str,
+        wanted: MemberRecord,
+        lease: LeaseId,
+    ) -> Result<(), StoreError> {
+        let value = serde_json::to_vec(&wanted).map_err(|error| StoreError::Unexpected {
+            reason: error.to_string(),
+        })?;
+        core.metrics.store_call("announce");
+        match store.put(key, &value, self.revision, lease).await {
+            Ok(revision) => {
+                info!(core.log.logger(), "announced";
+                    "instance" => &*wanted.instance,
+                    "state" => <&'static str>::from(wanted.state),
+                    "revision" => revision.0);
+                self.revision = revision;
+                self.record = Some(wanted.clone());
+                core.fleet
+                    .borrow_mut()
+                    .announce(core.clock.now(), wanted, revision);
+                Ok(())
+            }
+            Err(StoreError::Conflict { current }) => {
+                self.revision = current;
+                core.announce.notify_one();
+                Ok(())
+            }
+            Err(StoreError::NoLease) => {
+                self.lease = None;
+                core.announce.notify_one();
+                Ok(())
+            }
+            Err(failure) => Err(failure),
+        }
+    }
+
+    /// Removes the announcement of a backend server that is gone.
+    async fn withdraw(
+        &mut self,
+        core: &NodeCore,
+        store: &impl MetaStore,
+        key: &str,
+    ) -> Result<(), StoreError> {
+        if self.record.is_none() {
+            return Ok(());
+        }
+        core.metrics.store_call("withdraw");
+        match store.remove(key, self.revision).await {
+            Ok(_) => {
+                self.record = None;
+                self.revision = Revision(0);
+                core.fleet.borrow_mut().remove(core.settings.hop);
+                info!(core.log.logger(), "announcement withdrawn");
+                Ok(())
+            }
+            Err(StoreError::Conflict { current }) => {
+                self.revision = current;
+                if current == Revision(0) {
+                    self.record = None;
+                }
+                Ok(())
+            }
+            Err(failure) => Err(failure),
+        }
+    }
+
+    /// Notices what the watch has brought about the own key since the last
+    /// write.
+    fn see(&mut self, core: &NodeCore) {
+        let fleet = core.fleet.borrow();
+        let Some(member) = fleet
+            .key_of(core.settings.hop)
+            .and_then(|key| fleet.get(key))
+        else {
+            return;
+        };
+        if member.revision() <= self.revision {
+            return;
+        }
+        let stands = !member.has_lapsed();
+        if !stands || Some(&member.record) != self.record.as_ref() {
+            self.record = None;
+        }
+        self.revision = if stands {
+            member.revision()
+        } else {
+            Revision(0)
+        };
+    }
+}
+
+fn key_of(core: &NodeCore) -> String {
+    format!("{MEMBER_PREFIX}{}", core.settings.hop)
+}
+
+/// Returns what should stand in the store.
+fn wanted(core: &NodeCore) -> Option<MemberRecord> {
+    let gate = core.door.gate().borrow();
+    let current: &LocalEndpoint = gate.current()?;
+    if current.deregistered {
+        return None;
+    }
+    let leaving = current.leaving_since.is_some() || core.is_stopping();
+    let report = &current.report;
+    Some(MemberRecord {
+        hop: core.settings.hop,
+        instance: report.instance.clone(),
+        service: report.service.clone(),
+        data_centre: core.settings.data_centre.clone(),
+        slots: report.slots,
+        state: if leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Ready
+        },
+        cold_ms: current.cold.as_millis() as u32,
+        sequence: current.changed_by,
+    })
+}
--- /dev/null
+++ b/crates/proxy/src/front/attempt.rs
@@ -0,0 +1,198 @@
+//! One try of a request at one member.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, Uri, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use tokio::time::Instant;
+
+use super::{FrontRequest, SentMark};
+use crate::{
+    answer_body::AnswerBody,
+    config::ConfigVersion,
+    door::{DoorError, DoorRefusal, DoorRequest},
+    header_set::{
+        HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, strip_connection, strip_hop,
+    },
+    hop::{ExchangeError, HopNote},
+    member::{LoadReport, MemberKey, MemberRecord},
+    node_core::NodeCore,
+};
+
+/// Longest answer read whole before its head goes to the caller, so that a
+/// break on the way between nodes can still be hidden by another try.
+const WHOLE_MAX: u64 = 32 * 1024;
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The backend server answered, well or not.
+    Answered(Box<Response<AnswerBody>>),
+    /// The request certainly didn't run there.
+    Refused(DoorRefusal),
+    /// The node there couldn't be reached; nothing was sent.
+    Unreachable(String),
+    /// The request may have run; there is no usable answer.
+    Broke(String),
+}
+
+/// Sends requests to doors, the own one or those of other nodes.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptFlow<'a> {
+    /// Node.
+    pub core: &'a Rc<NodeCore>,
+    /// Request.
+    pub request: &'a FrontRequest,
+}
+
+impl AttemptFlow<'_> {
+    /// Sends the request to the door of `key`.
+    pub async fn send(self, key: MemberKey, record: &MemberRecord) -> AttemptEnd {
+        let mark = SentMark::new(self.core, key);
+        if record.hop == self.core.settings.hop {
+            self.send_home(mark, record).await
+        } else {
+            self.send_away(mark, key, record).await
+        }
+    }
+
+    async fn send_home(self, mark: SentMark, record: &MemberRecord) -> AttemptEnd {
+        let request = self.request;
+        let door_request = DoorRequest {
+            method: request.method.clone(),
+            uri: request.uri.clone(),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+            rank: request.route.rank,
+            class: request.route.class,
+            useful_until: request.useful_until,
+            ends_at: request.ends_at,
+            instance: Some(record.instance.clone()),
+        };
+        let idempotent = request.route.kind.is_idempotent();
+        let answer = self.core.door.run(door_request, idempotent).await;
+        let load = self.core.door.load();
+        self.core.fleet.borrow_mut().loaded(mark.key(), load);
+        match answer {
+            Ok(response) => answered(response.map(|body| body.with_mark(mark))),
+            Err(DoorError::Refused { refusal }) => AttemptEnd::Refused(refusal),
+            Err(DoorError::Broke { reason }) => AttemptEnd::Broke(reason),
+        }
+    }
+
+    async fn send_away(
+        self,
+        mut mark: SentMark,
+        key: MemberKey,
+        record: &MemberRecord,
+    ) -> AttemptEnd {
+        let outgoing = self.outgoing(record);
+        let idle_time = self.core.settings.hop_idle;
+        let exchange = self
+            .core
+            .hops
+            .exchange(record.hop, outgoing, idle_time)
+            .await;
+        let (response, sender) = match exchange {
+            Ok(answer) => answer,
+            Err(ExchangeError::NotSent { reason }) => return AttemptEnd::Unreachable(reason),
+            Err(ExchangeError::Broke { reason }) => return AttemptEnd::Broke(reason),
+        };
+        mark.hold(sender);
+        self.learn(key, record, response.headers());
+        let refusal = parsed::<DoorRefusal>(response.headers(), &HOP_REFUSAL);
+        let broke = text(response.headers(), &HOP_BROKE).map(ToOwned::to_owned);
+        let (mut head, body) = response.into_parts();
+        strip_connection(&mut head.headers);
+        strip_hop(&mut head.headers);
+        let short = body
+            .size_hint()
+            .exact()
+            .is_some_and(|bytes| bytes <= WHOLE_MAX);
+        if !short {
+            let body = AnswerBody::stream(body).with_mark(mark);
+            return answered(Response::from_parts(head, body));
+        }
+        let whole = match whole(body, mark).await {
+            Ok(whole) => whole,
+            Err(reason) => return AttemptEnd::Broke(reason),
+        };
+        match (refusal, broke) {
+            (Some(refusal), _) => AttemptEnd::Refused(refusal),
+            (None, Some(reason)) => AttemptEnd::Broke(reason),
+            (None, None) => answered(Response::from_parts(head, AnswerBody::whole(whole))),
+        }
+    }
+
+    fn outgoing(self, record: &MemberRecord) -> Request<Full<Bytes>> {
+        let request = self.request;
+        let names = &self.core.headers;
+        let now = Instant::now();
+        let note = HopNote {
+            rank: request.route.rank,
+            class: request.route.class,
+            idempotent: request.route.kind.is_idempotent(),
+            useful: request.useful_until.saturating_duration_since(now),
+            version: self.core.version(),
+        };
+        let left = request.ends_at.saturating_duration_since(now);
+        let mut headers = request.headers.clone();
+        headers.insert(
+            &names.deadline_ms,
+            HeaderValue::from(left.as_millis() as u64),
+        );
+        insert_text(&mut headers, &names.expected_instance, &record.instance);
+        insert_text(&mut headers, &HOP_NOTE, &note.to_string());
+        let mut outgoing = Request::new(Full::new(request.body.clone()));
+        *outgoing.method_mut() = request.method.clone();
+        *outgoing.uri_mut() = path_only(&request.uri);
+        *outgoing.headers_mut() = headers;
+        outgoing
+    }
+
+    /// Takes in what the other node says of itself.
+    fn learn(self, key: MemberKey, record: &MemberRecord, headers: &HeaderMap) {
+        if let Some(load) = parsed::<LoadReport>(headers, &HOP_LOAD) {
+            self.core.fleet.borrow_mut().loaded(key, load);
+        }
+        if let Some(version) = text(headers, &HOP_VERSION).and_then(|text| text.parse().ok()) {
+            self.core.heard_version(ConfigVersion(version), record.hop);
+        }
+    }
+}
+
+fn answered(response: Response<AnswerBody>) -> AttemptEnd {
+    AttemptEnd::Answered(Box::new(response))
+}
+
+/// Returns the path and query alone, as a request line carries them.
+pub(super) fn path_only(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().cloned();
+    path.map_or_else(|| Uri::from_static("/"), Uri::from)
+}
+
+async fn whole(body: Incoming, mark: SentMark) -> Result<Bytes, String> {
+    match body.collect().await {
+        Ok(whole) => {
+            mark.complete();
+            Ok(whole.to_bytes())
+        }
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn parsed<T: std::str::FromStr>(headers: &HeaderMap, name: &header::HeaderName) -> Option<T> {
+    text(headers, name)?.parse().ok()
+}
+
+fn insert_text(headers: &mut HeaderMap, name: &header::HeaderName, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        headers.insert(name, value);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/front/front_flow.rs
@@ -0,0 +1,343 @@
+//! The path of a caller's request.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use geranium_model::ResultCode;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use smallvec::SmallVec;
+use tokio::time::{Instant, timeout_at};
+
+use super::{AttemptEnd, AttemptFlow, FrontAnswer, FrontRequest, attempt::path_only};
+use crate::{
+    answer_body::AnswerBody,
+    config::MeshConfig,
+    door::{DoorRefusal, RefusalReason},
+    header_set::{strip_connection, strip_hop},
+    member::{MemberKey, MemberRecord, PickQuery, TryEnd},
+    node_core::NodeCore,
+    retry::RetryNeed,
+};
+
+/// Members asked for one request, refusals of doors included. A third that is
+/// full says that the service is.
+const TRIES_MAX: usize = 3;
+/// Advice before the first configuration: it is read within a fraction of a
+/// second once the store answers.
+const RETRY_NOT_READY: Duration = Duration::from_millis(200);
+/// Advice when no backend server takes work: one restarts, or is announced
+/// again, within a second or two.
+const RETRY_NO_BACKEND: Duration = Duration::from_millis(250);
+/// Least advice on when to come back.
+const RETRY_MIN: Duration = Duration::from_millis(30);
+/// Time before the caller's own end at which it gets a final answer: the way
+/// back takes a millisecond, a busy machine a few more.
+const ANSWER_MARGIN: Duration = Duration::from_millis(8);
+
+/// The path of a caller's request.
+#[derive(Debug, Clone)]
+pub struct FrontFlow {
+    core: Rc<NodeCore>,
+}
+
+/// What is known of a request's tries so far.
+#[derive(Debug, Default)]
+struct TryRecord {
+    tried: SmallVec<[MemberKey; TRIES_MAX]>,
+    /// Backend servers that it came to, or may have come to.
+    arrivals: u32,
+    /// Whether it may have run.
+    maybe_run: bool,
+    refusal: Option<DoorRefusal>,
+    broke: Option<String>,
+}
+
+impl FrontFlow {
+    /// Makes the path for the callers of a node.
+    pub const fn new(core: Rc<NodeCore>) -> Self {
+        Self { core }
+    }
+
+    /// Answers a request.
+    pub async fn answer(&self, incoming: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived = Instant::now();
+        let id = incoming
+            .headers()
+            .get(&self.core.headers.request_id)
+            .cloned();
+        let mut response = match self.receive(incoming, arrived).await {
+            Ok(request) => self.serve(&request).await,
+            Err(answer) => {
+                self.core.note_answer(id.as_ref(), &answer);
+                answer.into_response()
+            }
+        };
+        if let Some(id) = id {
+            let headers = response.headers_mut();
+            headers.entry(&self.core.headers.request_id).or_insert(id);
+        }
+        if self.core.is_stopping() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response
+    }
+
+    /// Reads and routes a request.
+    async fn receive(
+        &self,
+        incoming: Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<FrontRequest, FrontAnswer> {
+        let (mut head, body) = incoming.into_parts();
+        let config = self.core.config.borrow().clone();
+        let config = config.ok_or(FrontAnswer::not_run(ResultCode::NotReady, RETRY_NOT_READY))?;
+        let route = host_of(&head).and_then(|host| config.route(&host, head.uri.path()).cloned());
+        let no_route = FrontAnswer::rejected(ResultCode::NoRoute, StatusCode::NOT_FOUND);
+        let route = route.ok_or(no_route)?;
+        let deadline = self.deadline_of(&head.headers);
+        let ends_at = match deadline {
+            Some(deadline) => arrived + deadline.saturating_sub(ANSWER_MARGIN).min(route.timeout),
+            None => arrived + route.timeout,
+        };
+        let body = read_body(body, &config, ends_at).await?;
+        strip_connection(&mut head.headers);
+        strip_hop(&mut head.headers);
+        head.headers.insert(
+            &self.core.headers.caller_service,
+            self.core.caller_service(),
+        );
+        let id = head.headers.get(&self.core.headers.request_id);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let service = route.shares.draw();
+        Ok(FrontRequest {
+            id: id.into(),
+            method: head.method,
+            uri: path_only(&head.uri),
+            headers: head.headers,
+            body,
+            useful_until: arrived + route.target,
+            route,
+            service,
+            version: config.version,
+            arrived,
+            ends_at,
+        })
+    }
+
+    async fn serve(&self, request: &FrontRequest) -> Response<AnswerBody> {
+        self.core
+            .retries
+            .borrow_mut()
+            .requested(self.core.clock.now(), &request.service);
+        let mut tries = TryRecord::default();
+        let served = timeout_at(request.ends_at, self.try_members(request, &mut tries)).await;
+        let answer = match served {
+            Ok(Ok(response)) => {
+                self.core.note_served(request, &response, tries.tried.len());
+                return response;
+            }
+            Ok(Err(answer)) => answer,
+            Err(_elapsed) if tries.arrivals == 0 && !tries.maybe_run => {
+                FrontAnswer::not_run(ResultCode::DeadlineBeforeRun, RETRY_MIN)
+            }
+            Err(_elapsed) => FrontAnswer::timed_out(),
+        };
+        self.core
+            .note_failed(request, &answer, tries.tried.len(), tries.broke.as_deref());
+        answer.into_response()
+    }
+
+    async fn try_members(
+        &self,
+        request: &FrontRequest,
+        tries: &mut TryRecord,
+    ) -> Result<Response<AnswerBody>, FrontAnswer> {
+        loop {
+            let Some((key, record)) = self.next_member(request, tries) else {
+                return Err(final_answer(tries));
+            };
+            tries.tried.push(key);
+            // Until the try ends otherwise, it may have come to the backend
+            // server: a timeout in the middle must not promise the contrary.
+            tries.maybe_run = true;
+            let arrivals = tries.arrivals;
+            tries.arrivals += 1;
+            let flow = AttemptFlow {
+                core: &self.core,
+                request,
+            };
+            let ran_before = tries.broke.is_some();
+            let end = flow.send(key, &record).await;
+            let now = self.core.clock.now();
+            let mut fleet = self.core.fleet.borrow_mut();
+            match end {
+                AttemptEnd::Answered(response) => {
+                    let failed = response.status().is_server_error();
+                    fleet.judged(now, key, TryEnd::Answered { failed });
+                    drop(fleet);
+                    if failed && self.may_retry(request, tries) {
+                        tries.broke = Some(format!("status {}", response.status().as_u16()));
+                        continue;
+                    }
+                    return Ok(*response);
+                }
+                AttemptEnd::Refused(refusal) => {
+                    let retry_after = refusal.retry_after;
+                    fleet.judged(now, key, TryEnd::Refused { retry_after });
+                    drop(fleet);
+                    tries.maybe_run = ran_before;
+                    if !refusal.reason.reached_endpoint() {
+                        tries.arrivals = arrivals;
+                    }
+                    tries.refusal = Some(refusal);
+                    self.core.note_refusal(request, &record, &refusal);
+                }
+                AttemptEnd::Unreachable(reason) => {
+                    fleet.judged(now, key, TryEnd::Unreachable);
+                    drop(fleet);
+                    tries.maybe_run = ran_before;
+                    tries.arrivals = arrivals;
+                    self.core.note_unreachable(request, &record, &reason);
+                }
+                AttemptEnd::Broke(reason) => {
+                    fleet.judged(now, key, TryEnd::Broke);
+                    drop(fleet);
+                    self.core.note_broke(request, &record, &reason);
+                    tries.broke = Some(reason);
+                    if !request.route.kind.is_idempotent() {
+                        return Err(final_answer(tries));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Picks the next member, or none when the request is to be given up.
+    fn next_member(
+        &self,
+        request: &FrontRequest,
+        tries: &TryRecord,
+    ) -> Option<(MemberKey, MemberRecord)> {
+        let first = tries.tried.is_empty();
+        if tries.tried.len() >= TRIES_MAX {
+            return None;
+        }
+        let now = self.core.clock.now();
+        let query = PickQuery {
+            service: &request.service,
+            tried: &tries.tried,
+            answer_bytes: self.core.answer_bytes(request.route.class),
+        };
+        let fleet = self.core.fleet.borrow();
+        if !first && !fleet.has_open(now, &query) {
+            return None;
+        }
+        let key = fleet.pick(now, &query, &mut rand::rng())?;
+        let record = fleet.get(key)?.record.clone();
+        drop(fleet);
+        if tries.arrivals > 0 && !self.may_arrive_again(request, tries.arrivals) {
+            return None;
+        }
+        Some((key, record))
+    }
+
+    /// Whether a failed answer may be replaced by another try.
+    fn may_retry(&self, request: &FrontRequest, tries: &TryRecord) -> bool {
+        let early = Instant::now() < request.useful_until;
+        let left = tries.arrivals < request.route.attempts && tries.tried.len() < TRIES_MAX;
+        request.route.kind.is_idempotent() && early && left && {
+            let now = self.core.clock.now();
+            let nodes = self.core.fleet.borrow().len();
+            self.core
+                .retries
+                .borrow()
+                .has_room(now, &request.service, nodes)
+        }
+    }
+
+    fn may_arrive_again(&self, request: &FrontRequest, arrivals: u32) -> bool {
+        if arrivals >= request.route.attempts {
+            return false;
+        }
+        let need = RetryNeed {
+            service: &request.service,
+            nodes: self.core.fleet.borrow().len(),
+        };
+        let now = self.core.clock.now();
+        self.core.retries.borrow_mut().withdraw(now, need)
+    }
+
+    fn deadline_of(&self, headers: &HeaderMap) -> Option<Duration> {
+        let value = headers.get(&self.core.headers.deadline_ms)?;
+        let millis: f64 = value.to_str().ok()?.trim().parse().ok()?;
+        Duration::try_from_secs_f64(millis / 1_000.0).ok()
+    }
+}
+
+/// Returns the answer for a request that is given up.
+fn final_answer(tries: &TryRecord) -> FrontAnswer {
+    if tries.maybe_run || tries.broke.is_some() {
+        return FrontAnswer::maybe_run(ResultCode::BackendBroke);
+    }
+    let Some(refusal) = tries.refusal else {
+        let code = if tries.tried.is_empty() {
+            ResultCode::NoBackend
+        } else {
+            ResultCode::NodeUnreachable
+        };
+        return FrontAnswer::not_run(code, RETRY_NO_BACKEND);
+    };
+    let retry_after = refusal.retry_after.max(RETRY_MIN);
+    FrontAnswer::not_run(code_of(refusal.reason), retry_after)
+}
+
+const fn code_of(reason: RefusalReason) -> ResultCode {
+    match reason {
+        RefusalReason::Shut | RefusalReason::EndpointDown | RefusalReason::OtherInstance => {
+            ResultCode::NoBackend
+        }
+        RefusalReason::Leaving | RefusalReason::Stopping => ResultCode::Draining,
+        RefusalReason::Full => ResultCode::QueueFull,
+        RefusalReason::EndpointRefused => ResultCode::BackendRefused,
+    }
+}
+
+/// Returns the host that a request names, without its port.
+fn host_of(head: &Parts) -> Option<String> {
+    let named = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| head.uri.host())?;
+    let host = host.split(':').next().unwrap_or_default();
+    Some(host.to_ascii_lowercase())
+}
+
+async fn read_body(
+    body: Incoming,
+    config: &MeshConfig,
+    ends_at: Instant,
+) -> Result<Bytes, FrontAnswer> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let limited = Limited::new(body, config.limits.body_bytes);
+    match timeout_at(ends_at, limited.collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(FrontAnswer::rejected(ResultCode::BodyTooLarge, status))
+        }
+        Ok(Err(_)) => {
+            let status = StatusCode::BAD_REQUEST;
+            Err(FrontAnswer::rejected(ResultCode::BadRequest, status))
+        }
+        Err(_elapsed) => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(FrontAnswer::rejected(ResultCode::RequestTimeout, status))
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/front/front_request.rs
@@ -0,0 +1,36 @@
+//! A caller's request, read and routed.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use tokio::time::Instant;
+
+use crate::config::{ConfigVersion, RouteRule};
+
+/// A caller's request, read and routed.
+#[derive(Debug, Clone)]
+pub struct FrontRequest {
+    /// Identifier of the caller's attempt, for the log.
+    pub id: Rc<str>,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers to pass on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: Rc<RouteRule>,
+    /// Service that the route's weights gave.
+    pub service: Rc<str>,
+    /// Version by which it was routed.
+    pub version: ConfigVersion,
+    /// Arrival.
+    pub arrived: Instant,
+    /// Time by which the answer is of full use.
+    pub useful_until: Instant,
+    /// Time at which the caller gets a final answer.
+    pub ends_at: Instant,
+}
--- /dev/null
+++ b/crates/proxy/src/header_set.rs
@@ -0,0 +1,77 @@
+//! Names of the headers that callers and backend servers speak.
+
+use http::HeaderName;
+
+/// Names of the headers that callers and backend servers speak.
+///
+/// They differ between platforms, so the node is told them at its start.
+#[derive(Debug, Clone)]
+pub struct HeaderSet {
+    /// Identifier of a caller's attempt, echoed in the answer.
+    pub request_id: HeaderName,
+    /// Milliseconds that the caller still waits.
+    pub deadline_ms: HeaderName,
+    /// Proof that an answer is the backend server's own.
+    pub signature: HeaderName,
+    /// Start of the backend server that alone may run the request.
+    pub expected_instance: HeaderName,
+    /// Start of the backend server that answered.
+    pub instance: HeaderName,
+    /// Says that the backend server did not run the request.
+    pub not_executed: HeaderName,
+    /// Service of the machine on which the request began.
+    pub caller_service: HeaderName,
+}
+
+/// What one node tells another of a request: see
+/// [`HopNote`](crate::hop::HopNote).
+pub const HOP_NOTE: HeaderName = HeaderName::from_static("geranium-hop");
+/// Load of the backend server: see [`LoadReport`](crate::member::LoadReport).
+pub const HOP_LOAD: HeaderName = HeaderName::from_static("geranium-load");
+/// The request certainly didn't run: see
+/// [`DoorRefusal`](crate::door::DoorRefusal).
+pub const HOP_REFUSAL: HeaderName = HeaderName::from_static("geranium-refusal");
+/// The request may have run and has no usable answer.
+pub const HOP_BROKE: HeaderName = HeaderName::from_static("geranium-broke");
+/// Version of the configuration that the answering node holds.
+pub const HOP_VERSION: HeaderName = HeaderName::from_static("geranium-version");
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [HeaderName; 8] = [
+    http::header::CONNECTION,
+    http::header::TRANSFER_ENCODING,
+    http::header::CONTENT_LENGTH,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::UPGRADE,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+];
+/// Headers by which nodes speak to one another.
+const HOP_HEADERS: [HeaderName; 5] = [HOP_NOTE, HOP_LOAD, HOP_REFUSAL, HOP_BROKE, HOP_VERSION];
+
+/// Removes the headers that concern one connection only, those that
+/// `Connection` names among them.
+pub fn strip_connection(headers: &mut http::HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in &CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers by which nodes speak to one another: what comes from
+/// outside must not be taken for a node's word.
+pub fn strip_hop(headers: &mut http::HeaderMap) {
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/hop_port.rs
@@ -0,0 +1,131 @@
+//! Requests of other nodes.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::time::Duration;
+use tokio::time::Instant;
+
+use crate::{
+    answer_body::AnswerBody,
+    door::{DoorError, DoorRefusal, DoorRequest, RefusalReason},
+    follow::{CONFIG_PATH, config_document},
+    header_set::{HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, strip_connection},
+    hop::HopNote,
+    node_core::NodeCore,
+};
+
+/// Longest time that another node may take to send a request: bodies are
+/// there before it is sent.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// Answers requests of other nodes.
+#[derive(Debug, Clone)]
+pub struct HopPort {
+    core: Rc<NodeCore>,
+}
+
+impl HopPort {
+    /// Makes the port of a node.
+    pub const fn new(core: Rc<NodeCore>) -> Self {
+        Self { core }
+    }
+
+    /// Answers a request.
+    pub async fn answer(&self, incoming: Request<Incoming>) -> Response<AnswerBody> {
+        let mut response = if incoming.uri().path() == CONFIG_PATH {
+            config_document(&self.core)
+        } else {
+            self.run(incoming).await
+        };
+        let headers = response.headers_mut();
+        insert_text(headers, &HOP_LOAD, &self.core.door.load().to_string());
+        headers.insert(HOP_VERSION, HeaderValue::from(self.core.version().0));
+        response
+    }
+
+    async fn run(&self, incoming: Request<Incoming>) -> Response<AnswerBody> {
+        let (head, body) = incoming.into_parts();
+        let note = text(&head.headers, &HOP_NOTE).and_then(|text| text.parse::<HopNote>().ok());
+        let Some(note) = note else {
+            return plain(StatusCode::BAD_REQUEST);
+        };
+        if self.core.door.refuses_hops() {
+            return refused(&DoorRefusal {
+                reason: RefusalReason::Stopping,
+                retry_after: Duration::ZERO,
+            });
+        }
+        let now = Instant::now();
+        let body = match tokio::time::timeout(BODY_TIME, body.collect()).await {
+            Ok(Ok(whole)) => whole.to_bytes(),
+            _ => return plain(StatusCode::BAD_REQUEST),
+        };
+        let request = self.door_request(head, body, &note, now);
+        match self.core.door.run(request, note.idempotent).await {
+            Ok(response) => response,
+            Err(DoorError::Refused { refusal }) => refused(&refusal),
+            Err(DoorError::Broke { reason }) => broke(&reason),
+        }
+    }
+
+    fn door_request(
+        &self,
+        head: http::request::Parts,
+        body: Bytes,
+        note: &HopNote,
+        now: Instant,
+    ) -> DoorRequest {
+        let names = &self.core.headers;
+        let left = text(&head.headers, &names.deadline_ms).and_then(|text| text.parse().ok());
+        let left = Duration::from_millis(left.unwrap_or(0));
+        let instance = text(&head.headers, &names.expected_instance).map(ToOwned::to_owned);
+        let mut headers = head.headers;
+        strip_connection(&mut headers);
+        DoorRequest {
+            method: head.method,
+            uri: head.uri,
+            headers,
+            body,
+            rank: note.rank,
+            class: note.class,
+            useful_until: now + note.useful,
+            ends_at: now + left,
+            instance,
+        }
+    }
+}
+
+fn plain(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn refused(refusal: &DoorRefusal) -> Response<AnswerBody> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+    insert_text(response.headers_mut(), &HOP_REFUSAL, &refusal.to_string());
+    response
+}
+
+fn broke(reason: &str) -> Response<AnswerBody> {
+    let mut response = plain(StatusCode::BAD_GATEWAY);
+    let reason = if reason.is_empty() { "unknown" } else { reason };
+    insert_text(response.headers_mut(), &HOP_BROKE, reason);
+    response
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn insert_text(headers: &mut HeaderMap, name: &http::HeaderName, text: &str) {
+    let value = HeaderValue::from_str(text);
+    headers.insert(
+        name,
+        value.unwrap_or(HeaderValue::from_static("unprintable")),
+    );
+}
--- /dev/null
+++ b/crates/proxy/src/http_port.rs
@@ -0,0 +1,108 @@
+//! HTTP servers on the node's ports.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::{Request, Response};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::warn;
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::sleep,
+};
+
+use crate::{answer_body::AnswerBody, hop::tune_socket, node_core::NodeCore};
+
+/// Connections that may wait to be accepted: a burst of a second's new callers
+/// at twenty times today's rate. Beyond it the kernel drops opening packets,
+/// which come again after a second.
+const BACKLOG: u32 = 1_024;
+/// Smallest read buffer that the HTTP library takes.
+const BUFFER_MIN: usize = 8_192;
+/// Pause after a connection couldn't be accepted: descriptors have run out,
+/// and some are given back within milliseconds.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A port that can't be opened.
+#[derive(Debug, Snafu)]
+#[snafu(display("can't listen on {addr}: {source}"))]
+pub struct PortError {
+    addr: SocketAddr,
+    source: std::io::Error,
+}
+
+/// Limits of a port.
+#[derive(Debug, Clone, Copy)]
+pub struct PortLimits {
+    /// Longest time that a connection may stay idle or a head may take.
+    pub idle_time: Duration,
+    /// Most bytes of a head.
+    pub head_bytes: usize,
+}
+
+/// Opens a port.
+///
+/// # Errors
+///
+/// When the address can't be bound.
+pub fn open_port(addr: SocketAddr) -> Result<TcpListener, PortError> {
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(addr)?;
+        socket.listen(BACKLOG)
+    };
+    listen().context(PortSnafu { addr })
+}
+
+/// Answers every request that comes to a port with what `answer` makes of it.
+///
+/// `limits` is asked for each connection, as configurations change.
+pub async fn serve_port<F>(
+    core: Rc<NodeCore>,
+    listener: TcpListener,
+    limits: impl Fn() -> PortLimits,
+    answer: impl Fn(Request<Incoming>) -> F + Clone + 'static,
+) where
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tune_socket(&stream);
+                let connection = serve_connection(stream, limits(), answer.clone());
+                tokio::task::spawn_local(connection);
+            }
+            Err(cause) => {
+                warn!(core.log.logger(), "connection not accepted"; "cause" => %cause);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<F>(
+    stream: TcpStream,
+    limits: PortLimits,
+    answer: impl Fn(Request<Incoming>) -> F,
+) where
+    F: Future<Output = Response<AnswerBody>>,
+{
+    let service = service_fn(move |request| {
+        let answer = answer(request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(limits.head_bytes.max(BUFFER_MIN));
+    // A caller that leaves or breaks off is no fault of the node's; what it
+    // means for a request shows where the request is dropped.
+    drop(
+        builder
+            .serve_connection(TokioIo::new(stream), service)
+            .await,
+    );
+}
--- /dev/null
+++ b/crates/proxy/src/lib.rs
@@ -0,0 +1,33 @@
+//! A node: the process beside each backend server.
+//!
+//! Callers on the node's machine send their requests to it. The
+//! [`front`] finds the route in the [`config`] in force, picks a backend
+//! server out of the [`member`] view and sends the request to the node beside
+//! that one, whose [`door`] admits it, runs it and answers. [`follow`] keeps
+//! configuration and members up to date from the metadata [`store`], and
+//! announces the own backend server there.
+//!
+//! One thread runs it all, on one event loop, so that no decision needs a
+//! lock and no request is handed from thread to thread. A second thread only
+//! writes the log. What decides has no I/O and takes the time as an argument:
+//! [`member::FleetView`], [`door::DoorQueue`], [`door::EndpointGate`],
+//! [`retry::RetryBudget`], [`config::MeshConfig`].
+
+pub mod answer_body;
+pub mod config;
+pub mod door;
+pub mod event_log;
+pub mod follow;
+pub mod front;
+pub mod header_set;
+pub mod hop;
+pub mod hop_port;
+pub mod http_port;
+pub mod member;
+pub mod node;
+pub mod node_clock;
+pub mod node_core;
+pub mod node_metrics;
+pub mod node_settings;
+pub mod retry;
+pub mod store;
--- /dev/null
+++ b/crates/proxy/src/member/load_report.rs
@@ -0,0 +1,65 @@
+//! Load of a backend server, as the node beside it tells.
+
+use std::{num::ParseIntError, str::FromStr, time::Duration};
+
+use snafu::Snafu;
+
+/// Load of a backend server, as the node beside it tells with each answer.
+///
+/// That node is the only way in, so the figures are exact when they leave.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait at the node.
+    pub waiting: u32,
+    /// Mean time of a run.
+    pub service: Duration,
+}
+
+/// A load report that can't be read.
+#[derive(Debug, Snafu, PartialEq, Eq)]
+pub enum LoadReportError {
+    /// A figure is missing.
+    #[snafu(display("a figure is missing"))]
+    Missing,
+    /// A figure isn't a number.
+    #[snafu(display("{source}"), context(false))]
+    Figure {
+        /// What the parser met.
+        source: ParseIntError,
+    },
+}
+
+impl std::fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let service_ms = self.service.as_millis();
+        write!(f, "{},{},{service_ms}", self.running, self.waiting)
+    }
+}
+
+impl FromStr for LoadReport {
+    type Err = LoadReportError;
+
+    /// Reads what [`Display`](std::fmt::Display) wrote.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use geranium_proxy::member::LoadReport;
+    ///
+    /// let report: LoadReport = "3,1,120".parse()?;
+    /// assert_eq!((report.running, report.waiting), (3, 1));
+    /// assert_eq!(report.to_string(), "3,1,120");
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    fn from_str(text: &str) -> Result<Self, LoadReportError> {
+        let mut figures = text.split(',');
+        let mut next = || figures.next().ok_or(LoadReportError::Missing);
+        Ok(Self {
+            running: next()?.trim().parse()?,
+            waiting: next()?.trim().parse()?,
+            service: Duration::from_millis(next()?.trim().parse()?),
+        })
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/member/member_record.rs
@@ -0,0 +1,41 @@
+//! What a node announces of its backend server.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use strum::{Display, IntoStaticStr};
+
+/// Whether a backend server takes work.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display, IntoStaticStr,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum MemberState {
+    /// Takes work.
+    Ready,
+    /// Finishes what it has; gets no new work.
+    Leaving,
+}
+
+/// What a node announces of its backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Address at which the node takes requests of other nodes.
+    pub hop: SocketAddr,
+    /// Identifier of this start of the backend server.
+    pub instance: String,
+    /// Service.
+    pub service: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Whether it takes work.
+    pub state: MemberState,
+    /// Milliseconds for which it stays slow after its start, as of the
+    /// announcement.
+    pub cold_ms: u32,
+    /// Number of the report on which this rests; later ones are greater.
+    pub sequence: u64,
+}
--- /dev/null
+++ b/crates/proxy/src/member/moving_mean.rs
@@ -0,0 +1,33 @@
+//! Exponentially weighted means.
+
+/// Exponentially weighted mean; the first value is taken as it is.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct MovingMean {
+    mean: Option<f64>,
+}
+
+impl MovingMean {
+    /// Takes in a value with a weight from 0 to 1.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use geranium_proxy::member::MovingMean;
+    ///
+    /// let mut mean = MovingMean::default();
+    /// mean.observe(4.0, 0.5);
+    /// mean.observe(2.0, 0.5);
+    /// assert_eq!(mean.get(), Some(3.0));
+    /// ```
+    pub fn observe(&mut self, value: f64, weight: f64) {
+        self.mean = Some(match self.mean {
+            Some(mean) => mean + (value - mean) * weight,
+            None => value,
+        });
+    }
+
+    /// Returns the mean, if a value was seen.
+    pub const fn get(&self) -> Option<f64> {
+        self.mean
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/node.rs
@@ -0,0 +1,191 @@
+//! The node put together.
+
+use std::{rc::Rc, time::Duration};
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use slog::info;
+use tokio::{
+    net::TcpListener,
+    task::spawn_local,
+    time::{Instant, sleep},
+};
+
+use crate::{
+    answer_body::AnswerBody,
+    follow::{ConfigSource, catch_up, follow_config, follow_members, keep_announced},
+    front::FrontFlow,
+    hop_port::HopPort,
+    http_port::{PortError, PortLimits, open_port, serve_port},
+    node_core::NodeCore,
+    node_settings::ListenAddrs,
+    store::MetaStore,
+};
+
+/// Idle time of ports that only other nodes and the platform use; above that
+/// of the connections which nodes keep to one another.
+const INNER_IDLE: Duration = Duration::from_secs(60);
+/// Most bytes of a head on those ports.
+const INNER_HEAD: usize = 64 * 1024;
+/// Idle time towards callers before the first configuration.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+/// Time between sweeps of idle connections and vanished members.
+const SWEEP_TIME: Duration = Duration::from_millis(500);
+/// Time after the signal to stop in which callers may still come: readiness
+/// is checked each second, and two misses take this node out.
+const CALLERS_LEAVE: Duration = Duration::from_millis(2_600);
+/// Time kept free before the kill.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
+/// Time between looks at what is still open while stopping.
+const STOP_LOOK: Duration = Duration::from_millis(50);
+
+/// The ports of a node, open.
+#[derive(Debug)]
+pub struct NodePorts {
+    callers: TcpListener,
+    hop: TcpListener,
+    readiness: TcpListener,
+    reports: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+impl NodePorts {
+    /// Opens them.
+    ///
+    /// # Errors
+    ///
+    /// When an address can't be bound.
+    pub fn open(addrs: &ListenAddrs) -> Result<Self, PortError> {
+        Ok(Self {
+            callers: open_port(addrs.callers)?,
+            hop: open_port(addrs.hop)?,
+            readiness: open_port(addrs.readiness)?,
+            reports: open_port(addrs.reports)?,
+            metrics: addrs.metrics.map(open_port).transpose()?,
+        })
+    }
+}
+
+/// What the platform asks of a node, as its adapter answers it.
+pub trait PlatformPort: Clone + 'static {
+    /// Answers a readiness check.
+    fn readiness(self, request: Request<Incoming>) -> impl Future<Output = Response<AnswerBody>>;
+
+    /// Answers a heartbeat or farewell of the backend server.
+    fn report(self, request: Request<Incoming>) -> impl Future<Output = Response<AnswerBody>>;
+}
+
+/// Starts every task of a node on the current thread's executor.
+pub fn start_node(
+    core: &Rc<NodeCore>,
+    ports: NodePorts,
+    platform: impl PlatformPort,
+    store: Rc<impl MetaStore>,
+    source: ConfigSource,
+) {
+    info!(core.log.logger(), "started";
+        "hop" => %core.settings.hop,
+        "endpoint" => %core.settings.endpoint,
+        "service" => &*core.settings.service,
+        "data_centre" => &*core.settings.data_centre);
+    serve_callers(core, ports.callers);
+    serve_inner(core, ports.hop, {
+        let port = HopPort::new(Rc::clone(core));
+        let core = Rc::clone(core);
+        move |request| {
+            let (port, open) = (port.clone(), core.open_mark());
+            async move { port.answer(request).await.map(|body| body.with_open(open)) }
+        }
+    });
+    let readiness = platform.clone();
+    serve_inner(core, ports.readiness, move |request| {
+        readiness.clone().readiness(request)
+    });
+    serve_inner(core, ports.reports, move |request| {
+        platform.clone().report(request)
+    });
+    if let Some(metrics) = ports.metrics {
+        let shown = Rc::clone(core);
+        serve_inner(core, metrics, move |_| {
+            std::future::ready(metrics_text(&shown))
+        });
+    }
+    spawn_local(follow_config(Rc::clone(core), Rc::clone(&store), source));
+    spawn_local(follow_members(Rc::clone(core), Rc::clone(&store)));
+    spawn_local(keep_announced(Rc::clone(core), store));
+    spawn_local(catch_up(Rc::clone(core)));
+    spawn_local(sweep(Rc::clone(core)));
+}
+
+/// Stops a node: finishes what is open and returns when the process may end.
+///
+/// Callers are still served until they have noticed that the node isn't ready
+/// any more; other nodes get refusals, upon which they go elsewhere.
+pub async fn stop_node(core: &Rc<NodeCore>) {
+    let begun = Instant::now();
+    info!(core.log.logger(), "stopping"; "open" => core.open.get());
+    core.begin_stop();
+    let latest = core.settings.stop_time.saturating_sub(STOP_MARGIN);
+    while begun.elapsed() < latest {
+        if begun.elapsed() >= CALLERS_LEAVE && core.open.get() == 0 {
+            break;
+        }
+        sleep(STOP_LOOK).await;
+    }
+    info!(core.log.logger(), "stopped";
+        "open" => core.open.get(),
+        "took_ms" => begun.elapsed().as_millis() as u64);
+}
+
+fn serve_callers(core: &Rc<NodeCore>, listener: TcpListener) {
+    let flow = FrontFlow::new(Rc::clone(core));
+    let (counted, limited) = (Rc::clone(core), Rc::clone(core));
+    let answer = move |request| {
+        let (flow, open) = (flow.clone(), counted.open_mark());
+        async move { flow.answer(request).await.map(|body| body.with_open(open)) }
+    };
+    let limits = move || match &*limited.config.borrow() {
+        Some(config) => PortLimits {
+            idle_time: config.limits.idle_time,
+            head_bytes: config.limits.head_bytes,
+        },
+        None => PortLimits {
+            idle_time: FIRST_IDLE,
+            head_bytes: INNER_HEAD,
+        },
+    };
+    spawn_local(serve_port(Rc::clone(core), listener, limits, answer));
+}
+
+fn serve_inner<F>(
+    core: &Rc<NodeCore>,
+    listener: TcpListener,
+    answer: impl Fn(Request<Incoming>) -> F + Clone + 'static,
+) where
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let limits = || PortLimits {
+        idle_time: INNER_IDLE,
+        head_bytes: INNER_HEAD,
+    };
+    spawn_local(serve_port(Rc::clone(core), listener, limits, answer));
+}
+
+fn metrics_text(core: &NodeCore) -> Response<AnswerBody> {
+    match core.metrics.text() {
+        Ok(text) => Response::new(AnswerBody::whole(text)),
+        Err(cause) => {
+            slog::error!(core.log.logger(), "metrics not shown"; "cause" => %cause);
+            let mut response = Response::new(AnswerBody::whole(Vec::new()));
+            *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
+async fn sweep(core: Rc<NodeCore>) {
+    loop {
+        sleep(SWEEP_TIME).await;
+        core.sweep(core.clock.now());
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/node_core.rs
@@ -0,0 +1,354 @@
+//! What the parts of a node share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use geranium_model::ResultCode;
+use http::{HeaderValue, Response};
+use hyper::body::Body;
+use slog::{info, warn};
+use tokio::sync::Notify;
+
+use crate::{
+    answer_body::AnswerBody,
+    config::{ConfigVersion, MeshConfig},
+    door::{DoorFlow, DoorRefusal, DoorSettings, EndpointReport, ReportVerdict},
+    event_log::EventLog,
+    front::{FrontAnswer, FrontRequest},
+    header_set::HeaderSet,
+    hop::{ConnectionPool, PoolSettings},
+    member::{FleetView, MemberRecord, MovingMean},
+    node_clock::NodeClock,
+    node_metrics::NodeMetrics,
+    node_settings::NodeSettings,
+    retry::RetryBudget,
+};
+
+/// Weight of one answer in the mean size of a route's answers.
+const SIZE_WEIGHT: f64 = 0.1;
+/// Slots assumed until the backend server tells: the usual size of one.
+const SLOTS_UNKNOWN: u32 = 8;
+/// Part of the allowed time in which a leaving backend server still gets new
+/// work. The rest covers the way of a request that is already here.
+const LEAVING_PART: f64 = 0.4;
+
+/// Counts a request as open until dropped.
+#[derive(Debug)]
+pub struct OpenMark(Rc<NodeCore>);
+
+impl Drop for OpenMark {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+    }
+}
+
+/// What the parts of a node share.
+///
+/// Everything runs on one thread, so that decisions need no locks.
+#[derive(Debug)]
+pub struct NodeCore {
+    /// Settings.
+    pub settings: NodeSettings,
+    /// Names of the headers.
+    pub headers: HeaderSet,
+    /// Clock.
+    pub clock: NodeClock,
+    /// Configuration in force; none until the first was read.
+    pub config: RefCell<Option<Rc<MeshConfig>>>,
+    /// Members.
+    pub fleet: RefCell<FleetView>,
+    /// Door of the own backend server.
+    pub door: DoorFlow,
+    /// Connections to other nodes.
+    pub hops: ConnectionPool,
+    /// Retries.
+    pub retries: RefCell<RetryBudget>,
+    /// Log.
+    pub log: EventLog,
+    /// Metrics.
+    pub metrics: NodeMetrics,
+    /// Wakes the announcer after the door's state changed.
+    pub announce: Notify,
+    /// Wakes whoever waits for the stop.
+    pub stop: Notify,
+    /// A node that holds a later configuration than this one.
+    pub ahead: RefCell<Option<(ConfigVersion, SocketAddr)>>,
+    /// Wakes the exchange with other nodes.
+    pub ahead_heard: Notify,
+    /// Requests of callers that are open.
+    pub open: Cell<u32>,
+    sizes: RefCell<HashMap<u64, MovingMean>>,
+    caller_service: RefCell<HeaderValue>,
+    stopping: Cell<bool>,
+}
+
+impl NodeCore {
+    /// Makes a node that knows nothing yet.
+    pub fn new(settings: NodeSettings, headers: HeaderSet, log: EventLog) -> Rc<Self> {
+        let clock = NodeClock::start();
+        let door_settings = DoorSettings {
+            endpoint: settings.endpoint,
+            slots: SLOTS_UNKNOWN,
+            leaving_grace: settings.leaving_time.mul_f64(LEAVING_PART),
+        };
+        let hops = ConnectionPool::new(PoolSettings {
+            connect_time: settings.hop_connect,
+            idle_time: settings.hop_idle,
+        });
+        let caller_service = service_value(&settings.service);
+        Rc::new(Self {
+            door: DoorFlow::new(door_settings, headers.clone(), clock),
+            config: RefCell::default(),
+            fleet: RefCell::new(FleetView::new(settings.data_centre.clone())),
+            hops,
+            retries: RefCell::new(RetryBudget::new(settings.retries)),
+            log,
+            metrics: NodeMetrics::default(),
+            announce: Notify::new(),
+            stop: Notify::new(),
+            ahead: RefCell::default(),
+            ahead_heard: Notify::new(),
+            open: Cell::new(0),
+            sizes: RefCell::default(),
+            caller_service: RefCell::new(caller_service),
+            stopping: Cell::new(false),
+            settings,
+            headers,
+            clock,
+        })
+    }
+
+    /// Counts a request as open until the mark is dropped.
+    pub fn open_mark(self: &Rc<Self>) -> OpenMark {
+        self.open.set(self.open.get() + 1);
+        OpenMark(Rc::clone(self))
+    }
+
+    /// Takes in a heartbeat of the backend server.
+    pub fn report(&self, report: EndpointReport) -> ReportVerdict {
+        let now = self.clock.now();
+        let (instance, slots) = (report.instance.clone(), report.slots);
+        let (state, sequence) = (report.state, report.sequence);
+        let verdict = self.door.gate().borrow_mut().report(now, report);
+        if matches!(verdict, ReportVerdict::Adopted | ReportVerdict::Changed) {
+            self.door.set_slots(slots);
+            self.announce.notify_one();
+            info!(self.log.logger(), "backend server reported";
+                "instance" => instance,
+                "state" => <&'static str>::from(state),
+                "slots" => slots,
+                "sequence" => sequence);
+        }
+        verdict
+    }
+
+    /// Takes in the farewell of the backend server.
+    pub fn deregister(&self, instance: &str) {
+        let here = self
+            .door
+            .gate()
+            .borrow_mut()
+            .deregister(self.clock.now(), instance);
+        info!(self.log.logger(), "backend server said farewell";
+            "instance" => instance, "here" => here);
+        self.announce.notify_one();
+    }
+
+    /// Returns the version in force; 0 for none.
+    pub fn version(&self) -> ConfigVersion {
+        self.config
+            .borrow()
+            .as_ref()
+            .map_or(ConfigVersion(0), |config| config.version)
+    }
+
+    /// Puts a configuration in force if it is newer, and says whether it is.
+    pub fn adopt_config(&self, config: MeshConfig, source: &'static str) -> bool {
+        let before = self.version();
+        if config.version <= before {
+            return false;
+        }
+        info!(self.log.logger(), "configuration in force";
+            "version" => config.version.0,
+            "before" => before.0,
+            "routes" => config.route_count(),
+            "source" => source);
+        self.metrics.config_version.set(config.version.0);
+        *self.config.borrow_mut() = Some(Rc::new(config));
+        true
+    }
+
+    /// Takes in that the node at `hop` holds `version`.
+    pub fn heard_version(&self, version: ConfigVersion, hop: SocketAddr) {
+        if version <= self.version() {
+            return;
+        }
+        *self.ahead.borrow_mut() = Some((version, hop));
+        self.ahead_heard.notify_one();
+    }
+
+    /// Returns the value by which backend servers know where a request began.
+    pub fn caller_service(&self) -> HeaderValue {
+        self.caller_service.borrow().clone()
+    }
+
+    /// Takes the service that runs on this machine now.
+    pub fn set_caller_service(&self, service: &str) {
+        *self.caller_service.borrow_mut() = service_value(service);
+    }
+
+    /// Returns the bytes of a usual answer on a route; 0 when unknown.
+    pub fn answer_bytes(&self, class: u64) -> u64 {
+        let sizes = self.sizes.borrow();
+        let size = sizes.get(&class).and_then(MovingMean::get);
+        size.unwrap_or(0.0) as u64
+    }
+
+    /// Whether the node was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Tells every part that the node stops.
+    pub fn begin_stop(&self) {
+        self.stopping.set(true);
+        self.door.stop();
+        self.announce.notify_one();
+        self.stop.notify_waiters();
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.config.borrow().is_some() && !self.fleet.borrow().is_empty() && !self.is_stopping()
+    }
+
+    /// Records a request that got a backend server's answer.
+    pub fn note_served(&self, request: &FrontRequest, answer: &Response<AnswerBody>, tries: usize) {
+        let bytes = answer.body().size_hint().exact();
+        if let Some(bytes) = bytes.filter(|_| answer.status().is_success()) {
+            let mut sizes = self.sizes.borrow_mut();
+            let size = sizes.entry(request.route.class).or_default();
+            size.observe(bytes as f64, SIZE_WEIGHT);
+        }
+        let took = request.arrived.elapsed();
+        self.metrics.served(request.route.kind, took);
+        let plain = answer.status().is_success() && tries == 1;
+        if plain {
+            return;
+        }
+        if let Some(log) = self.log.for_request(self.clock.now(), "answered") {
+            info!(log, "request answered";
+                "request" => &*request.id,
+                "route" => &*request.route.name,
+                "status" => answer.status().as_u16(),
+                "tries" => tries,
+                "took_ms" => took.as_millis() as u64);
+        }
+    }
+
+    /// Records a request that got an answer of this node's own.
+    pub fn note_failed(
+        &self,
+        request: &FrontRequest,
+        answer: &FrontAnswer,
+        tries: usize,
+        cause: Option<&str>,
+    ) {
+        self.metrics.answered(answer.code);
+        if let Some(log) = self.log.for_request(self.clock.now(), answer.code.into()) {
+            info!(log, "request given up";
+                "request" => &*request.id,
+                "route" => &*request.route.name,
+                "service" => &*request.service,
+                "version" => request.version.0,
+                "code" => answer.code.number(),
+                "reason" => <&'static str>::from(answer.code),
+                "status" => answer.status.as_u16(),
+                "retry_after_ms" => answer.retry_after.map(|time| time.as_millis() as u64),
+                "tries" => tries,
+                "cause" => cause,
+                "took_ms" => request.arrived.elapsed().as_millis() as u64);
+        }
+    }
+
+    /// Records a request that was refused before it had a route.
+    pub fn note_answer(&self, id: Option<&HeaderValue>, answer: &FrontAnswer) {
+        self.metrics.answered(answer.code);
+        if let Some(log) = self.log.for_request(self.clock.now(), answer.code.into()) {
+            info!(log, "request rejected";
+                "request" => id.and_then(|id| id.to_str().ok()),
+                "version" => self.version().0,
+                "code" => answer.code.number(),
+                "reason" => <&'static str>::from(answer.code),
+                "status" => answer.status.as_u16());
+        }
+    }
+
+    /// Records that a door refused a try.
+    pub fn note_refusal(&self, request: &FrontRequest, at: &MemberRecord, refusal: &DoorRefusal) {
+        let reason: &'static str = refusal.reason.into();
+        self.metrics.refused(reason);
+        if let Some(log) = self.log.for_request(self.clock.now(), "door refused") {
+            info!(log, "door refused";
+                "request" => &*request.id,
+                "at" => %at.hop,
+                "instance" => &*at.instance,
+                "reason" => reason,
+                "retry_after_ms" => refusal.retry_after.as_millis() as u64);
+        }
+    }
+
+    /// Records that a node couldn't be reached.
+    pub fn note_unreachable(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
+        self.metrics.refused("unreachable");
+        self.hops.forget(at.hop);
+        if let Some(log) = self.log.for_request(self.clock.now(), "unreachable") {
+            warn!(log, "node unreachable";
+                "request" => &*request.id,
+                "at" => %at.hop,
+                "instance" => &*at.instance,
+                "cause" => cause);
+        }
+    }
+
+    /// Records that a try broke after it was sent.
+    pub fn note_broke(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
+        self.metrics.refused("broke");
+        if let Some(log) = self.log.for_request(self.clock.now(), "broke") {
+            warn!(log, "try broke";
+                "request" => &*request.id,
+                "at" => %at.hop,
+                "instance" => &*at.instance,
+                "cause" => cause);
+        }
+    }
+
+    /// Counts a request answered before it had a route.
+    pub fn count(&self, code: ResultCode) {
+        self.metrics.answered(code);
+    }
+
+    /// Does what is due now and then: closes idle connections and forgets
+    /// members that vanished.
+    pub fn sweep(&self, now: Duration) {
+        self.hops.sweep();
+        self.door.sweep();
+        let gone = self.fleet.borrow_mut().sweep(now);
+        for record in gone {
+            info!(self.log.logger(), "member gone";
+                "at" => %record.hop,
+                "instance" => record.instance,
+                "service" => record.service,
+                "cause" => "announcement missing");
+        }
+    }
+}
+
+fn service_value(service: &str) -> HeaderValue {
+    HeaderValue::from_str(service).unwrap_or(HeaderValue::from_static(""))
+}
--- /dev/null
+++ b/crates/proxy/src/node_settings.rs
@@ -0,0 +1,48 @@
+//! Checked settings of a node.
+
+use std::{net::SocketAddr, time::Duration};
+
+use crate::retry::RetryTerms;
+
+/// Addresses on which a node listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenAddrs {
+    /// Callers on this machine, the backend server among them.
+    pub callers: SocketAddr,
+    /// Other nodes.
+    pub hop: SocketAddr,
+    /// Readiness checks.
+    pub readiness: SocketAddr,
+    /// Heartbeats of the backend server.
+    pub reports: SocketAddr,
+    /// Metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Settings of a node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct NodeSettings {
+    /// Name of the instance, for the log.
+    pub instance: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Service of the backend server beside this node.
+    pub service: String,
+    /// Address of that backend server.
+    pub endpoint: SocketAddr,
+    /// Address at which other nodes reach this one.
+    pub hop: SocketAddr,
+    /// Addresses to listen on.
+    pub listen: ListenAddrs,
+    /// Longest time that a connection to another node may take to open.
+    pub hop_connect: Duration,
+    /// Longest use of an idle connection to another node.
+    pub hop_idle: Duration,
+    /// Time after the acknowledgment of its leaving in which a backend server
+    /// may get new work.
+    pub leaving_time: Duration,
+    /// Time from the signal to stop to the kill.
+    pub stop_time: Duration,
+    /// Bound on retries.
+    pub retries: RetryTerms,
+}
--- /dev/null
+++ b/crates/proxy/src/retry/retry_budget.rs
@@ -0,0 +1,163 @@
+//! One node's share of the retries that all nodes may make together.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
+
+/// Part of the allowance that is used. The rest covers requests that the
+/// bound doesn't see as this node does: those on the edge of a window, and
+/// inner calls that a repeated run makes again.
+const USED_PART: f64 = 0.6;
+/// Width of a bucket: a tenth of a usual window, so that at most a tenth of
+/// its requests are counted for too long.
+const BUCKET: Duration = Duration::from_secs(1);
+
+/// Terms of the bound that all nodes keep together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryTerms {
+    /// Further arrivals allowed for each request.
+    pub ratio: f64,
+    /// Further arrivals allowed besides, in all.
+    pub slack: f64,
+    /// Window over which they are counted.
+    pub window: Duration,
+}
+
+/// A further try that is wanted.
+#[derive(Debug, Clone, Copy)]
+pub struct RetryNeed<'a> {
+    /// Service that would get it.
+    pub service: &'a str,
+    /// Nodes that share the slack.
+    pub nodes: usize,
+}
+
+#[derive(Debug, Default)]
+struct ServiceWindow {
+    buckets: VecDeque<Bucket>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    number: u64,
+    requests: u32,
+    retries: u32,
+}
+
+/// One node's share of the retries that all nodes may make together.
+///
+/// **Load pattern.** A backend server or a link breaks and a second try hides
+/// it; or a whole service is full, and every first try fails on every node.
+///
+/// **Without it.** Second tries double the load just when it is too high.
+///
+/// **How.** A node may use the ratio on requests of its own and its part of
+/// the slack by the number of nodes it knows. Both add up to less than the
+/// common bound however the requests are spread, and when nodes come or go
+/// only the slack is dealt anew.
+#[derive(Debug)]
+pub struct RetryBudget {
+    terms: RetryTerms,
+    services: HashMap<Rc<str>, ServiceWindow>,
+}
+
+impl RetryBudget {
+    /// Makes a budget under `terms`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use geranium_proxy::retry::{RetryBudget, RetryNeed, RetryTerms};
+    ///
+    /// let window = Duration::from_secs(10);
+    /// let mut budget = RetryBudget::new(RetryTerms { ratio: 0.2, slack: 50.0, window });
+    /// let need = RetryNeed { service: "prices", nodes: 10 };
+    /// let granted = (0..20).filter(|_| budget.withdraw(Duration::ZERO, need)).count();
+    /// assert_eq!(granted, 3);
+    /// ```
+    pub fn new(terms: RetryTerms) -> Self {
+        Self {
+            terms,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Changes the terms.
+    pub fn set_terms(&mut self, terms: RetryTerms) {
+        self.terms = terms;
+    }
+
+    /// Notes a request for a service.
+    pub fn requested(&mut self, now: Duration, service: &Rc<str>) {
+        let window = self.terms.window;
+        let entry = self.services.entry(Rc::clone(service)).or_default();
+        entry.bucket(now, window).requests += 1;
+    }
+
+    /// Takes a further try out of the budget, if it has one.
+    pub fn withdraw(&mut self, now: Duration, need: RetryNeed<'_>) -> bool {
+        let window = self.terms.window;
+        let granted = self.has_room(now, need.service, need.nodes);
+        if granted {
+            let entry = self.services.entry(need.service.into()).or_default();
+            entry.bucket(now, window).retries += 1;
+        }
+        granted
+    }
+
+    /// Whether a further try would be granted.
+    pub fn has_room(&self, now: Duration, service: &str, nodes: usize) -> bool {
+        let (requests, retries) = match self.services.get(service) {
+            Some(entry) => entry.counts(now, self.terms.window),
+            None => (0, 0),
+        };
+        let own = self.terms.ratio * f64::from(requests);
+        let share = self.terms.slack / nodes.max(1) as f64;
+        f64::from(retries) + 1.0 <= USED_PART * (own + share)
+    }
+}
+
+impl ServiceWindow {
+    fn bucket(&mut self, now: Duration, window: Duration) -> &mut Bucket {
+        let number = number_of(now);
+        let oldest = oldest_of(now, window);
+        while self
+            .buckets
+            .front()
+            .is_some_and(|bucket| bucket.number < oldest)
+        {
+            self.buckets.pop_front();
+        }
+        if self
+            .buckets
+            .back()
+            .is_none_or(|bucket| bucket.number < number)
+        {
+            self.buckets.push_back(Bucket {
+                number,
+                requests: 0,
+                retries: 0,
+            });
+        }
+        self.buckets.back_mut().expect("a bucket was just there")
+    }
+
+    fn counts(&self, now: Duration, window: Duration) -> (u32, u32) {
+        let oldest = oldest_of(now, window);
+        let recent = self.buckets.iter().filter(|bucket| bucket.number >= oldest);
+        recent.fold((0, 0), |(requests, retries), bucket| {
+            (requests + bucket.requests, retries + bucket.retries)
+        })
+    }
+}
+
+const fn number_of(now: Duration) -> u64 {
+    now.as_secs() / BUCKET.as_secs()
+}
+
+fn oldest_of(now: Duration, window: Duration) -> u64 {
+    (number_of(now) + 1).saturating_sub(window.as_secs() / BUCKET.as_secs())
+}
--- /dev/null
+++ b/crates/proxy/src/store/meta_store.rs
@@ -0,0 +1,81 @@
+//! The seam to the metadata store.
+
+use std::time::Duration;
+
+use super::{LeaseGrant, LeaseId, Revision, StoreError, StoreItem, StoreList, WatchBatch};
+
+/// Key-value store with compare-and-swap, leases and watches.
+///
+/// Reads are linearizable. Each call ends within a time limit of the
+/// implementation's own, so that a silent store shows as
+/// [`StoreError::NoAnswer`].
+pub trait MetaStore: 'static {
+    /// Reads one key.
+    ///
+    /// # Errors
+    ///
+    /// When the store can't be reached or refuses.
+    fn read(&self, key: &str) -> impl Future<Output = Result<Option<StoreItem>, StoreError>>;
+
+    /// Reads every key under a prefix.
+    ///
+    /// # Errors
+    ///
+    /// When the store can't be reached or refuses.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<StoreList, StoreError>>;
+
+    /// Waits for changes under a prefix after a revision, `wait` at most.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::HistoryGone`] when a new list is needed; otherwise when
+    /// the store can't be reached or refuses.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> impl Future<Output = Result<WatchBatch, StoreError>>;
+
+    /// Writes `key` under `lease` if it is at revision `expected`; 0 means
+    /// that it doesn't exist.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`], [`StoreError::NoLease`], or when the store
+    /// can't be reached or refuses.
+    fn put(
+        &self,
+        key: &str,
+        value: &[u8],
+        expected: Revision,
+        lease: LeaseId,
+    ) -> impl Future<Output = Result<Revision, StoreError>>;
+
+    /// Removes `key` if it is at revision `expected`.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`], or when the store can't be reached or
+    /// refuses.
+    fn remove(
+        &self,
+        key: &str,
+        expected: Revision,
+    ) -> impl Future<Output = Result<Revision, StoreError>>;
+
+    /// Asks for a lease.
+    ///
+    /// # Errors
+    ///
+    /// When the store can't be reached or refuses.
+    fn grant(&self, ttl: Duration) -> impl Future<Output = Result<LeaseGrant, StoreError>>;
+
+    /// Renews a lease.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::NoLease`] when it has ended; otherwise when the store
+    /// can't be reached or refuses.
+    fn renew(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>>;
+}
--- /dev/null
+++ b/crates/proxy/src/store/mod.rs
@@ -0,0 +1,13 @@
+//! What the node needs of the metadata store.
+//!
+//! [`MetaStore`] is the seam: the adapter implements it over the platform's
+//! protocol, tests over a map in memory. Nothing else of the product knows how
+//! the store is spoken to.
+
+mod meta_store;
+mod store_error;
+mod store_item;
+
+pub use meta_store::MetaStore;
+pub use store_error::StoreError;
+pub use store_item::{LeaseGrant, LeaseId, Revision, StoreEvent, StoreItem, StoreList, WatchBatch};
