--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -30,6 +30,8 @@
 /// Advice when no backend server takes work: one restarts, or is announced
 /// again, within a second or two.
 const RETRY_NO_BACKEND: Duration = Duration::from_millis(250);
+/// Advice while stopping: the process ends and is back within a second or so.
+const RETRY_STOPPING: Duration = Duration::from_millis(250);
 /// Least advice on when to come back.
 const RETRY_MIN: Duration = Duration::from_millis(30);
 /// Time before the caller's own end at which it gets a final answer: the way
@@ -91,6 +93,9 @@
         incoming: Request<Incoming>,
         arrived: Instant,
     ) -> Result<FrontRequest, FrontAnswer> {
+        if self.core.refuses_callers() {
+            return Err(FrontAnswer::not_run(ResultCode::Draining, RETRY_STOPPING));
+        }
         let (mut head, body) = incoming.into_parts();
         let config = self.core.config.borrow().clone();
         let config = config.ok_or(FrontAnswer::not_run(ResultCode::NotReady, RETRY_NOT_READY))?;
--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -17,7 +17,7 @@
     front::FrontFlow,
     hop_port::HopPort,
     http_port::{PortError, PortLimits, open_port, serve_port},
-    node_core::NodeCore,
+    node_core::{CALLERS_LEAVE, NodeCore},
     node_settings::ListenAddrs,
     store::MetaStore,
 };
@@ -31,9 +31,6 @@
 const FIRST_IDLE: Duration = Duration::from_secs(15);
 /// Time between sweeps of idle connections and vanished members.
 const SWEEP_TIME: Duration = Duration::from_millis(500);
-/// Time after the signal to stop in which callers may still come: readiness
-/// is checked each second, and two misses take this node out.
-const CALLERS_LEAVE: Duration = Duration::from_millis(2_600);
 /// Time kept free before the kill.
 const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Time between looks at what is still open while stopping.
--- a/crates/proxy/src/node_core.rs
+++ b/crates/proxy/src/node_core.rs
@@ -37,6 +37,10 @@
 /// work. The rest covers the way of a request that is already here.
 const LEAVING_PART: f64 = 0.4;
 
+/// Time after the signal to stop in which callers are still served: readiness
+/// is checked each second, and two misses take this node out.
+pub const CALLERS_LEAVE: Duration = Duration::from_millis(2_600);
+
 /// Counts a request as open until dropped.
 #[derive(Debug)]
 pub struct OpenMark(Rc<NodeCore>);
@@ -84,7 +88,7 @@
     pub open: Cell<u32>,
     sizes: RefCell<HashMap<u64, MovingMean>>,
     caller_service: RefCell<HeaderValue>,
-    stopping: Cell<bool>,
+    stopping_since: Cell<Option<Duration>>,
 }
 
 impl NodeCore {
@@ -116,7 +120,7 @@
             open: Cell::new(0),
             sizes: RefCell::default(),
             caller_service: RefCell::new(caller_service),
-            stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
             settings,
             headers,
             clock,
@@ -211,12 +215,23 @@
 
     /// Whether the node was told to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.stopping_since.get().is_some()
+    }
+
+    /// Whether new requests of callers are refused.
+    ///
+    /// **Failure.** Callers stay on a node that isn't ready while most of
+    /// their data centre isn't; a request that comes shortly before the kill is
+    /// cut off in the middle. **Guard.** Once those that can leave have left,
+    /// the rest is told at once to come back, and what is open can end.
+    pub fn refuses_callers(&self) -> bool {
+        let now = self.clock.now();
+        self.stopping_since.get().is_some_and(|since| now >= since + CALLERS_LEAVE)
     }
 
     /// Tells every part that the node stops.
     pub fn begin_stop(&self) {
-        self.stopping.set(true);
+        self.stopping_since.set(Some(self.clock.now()));
         self.door.stop();
         self.announce.notify_one();
         self.stop.notify_waiters();
