--- /dev/null
+++ b/crates/platform-standin/src/endpoint_server.rs
@@ -0,0 +1,188 @@
+//! A backend server beside a node.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::sleep;
+
+use crate::{
+    endpoint_fault::EndpointFault,
+    http_server::{Reply, ServerThread, listen},
+    run_record::RunRecord,
+};
+
+/// How a backend server is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointOptions {
+    /// Start of it.
+    pub instance: String,
+    /// Time of a run.
+    pub work: Duration,
+    /// Bytes of an answer.
+    pub answer_bytes: usize,
+    /// What it does wrong.
+    pub fault: EndpointFault,
+}
+
+#[derive(Debug)]
+struct EndpointShared {
+    options: Mutex<EndpointOptions>,
+    runs: Mutex<Vec<RunRecord>>,
+}
+
+/// A backend server.
+#[derive(Debug)]
+pub struct EndpointServer {
+    shared: Arc<EndpointShared>,
+    _thread: ServerThread,
+}
+
+/// Marks a run as cancelled unless it was finished.
+struct RunMark {
+    shared: Arc<EndpointShared>,
+    index: usize,
+    finished: bool,
+}
+
+impl Drop for RunMark {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.shared.runs.lock().expect("no test panicked")[self.index].cancelled = true;
+        }
+    }
+}
+
+impl EndpointServer {
+    /// Starts a backend server on `addr`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address is taken.
+    pub fn start(addr: SocketAddr, options: EndpointOptions) -> Self {
+        let shared = Arc::new(EndpointShared {
+            options: Mutex::new(options),
+            runs: Mutex::default(),
+        });
+        let served = Arc::clone(&shared);
+        let thread = ServerThread::start(vec![listen(addr)], move |_, request| {
+            serve(Arc::clone(&served), request)
+        });
+        Self {
+            shared,
+            _thread: thread,
+        }
+    }
+
+    /// Returns how it is, to change that.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another thread did while holding it.
+    pub fn options(&self) -> MutexGuard<'_, EndpointOptions> {
+        self.shared.options.lock().expect("no test panicked")
+    }
+
+    /// Returns what it ran.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another thread did while holding the runs.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        self.shared.runs.lock().expect("no test panicked").clone()
+    }
+}
+
+async fn serve(shared: Arc<EndpointShared>, request: Request<Incoming>) -> Reply {
+    let options = shared.options.lock().expect("no test panicked").clone();
+    let (head, body) = request.into_parts();
+    let id = text(&head.headers, "x-geraniumspring-request-id");
+    let expected = text(&head.headers, "x-geraniumspring-expected-instance");
+    if !expected.is_empty() && expected != options.instance {
+        let headers = [("x-geraniumspring-instance-id", &*options.instance)];
+        return reply(StatusCode::MISDIRECTED_REQUEST, &headers, Bytes::new());
+    }
+    if options.fault == EndpointFault::Sheds {
+        let headers = [
+            ("x-geraniumspring-not-executed", "1"),
+            ("x-geraniumspring-request-id", &*id),
+        ];
+        return reply(StatusCode::SERVICE_UNAVAILABLE, &headers, Bytes::new());
+    }
+    let Ok(body) = body.collect().await else {
+        return Reply::Hangup;
+    };
+    let record = RunRecord {
+        request: id.clone(),
+        instance: options.instance.clone(),
+        path: head.uri.to_string(),
+        caller_service: text(&head.headers, "x-geraniumspring-caller-service"),
+        deadline_ms: text(&head.headers, "x-geraniumspring-deadline-ms")
+            .parse()
+            .unwrap_or(0),
+        cancelled: false,
+    };
+    let index = {
+        let mut runs = shared.runs.lock().expect("no test panicked");
+        runs.push(record);
+        runs.len() - 1
+    };
+    let mut mark = RunMark {
+        shared,
+        index,
+        finished: false,
+    };
+    sleep(options.work).await;
+    mark.finished = true;
+    run_answer(&options, &id, &body.to_bytes())
+}
+
+fn run_answer(options: &EndpointOptions, id: &str, body: &Bytes) -> Reply {
+    let signature = ("x-geraniumspring-response-signature", "3e1b.07");
+    let echo = ("x-geraniumspring-request-id", id);
+    let mut answer = body.to_vec();
+    answer.resize(body.len() + options.answer_bytes, b'a');
+    let answer = Bytes::from(answer);
+    match options.fault {
+        EndpointFault::LosesAnswer => Reply::Hangup,
+        EndpointFault::CrossesAnswer => {
+            let other = ("x-geraniumspring-request-id", "another-request");
+            reply(StatusCode::OK, &[signature, other], answer)
+        }
+        EndpointFault::Unsigned => reply(StatusCode::OK, &[echo], answer),
+        EndpointFault::Encoded => reply(
+            StatusCode::OK,
+            &[signature, echo, ("content-encoding", "gzip")],
+            answer,
+        ),
+        EndpointFault::Fails => reply(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            &[signature, echo],
+            Bytes::new(),
+        ),
+        EndpointFault::Sound | EndpointFault::Sheds => {
+            reply(StatusCode::OK, &[signature, echo], answer)
+        }
+    }
+}
+
+fn reply(status: StatusCode, headers: &[(&'static str, &str)], body: Bytes) -> Reply {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    for (name, value) in headers {
+        let value = HeaderValue::from_str(value).expect("a header value");
+        response.headers_mut().insert(*name, value);
+    }
+    Reply::Answer(response)
+}
+
+fn text(headers: &HeaderMap, name: &str) -> String {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/platform-standin/src/kv_server.rs
@@ -0,0 +1,231 @@
+//! The store's protocol.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use serde_json::Value;
+use tokio::time::sleep;
+
+use crate::{
+    http_server::{Reply, ServerThread, listen},
+    kv_fault::KvFault,
+    kv_state::KvState,
+};
+
+/// Time between looks of a waiting watch.
+const WATCH_LOOK: Duration = Duration::from_millis(5);
+/// Time after which a silent port gives up a connection; far beyond every
+/// client's patience.
+const SILENCE: Duration = Duration::from_secs(60);
+
+#[derive(Debug, Default)]
+struct KvShared {
+    state: Mutex<KvState>,
+    faults: Mutex<Vec<KvFault>>,
+}
+
+/// The metadata store.
+#[derive(Debug)]
+pub struct KvServer {
+    shared: Arc<KvShared>,
+    addrs: Vec<SocketAddr>,
+    _thread: ServerThread,
+}
+
+impl KvServer {
+    /// Starts a store with `ports` ports on free addresses.
+    ///
+    /// # Panics
+    ///
+    /// Panics when no address is free.
+    pub fn start(ports: usize) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listeners: Vec<_> = (0..ports).map(|_| listen(any)).collect();
+        let addrs = listeners.iter().map(std::net::TcpListener::local_addr);
+        let addrs = addrs.map(|addr| addr.expect("a bound listener has an address"));
+        let addrs = addrs.collect();
+        let shared = Arc::new(KvShared::default());
+        shared
+            .faults
+            .lock()
+            .expect("no test panicked")
+            .resize(ports, KvFault::Sound);
+        let served = Arc::clone(&shared);
+        let thread = ServerThread::start(listeners, move |port, request| {
+            serve(Arc::clone(&served), port, request)
+        });
+        Self {
+            shared,
+            addrs,
+            _thread: thread,
+        }
+    }
+
+    /// Returns the address of a port.
+    pub fn addr(&self, port: usize) -> SocketAddr {
+        self.addrs[port]
+    }
+
+    /// Returns what the store holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another thread did while holding it.
+    pub fn state(&self) -> MutexGuard<'_, KvState> {
+        self.shared.state.lock().expect("no test panicked")
+    }
+
+    /// Gives one port a fault.
+    ///
+    /// # Panics
+    ///
+    /// Panics when there is no such port.
+    pub fn set_fault(&self, port: usize, fault: KvFault) {
+        self.shared.faults.lock().expect("no test panicked")[port] = fault;
+    }
+
+    /// Gives every port a fault.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another thread did while holding the faults.
+    pub fn set_faults(&self, fault: KvFault) {
+        self.shared
+            .faults
+            .lock()
+            .expect("no test panicked")
+            .fill(fault);
+    }
+}
+
+impl KvShared {
+    fn state(&self) -> MutexGuard<'_, KvState> {
+        self.state.lock().expect("no test panicked")
+    }
+
+    fn fault(&self, port: usize) -> KvFault {
+        self.faults.lock().expect("no test panicked")[port]
+    }
+}
+
+async fn serve(shared: Arc<KvShared>, port: usize, request: Request<Incoming>) -> Reply {
+    let (head, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        return Reply::Hangup;
+    };
+    let call = KvCall {
+        write: head.method != Method::GET,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or_default().to_owned(),
+        body: serde_json::from_slice(&body.to_bytes()).unwrap_or(Value::Null),
+    };
+    shared.state().count(&call.kind());
+    let fault = shared.fault(port);
+    match fault {
+        KvFault::Busy => return answer((503, Value::Null)),
+        KvFault::Limited => return answer((429, Value::Null)),
+        KvFault::Reset => return Reply::Hangup,
+        KvFault::Silent => return silence().await,
+        KvFault::Late(after) if call.write => {
+            tokio::spawn(async move {
+                sleep(after).await;
+                call.apply(&mut shared.state());
+            });
+            return silence().await;
+        }
+        KvFault::Slow(after) => sleep(after).await,
+        _ => {}
+    }
+    let done = if call.path == "/kv-watch" {
+        call.watch(&shared, port).await
+    } else {
+        call.apply(&mut shared.state())
+    };
+    match fault {
+        KvFault::Lost if call.write => silence().await,
+        KvFault::Garbled => Reply::Answer(Response::new(Full::new(Bytes::from_static(b"<html>")))),
+        _ => answer(done),
+    }
+}
+
+async fn silence() -> Reply {
+    sleep(SILENCE).await;
+    Reply::Hangup
+}
+
+fn answer((status, body): (u16, Value)) -> Reply {
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = StatusCode::from_u16(status).expect("a status of this page");
+    Reply::Answer(response)
+}
+
+struct KvCall {
+    write: bool,
+    path: String,
+    query: String,
+    body: Value,
+}
+
+impl KvCall {
+    fn kind(&self) -> String {
+        let mut parts = self.path.split('/');
+        parts.nth(1).unwrap_or_default().to_owned()
+    }
+
+    fn query(&self, name: &str) -> &str {
+        let pairs = self
+            .query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='));
+        let mut values = pairs
+            .filter(|(key, _)| *key == name)
+            .map(|(_, value)| value);
+        values.next().unwrap_or_default()
+    }
+
+    fn id(&self) -> u64 {
+        let id = self.path.rsplit('/').next().unwrap_or_default();
+        id.parse().unwrap_or(0)
+    }
+
+    fn apply(&self, state: &mut KvState) -> (u16, Value) {
+        state.expire();
+        match &*self.kind() {
+            "kv-key" => state.read(self.query("Key")),
+            "kv-range" => state.range(self.query("Prefix"), self.query("after")),
+            "kv-txn" => state.transact(&self.body),
+            "kv-lease" => state.grant(self.body["TtlS"].as_f64().unwrap_or(1.0)),
+            "kv-keep" => state.keep(self.id()),
+            "kv-lease-end" => state.end_lease(self.id()),
+            _ => (404, Value::Null),
+        }
+    }
+
+    /// Waits for events. A fault that begins meanwhile cuts the watch.
+    async fn watch(&self, shared: &KvShared, port: usize) -> (u16, Value) {
+        let after = self.query("after").parse().unwrap_or(0);
+        let wait = Duration::from_millis(self.query("WaitMs").parse().unwrap_or(0));
+        let begun = Instant::now();
+        while begun.elapsed() < wait {
+            if shared.fault(port) != KvFault::Sound {
+                return (503, Value::Null);
+            }
+            {
+                let mut state = shared.state();
+                state.expire();
+                if let Some(done) = state.watch(self.query("Prefix"), after) {
+                    return done;
+                }
+            }
+            sleep(WATCH_LOOK).await;
+        }
+        shared.state().watch_ended()
+    }
+}
--- /dev/null
+++ b/crates/platform-standin/src/kv_state.rs
@@ -0,0 +1,269 @@
+//! What the store holds.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::{Duration, Instant},
+};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use serde_json::{Value, json};
+
+/// Range pages are cut here.
+const PAGE_ITEMS: usize = 500;
+
+#[derive(Debug, Clone)]
+struct KvItem {
+    value: String,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Clone)]
+struct KvLease {
+    ttl: Duration,
+    ends_at: Instant,
+}
+
+/// What the store holds, and its history.
+#[derive(Debug)]
+pub struct KvState {
+    revision: u64,
+    items: BTreeMap<String, KvItem>,
+    events: Vec<(u64, String, Option<KvItem>)>,
+    /// Revision up to which the history is gone.
+    forgotten: u64,
+    leases: HashMap<u64, KvLease>,
+    last_lease: u64,
+    /// Calls by kind.
+    calls: BTreeMap<String, u64>,
+}
+
+impl Default for KvState {
+    fn default() -> Self {
+        Self {
+            // The store's counter starts above 0.
+            revision: 7,
+            items: BTreeMap::new(),
+            events: Vec::new(),
+            forgotten: 0,
+            leases: HashMap::new(),
+            last_lease: 70_000,
+            calls: BTreeMap::new(),
+        }
+    }
+}
+
+impl KvState {
+    /// Writes a key as the operator does.
+    pub fn operator_put(&mut self, key: &str, value: &[u8]) -> u64 {
+        self.write(key, BASE64_STANDARD.encode(value), 0)
+    }
+
+    /// Takes a key away without anybody being told but by the watch.
+    pub fn revoke(&mut self, key: &str) {
+        self.delete(key);
+    }
+
+    /// Ends every lease, as if the store had been away for long.
+    pub fn lapse_leases(&mut self) {
+        for lease in self.leases.values_mut() {
+            lease.ends_at = Instant::now();
+        }
+        self.expire();
+    }
+
+    /// Drops the history.
+    pub fn compact(&mut self) {
+        self.forgotten = self.revision;
+        self.events.clear();
+    }
+
+    /// Returns the keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let keys = self.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    /// Returns a value.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        let item = self.items.get(key)?;
+        BASE64_STANDARD.decode(&item.value).ok()
+    }
+
+    /// Returns how many calls of each kind came.
+    pub const fn calls(&self) -> &BTreeMap<String, u64> {
+        &self.calls
+    }
+
+    pub(crate) fn count(&mut self, kind: &str) {
+        *self.calls.entry(kind.to_owned()).or_default() += 1;
+    }
+
+    pub(crate) fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends_at <= now)
+            .map(|(&id, _)| id)
+            .collect();
+        for id in ended {
+            self.end_lease(id);
+        }
+    }
+
+    pub(crate) fn read(&self, key: &str) -> (u16, Value) {
+        match self.items.get(key) {
+            Some(item) => (200, self.with_revision(item_json(key, item))),
+            None => (404, json!({"StoreRevision": self.revision})),
+        }
+    }
+
+    pub(crate) fn range(&self, prefix: &str, after: &str) -> (u16, Value) {
+        let all = self.items.iter();
+        let rest = all.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+        let mut items: Vec<Value> = rest.map(|(key, item)| item_json(key, item)).collect();
+        let more = items.len() > PAGE_ITEMS;
+        items.truncate(PAGE_ITEMS);
+        let page = json!({"items": items, "HasMore": more});
+        (200, self.with_revision(page))
+    }
+
+    /// Returns the events after a revision; none yet means that the watch
+    /// waits.
+    pub(crate) fn watch(&self, prefix: &str, after: u64) -> Option<(u16, Value)> {
+        if after < self.forgotten {
+            return Some((410, json!({"Error": "history gone"})));
+        }
+        let events = self.events.iter();
+        let events =
+            events.filter(|(revision, key, _)| *revision > after && key.starts_with(prefix));
+        let events: Vec<Value> = events
+            .map(|(revision, key, item)| match item {
+                Some(item) => item_json(key, item),
+                None => json!({"Key": key, "Revision": revision, "Deleted": true}),
+            })
+            .collect();
+        (!events.is_empty()).then(|| (200, self.with_revision(json!({"events": events}))))
+    }
+
+    pub(crate) fn watch_ended(&self) -> (u16, Value) {
+        (200, self.with_revision(json!({"events": []})))
+    }
+
+    pub(crate) fn transact(&mut self, txn: &Value) -> (u16, Value) {
+        let rows = |name: &str| txn[name].as_array().cloned().unwrap_or_default();
+        let mut failed = Vec::new();
+        for row in rows("Precondition") {
+            let key = row["Key"].as_str().unwrap_or_default();
+            let current = self.items.get(key).map_or(0, |item| item.revision);
+            if row["Revision"].as_u64() != Some(current) {
+                failed.push(key.to_owned());
+            }
+        }
+        if !failed.is_empty() {
+            let items = failed.iter().filter_map(|key| {
+                let item = self.items.get(key)?;
+                Some(item_json(key, item))
+            });
+            let items: Vec<Value> = items.collect();
+            return (412, json!({"items": items}));
+        }
+        let puts = rows("Puts");
+        let leases = puts.iter().map(|put| put["Lease"].as_u64().unwrap_or(0));
+        if leases
+            .into_iter()
+            .any(|lease| lease != 0 && !self.leases.contains_key(&lease))
+        {
+            return (404, json!({"Error": "no such lease"}));
+        }
+        let keys = puts.iter().filter_map(|put| put["Key"].as_str());
+        if keys
+            .into_iter()
+            .any(|key| key.starts_with("op/") || key.starts_with("servers/"))
+        {
+            return (403, json!({"Error": "not yours"}));
+        }
+        for put in &puts {
+            let key = put["Key"].as_str().unwrap_or_default();
+            let value = put["Value"].as_str().unwrap_or_default();
+            self.write(key, value.to_owned(), put["Lease"].as_u64().unwrap_or(0));
+        }
+        for key in rows("Remove") {
+            self.delete(key.as_str().unwrap_or_default());
+        }
+        (200, json!({"Revision": self.revision}))
+    }
+
+    pub(crate) fn grant(&mut self, ttl_s: f64) -> (u16, Value) {
+        self.last_lease += 1;
+        let ttl = Duration::from_secs_f64(ttl_s.max(0.1));
+        let ends_at = Instant::now() + ttl;
+        self.leases
+            .insert(self.last_lease, KvLease { ttl, ends_at });
+        (200, json!({"Lease": self.last_lease, "TtlS": ttl_s}))
+    }
+
+    pub(crate) fn keep(&mut self, id: u64) -> (u16, Value) {
+        match self.leases.get_mut(&id) {
+            Some(lease) => {
+                lease.ends_at = Instant::now() + lease.ttl;
+                (200, json!({"TtlS": lease.ttl.as_secs_f64()}))
+            }
+            None => (404, json!({"Error": "no such lease"})),
+        }
+    }
+
+    pub(crate) fn end_lease(&mut self, id: u64) -> (u16, Value) {
+        if self.leases.remove(&id).is_none() {
+            return (404, json!({"Error": "no such lease"}));
+        }
+        let held = self.items.iter().filter(|(_, item)| item.lease == id);
+        let held: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        for key in held {
+            self.delete(&key);
+        }
+        (200, json!({}))
+    }
+
+    fn write(&mut self, key: &str, value: String, lease: u64) -> u64 {
+        self.revision += 1;
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
+        let item = KvItem {
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item.clone());
+        self.events
+            .push((self.revision, key.to_owned(), Some(item)));
+        self.revision
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.events.push((self.revision, key.to_owned(), None));
+        }
+    }
+
+    fn with_revision(&self, mut value: Value) -> Value {
+        value["StoreRevision"] = json!(self.revision);
+        value
+    }
+}
+
+fn item_json(key: &str, item: &KvItem) -> Value {
+    json!({
+        "Key": key,
+        "Value": item.value,
+        "Revision": item.revision,
+        "CreatedAt": item.created,
+        "Lease": item.lease,
+    })
+}
--- /dev/null
+++ b/crates/platform-standin/src/run_record.rs
@@ -0,0 +1,18 @@
+//! What a backend server ran.
+
+/// A request that a backend server ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RunRecord {
+    /// Identifier of the caller's attempt.
+    pub request: String,
+    /// Start of the backend server that ran it.
+    pub instance: String,
+    /// Path and query.
+    pub path: String,
+    /// Service beside which it began.
+    pub caller_service: String,
+    /// Milliseconds that the caller still waited.
+    pub deadline_ms: u64,
+    /// Whether the run was cut short by the end of its connection.
+    pub cancelled: bool,
+}
--- a/crates/proxy/src/door/class_books.rs
+++ b/crates/proxy/src/door/class_books.rs
@@ -80,7 +80,10 @@
 
     /// Returns the mean time of a run of one class.
     pub(super) fn service_of(&self, id: ClassId) -> Duration {
-        let known = self.books.get(&id.class).and_then(|book| book.service.get());
+        let known = self
+            .books
+            .get(&id.class)
+            .and_then(|book| book.service.get());
         known.map_or_else(|| self.service(), Duration::from_secs_f64)
     }
 
--- a/crates/proxy/src/door/door_queue.rs
+++ b/crates/proxy/src/door/door_queue.rs
@@ -148,7 +148,9 @@
             return self.refuse(class, self.wait());
         }
         let service = self.books.service_of(class);
-        let latest = offer.useful_until.saturating_sub(service.mul_f64(RUN_MARGIN));
+        let latest = offer
+            .useful_until
+            .saturating_sub(service.mul_f64(RUN_MARGIN));
         self.order += 1;
         let key = JobKey {
             rank: offer.rank,
--- a/crates/proxy/src/member/fleet_view.rs
+++ b/crates/proxy/src/member/fleet_view.rs
@@ -204,7 +204,10 @@
         let Some(failing) = self.get(key).map(MemberView::failure_rate) else {
             return false;
         };
-        let keys = self.services.get(query.service).map_or(&[][..], Vec::as_slice);
+        let keys = self
+            .services
+            .get(query.service)
+            .map_or(&[][..], Vec::as_slice);
         let others = keys.iter().filter(|other| !query.tried.contains(other));
         let mut views = others.filter_map(|&other| self.get(other));
         views.any(|member| {
--- a/crates/proxy/src/node_core.rs
+++ b/crates/proxy/src/node_core.rs
@@ -226,7 +226,9 @@
     /// the rest is told at once to come back, and what is open can end.
     pub fn refuses_callers(&self) -> bool {
         let now = self.clock.now();
-        self.stopping_since.get().is_some_and(|since| now >= since + CALLERS_LEAVE)
+        self.stopping_since
+            .get()
+            .is_some_and(|since| now >= since + CALLERS_LEAVE)
     }
 
     /// Tells every part that the node stops.
--- a/crates/proxy/src/retry/retry_budget.rs
+++ b/crates/proxy/src/retry/retry_budget.rs
@@ -151,7 +151,11 @@
         let oldest = oldest_of(now, window);
         let recent = self.buckets.iter().filter(|bucket| bucket.number >= oldest);
         recent.fold((0, 0), |(requests, retries), bucket| {
-            let whole = if bucket.number == oldest { 0 } else { bucket.requests };
+            let whole = if bucket.number == oldest {
+                0
+            } else {
+                bucket.requests
+            };
             (requests + whole, retries + bucket.retries)
         })
     }
