Begin long answers only while the link has room

Cause (grown sites, inner calls starved: 11 of 100 of list-sync served): files of 90 kB were asked for at twice the pace of a 6.5 Mbit/s link, and small answers queued behind them. Ruled out: slots (9 each, half idle), processor (0.0076 of a core).

--- a/crates/proxy/src/answer_body.rs
+++ b/crates/proxy/src/answer_body.rs
@@ -26,6 +26,8 @@
     slot: Option<RunSlot>,
     mark: Option<SentMark>,
     open: Option<OpenMark>,
+    /// Bytes that the link's meter has counted already.
+    promised: u64,
 }
 
 impl AnswerBody {
@@ -53,6 +55,13 @@
         self
     }
 
+    /// Leaves out the first bytes when what is sent is counted.
+    #[must_use]
+    pub const fn with_promised(mut self, bytes: u64) -> Self {
+        self.promised = bytes;
+        self
+    }
+
     /// Counts the request as open until the end.
     #[must_use]
     pub fn with_open(mut self, open: OpenMark) -> Self {
@@ -66,6 +75,17 @@
             slot: None,
             mark: None,
             open: None,
+            promised: 0,
+        }
+    }
+
+    /// Counts bytes that go out.
+    fn count(&mut self, bytes: usize) {
+        let bytes = bytes as u64;
+        let beyond = bytes.saturating_sub(self.promised);
+        self.promised = self.promised.saturating_sub(bytes);
+        if let Some(open) = &self.open {
+            open.sent(beyond);
         }
     }
 
@@ -91,13 +111,18 @@
         let this = self.get_mut();
         let incoming = match &mut this.source {
             BodySource::Whole(bytes) => {
-                let frame = bytes.take().map(|bytes| Ok(Frame::data(bytes)));
+                let bytes = bytes.take();
+                this.count(bytes.as_ref().map_or(0, Bytes::len));
                 this.finish();
-                return Poll::Ready(frame);
+                return Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))));
             }
             BodySource::Stream(incoming) => incoming,
         };
         let polled = Pin::new(incoming).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            this.count(bytes);
+        }
         // The server stops asking once the promised length is reached, so the
         // end has to be noticed with the last frame.
         let ended = match &polled {
--- a/crates/proxy/src/door/door_flow.rs
+++ b/crates/proxy/src/door/door_flow.rs
@@ -26,7 +26,8 @@
     answer_body::AnswerBody,
     header_set::{HeaderSet, strip_connection, strip_hop},
     hop::{ConnectionPool, ExchangeError, PoolSettings, PooledSender},
-    member::LoadReport,
+    link_meter::LinkMeter,
+    member::{AnswerSizes, LoadReport},
     node_clock::NodeClock,
 };
 
@@ -47,6 +48,10 @@
 /// Time beyond the caller's after which the backend server is given up on;
 /// usually the sender's cancel comes first.
 const OVERTIME: Duration = Duration::from_millis(100);
+/// Longest wait for the link at which a further long answer is begun. Small
+/// answers wait as long, and calls between backend servers want theirs within
+/// 120 ms, runs of 40 ms included.
+const LINK_WAIT_MAX: Duration = Duration::from_millis(60);
 /// Advice after a refusal that isn't about load: another node is asked at once.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
@@ -84,6 +89,8 @@
 pub(super) struct DoorInner {
     pub(super) endpoints: ConnectionPool,
     clock: NodeClock,
+    link: Rc<RefCell<LinkMeter>>,
+    sizes: RefCell<AnswerSizes>,
     queue: RefCell<DoorQueue>,
     waiters: RefCell<HashMap<JobKey, oneshot::Sender<()>>>,
 }
@@ -143,7 +150,12 @@
 
 impl DoorFlow {
     /// Makes a door that is shut until the backend server reports.
-    pub fn new(settings: DoorSettings, headers: HeaderSet, clock: NodeClock) -> Self {
+    pub fn new(
+        settings: DoorSettings,
+        headers: HeaderSet,
+        clock: NodeClock,
+        link: Rc<RefCell<LinkMeter>>,
+    ) -> Self {
         let endpoints = ConnectionPool::new(PoolSettings {
             connect_time: CONNECT_TIME,
             idle_time: IDLE_REPEATABLE,
@@ -151,6 +163,8 @@
         let inner = DoorInner {
             endpoints,
             clock,
+            link,
+            sizes: RefCell::default(),
             queue: RefCell::new(DoorQueue::new(settings.slots)),
             waiters: RefCell::default(),
         };
@@ -217,12 +231,18 @@
         idempotent: bool,
     ) -> Result<Response<AnswerBody>, DoorError> {
         let instance = self.admit(&request)?;
+        let promised = self.promise_link(&request)?;
         let slot = self.wait_for_slot(&request).await?;
         // The backend server may have begun to leave meanwhile.
         self.admit(&request)?;
         let ends_at = request.ends_at + OVERTIME;
+        let class = request.class;
         let answer = timeout_at(ends_at, self.call(request, idempotent, slot, instance)).await;
-        answer.unwrap_or_else(|_elapsed| broke("no answer in time"))
+        let answer = answer.unwrap_or_else(|_elapsed| broke("no answer in time"))?;
+        if let Some(bytes) = answer.body().size_hint().exact() {
+            self.inner.sizes.borrow_mut().observe(class, bytes);
+        }
+        Ok(answer.map(|body| body.with_promised(promised)))
     }
 
     fn admit(&self, request: &DoorRequest) -> Result<String, DoorError> {
@@ -235,6 +255,23 @@
         }
     }
 
+    /// Promises the link to a long answer, or refuses it when the link has
+    /// more to carry than small answers can wait for.
+    fn promise_link(&self, request: &DoorRequest) -> Result<u64, DoorError> {
+        let bytes = self.inner.sizes.borrow().get(request.class);
+        if bytes <= WHOLE_MAX {
+            return Ok(0);
+        }
+        let now = self.inner.clock.now();
+        let mut link = self.inner.link.borrow_mut();
+        let wait = link.wait(now);
+        if wait > LINK_WAIT_MAX {
+            return refused(RefusalReason::LinkFull, wait.max(RETRY_ELSEWHERE));
+        }
+        link.add(now, bytes);
+        Ok(bytes)
+    }
+
     async fn wait_for_slot(&self, request: &DoorRequest) -> Result<RunSlot, DoorError> {
         let class = request.class;
         let offer = JobOffer {
--- a/crates/proxy/src/door/door_refusal.rs
+++ b/crates/proxy/src/door/door_refusal.rs
@@ -16,6 +16,8 @@
     OtherInstance,
     /// The queue is too long for the time that the request has.
     Full,
+    /// The instance's link has more to carry than small answers can wait for.
+    LinkFull,
     /// The backend server itself refused.
     EndpointRefused,
     /// The backend server takes no connection.
--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -310,7 +310,7 @@
             ResultCode::NoBackend
         }
         RefusalReason::Leaving | RefusalReason::Stopping => ResultCode::Draining,
-        RefusalReason::Full => ResultCode::QueueFull,
+        RefusalReason::Full | RefusalReason::LinkFull => ResultCode::QueueFull,
         RefusalReason::EndpointRefused => ResultCode::BackendRefused,
     }
 }
--- /dev/null
+++ b/crates/proxy/src/member/answer_sizes.rs
@@ -0,0 +1,28 @@
+//! How long answers usually are.
+
+use std::collections::HashMap;
+
+use super::MovingMean;
+
+/// Weight of one answer in the mean size of a route's answers.
+const SIZE_WEIGHT: f64 = 0.1;
+
+/// How long the answers on each route usually are.
+#[derive(Debug, Default)]
+pub struct AnswerSizes {
+    sizes: HashMap<u64, MovingMean>,
+}
+
+impl AnswerSizes {
+    /// Notes the bytes of an answer on the route with this hash.
+    pub fn observe(&mut self, class: u64, bytes: u64) {
+        let size = self.sizes.entry(class).or_default();
+        size.observe(bytes as f64, SIZE_WEIGHT);
+    }
+
+    /// Returns the usual bytes; 0 when unknown.
+    pub fn get(&self, class: u64) -> u64 {
+        let size = self.sizes.get(&class).and_then(MovingMean::get);
+        size.unwrap_or(0.0) as u64
+    }
+}
--- a/crates/proxy/src/member/mod.rs
+++ b/crates/proxy/src/member/mod.rs
@@ -4,6 +4,7 @@
 //! [`FleetView`] holds those of all nodes together with what this node has
 //! seen of them, and picks. It does no I/O and takes the time as an argument.
 
+mod answer_sizes;
 mod fleet_view;
 mod load_report;
 mod member_key;
@@ -13,6 +14,7 @@
 mod moving_mean;
 mod pick_query;
 
+pub use answer_sizes::AnswerSizes;
 pub use fleet_view::{FleetView, TryEnd};
 pub use load_report::LoadReport;
 pub use member_key::MemberKey;
--- a/crates/proxy/src/node_core.rs
+++ b/crates/proxy/src/node_core.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -23,7 +22,8 @@
     front::{FrontAnswer, FrontRequest},
     header_set::HeaderSet,
     hop::{ConnectionPool, PoolSettings},
-    member::{FleetView, MemberRecord, MovingMean},
+    link_meter::LinkMeter,
+    member::{AnswerSizes, FleetView, MemberRecord},
     node_clock::NodeClock,
     node_metrics::NodeMetrics,
     node_settings::NodeSettings,
@@ -31,8 +31,6 @@
     store::Revision,
 };
 
-/// Weight of one answer in the mean size of a route's answers.
-const SIZE_WEIGHT: f64 = 0.1;
 /// Slots assumed until the backend server tells: the usual size of one.
 const SLOTS_UNKNOWN: u32 = 8;
 /// Part of the allowed time in which a leaving backend server still gets new
@@ -50,6 +48,14 @@
 #[derive(Debug)]
 pub struct OpenMark(Rc<NodeCore>);
 
+impl OpenMark {
+    /// Notes bytes of the answer that were sent.
+    pub fn sent(&self, bytes: u64) {
+        let core = &self.0;
+        core.link.borrow_mut().add(core.clock.now(), bytes);
+    }
+}
+
 impl Drop for OpenMark {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get().saturating_sub(1));
@@ -73,6 +79,8 @@
     pub fleet: RefCell<FleetView>,
     /// Door of the own backend server.
     pub door: DoorFlow,
+    /// Link of the instance.
+    pub link: Rc<RefCell<LinkMeter>>,
     /// Connections to other nodes.
     pub hops: ConnectionPool,
     /// Retries.
@@ -99,7 +107,7 @@
     pub history: RefCell<ConfigHistory>,
     /// Requests of callers that are open.
     pub open: Cell<u32>,
-    sizes: RefCell<HashMap<u64, MovingMean>>,
+    sizes: RefCell<AnswerSizes>,
     caller_service: RefCell<HeaderValue>,
     stopping_since: Cell<Option<Duration>>,
 }
@@ -117,9 +125,11 @@
             connect_time: settings.hop_connect,
             idle_time: settings.hop_idle,
         });
+        let link = Rc::new(RefCell::new(LinkMeter::new(settings.link_mbps)));
         let caller_service = service_value(&settings.service);
         Rc::new(Self {
-            door: DoorFlow::new(door_settings, headers.clone(), clock),
+            door: DoorFlow::new(door_settings, headers.clone(), clock, Rc::clone(&link)),
+            link,
             config: RefCell::default(),
             fleet: RefCell::new(FleetView::new(settings.data_centre.clone())),
             hops,
@@ -263,9 +273,7 @@
 
     /// Returns the bytes of a usual answer on a route; 0 when unknown.
     pub fn answer_bytes(&self, class: u64) -> u64 {
-        let sizes = self.sizes.borrow();
-        let size = sizes.get(&class).and_then(MovingMean::get);
-        size.unwrap_or(0.0) as u64
+        self.sizes.borrow().get(class)
     }
 
     /// Whether the node was told to stop.
@@ -303,9 +311,7 @@
     pub fn note_served(&self, request: &FrontRequest, answer: &Response<AnswerBody>, tries: usize) {
         let bytes = answer.body().size_hint().exact();
         if let Some(bytes) = bytes.filter(|_| answer.status().is_success()) {
-            let mut sizes = self.sizes.borrow_mut();
-            let size = sizes.entry(request.route.class).or_default();
-            size.observe(bytes as f64, SIZE_WEIGHT);
+            self.sizes.borrow_mut().observe(request.route.class, bytes);
         }
         let took = request.arrived.elapsed();
         self.metrics.served(request.route.kind, took);
