--- a/crates/proxy/src/answer_body.rs
+++ b/crates/proxy/src/answer_body.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use crate::{door::RunSlot, front::SentMark, node_core::OpenMark};
+use crate::{door::RunSlot, front::SentMark, link_meter::LinkPromise, node_core::OpenMark};
 
 #[derive(Debug)]
 enum BodySource {
@@ -26,8 +26,7 @@
     slot: Option<RunSlot>,
     mark: Option<SentMark>,
     open: Option<OpenMark>,
-    /// Bytes that the link's meter has counted already.
-    promised: u64,
+    promise: Option<LinkPromise>,
 }
 
 impl AnswerBody {
@@ -55,10 +54,10 @@
         self
     }
 
-    /// Leaves out the first bytes when what is sent is counted.
+    /// Keeps a promise of the link with what is sent.
     #[must_use]
-    pub const fn with_promised(mut self, bytes: u64) -> Self {
-        self.promised = bytes;
+    pub fn with_promise(mut self, promise: Option<LinkPromise>) -> Self {
+        self.promise = promise;
         self
     }
 
@@ -75,17 +74,14 @@
             slot: None,
             mark: None,
             open: None,
-            promised: 0,
+            promise: None,
         }
     }
 
     /// Counts bytes that go out.
     fn count(&mut self, bytes: usize) {
-        let bytes = bytes as u64;
-        let beyond = bytes.saturating_sub(self.promised);
-        self.promised = self.promised.saturating_sub(bytes);
         if let Some(open) = &self.open {
-            open.sent(beyond);
+            open.sent(bytes as u64, self.promise.as_mut());
         }
     }
 
@@ -97,6 +93,7 @@
             mark.complete();
         }
         self.open = None;
+        self.promise = None;
     }
 }
 
--- a/crates/proxy/src/door/door_flow.rs
+++ b/crates/proxy/src/door/door_flow.rs
@@ -26,7 +26,7 @@
     answer_body::AnswerBody,
     header_set::{HeaderSet, strip_connection, strip_hop},
     hop::{ConnectionPool, ExchangeError, PoolSettings, PooledSender},
-    link_meter::LinkMeter,
+    link_meter::{LinkMeter, LinkPromise},
     member::{AnswerSizes, LoadReport},
     node_clock::NodeClock,
 };
@@ -48,10 +48,10 @@
 /// Time beyond the caller's after which the backend server is given up on;
 /// usually the sender's cancel comes first.
 const OVERTIME: Duration = Duration::from_millis(100);
-/// Longest wait for the link at which a further long answer is begun. Small
-/// answers wait as long, and calls between backend servers want theirs within
-/// 120 ms, runs of 40 ms included.
-const LINK_WAIT_MAX: Duration = Duration::from_millis(60);
+/// Longest time for which the link may still be busy once a long answer is
+/// made. Small answers wait as long, and calls between backend servers want
+/// theirs within 120 ms, runs of 40 ms included.
+const LINK_WAIT_MAX: Duration = Duration::from_millis(80);
 /// Advice after a refusal that isn't about load: another node is asked at once.
 const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
@@ -231,7 +231,7 @@
         idempotent: bool,
     ) -> Result<Response<AnswerBody>, DoorError> {
         let instance = self.admit(&request)?;
-        let promised = self.promise_link(&request)?;
+        let promise = self.promise_link(&request)?;
         let slot = self.wait_for_slot(&request).await?;
         // The backend server may have begun to leave meanwhile.
         self.admit(&request)?;
@@ -242,7 +242,7 @@
         if let Some(bytes) = answer.body().size_hint().exact() {
             self.inner.sizes.borrow_mut().observe(class, bytes);
         }
-        Ok(answer.map(|body| body.with_promised(promised)))
+        Ok(answer.map(|body| body.with_promise(promise)))
     }
 
     fn admit(&self, request: &DoorRequest) -> Result<String, DoorError> {
@@ -255,21 +255,21 @@
         }
     }
 
-    /// Promises the link to a long answer, or refuses it when the link has
-    /// more to carry than small answers can wait for.
-    fn promise_link(&self, request: &DoorRequest) -> Result<u64, DoorError> {
+    /// Promises the link to a long answer, or refuses it when the link would
+    /// still be busy with others for long once the backend server is done.
+    fn promise_link(&self, request: &DoorRequest) -> Result<Option<LinkPromise>, DoorError> {
         let bytes = self.inner.sizes.borrow().get(request.class);
         if bytes <= WHOLE_MAX {
-            return Ok(0);
+            return Ok(None);
         }
         let now = self.inner.clock.now();
-        let mut link = self.inner.link.borrow_mut();
-        let wait = link.wait(now);
-        if wait > LINK_WAIT_MAX {
-            return refused(RefusalReason::LinkFull, wait.max(RETRY_ELSEWHERE));
+        let wait = self.inner.link.borrow().wait(now);
+        let service = self.inner.queue.borrow().service_of(request.class);
+        let beyond = wait.saturating_sub(service);
+        if beyond > LINK_WAIT_MAX {
+            return refused(RefusalReason::LinkFull, beyond.max(RETRY_ELSEWHERE));
         }
-        link.add(now, bytes);
-        Ok(bytes)
+        Ok(Some(LinkPromise::new(&self.inner.link, bytes)))
     }
 
     async fn wait_for_slot(&self, request: &DoorRequest) -> Result<RunSlot, DoorError> {
--- a/crates/proxy/src/door/door_queue.rs
+++ b/crates/proxy/src/door/door_queue.rs
@@ -118,6 +118,11 @@
         self.books.service()
     }
 
+    /// Returns the mean time of a run of one class.
+    pub fn service_of(&self, class: u64) -> Duration {
+        self.books.service_of(ClassId { rank: 0, class })
+    }
+
     /// Offers a job.
     ///
     /// # Examples
--- a/crates/proxy/src/node_core.rs
+++ b/crates/proxy/src/node_core.rs
@@ -22,7 +22,7 @@
     front::{FrontAnswer, FrontRequest},
     header_set::HeaderSet,
     hop::{ConnectionPool, PoolSettings},
-    link_meter::LinkMeter,
+    link_meter::{LinkMeter, LinkPromise},
     member::{AnswerSizes, FleetView, MemberRecord},
     node_clock::NodeClock,
     node_metrics::NodeMetrics,
@@ -49,10 +49,15 @@
 pub struct OpenMark(Rc<NodeCore>);
 
 impl OpenMark {
-    /// Notes bytes of the answer that were sent.
-    pub fn sent(&self, bytes: u64) {
+    /// Notes bytes of the answer that were sent, as `promise` said if there
+    /// is one.
+    pub fn sent(&self, bytes: u64, promise: Option<&mut LinkPromise>) {
         let core = &self.0;
-        core.link.borrow_mut().add(core.clock.now(), bytes);
+        let now = core.clock.now();
+        match promise {
+            Some(promise) => promise.sent(now, bytes),
+            None => core.link.borrow_mut().sent(now, bytes),
+        }
     }
 }
 
