Explain a request out of the nodes' logs, and write the last lines before the end

geranium-ctl explain puts the lines of any nodes in order and in words, with what was last heard of the member that a decision names. Its test found that a stopping node lost its last lines: the process ended before the writing thread had written; it now waits for it, half a second at most.

--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod activation_row;
 mod diff_command;
 mod drain_command;
+mod explain_command;
 mod history_command;
 mod list_command;
 mod nodes_command;
@@ -47,6 +48,9 @@
             name,
             expect_version,
         } => output.report(&activate_command::run(session, name, *expect_version)?),
+        Command::Explain { request, files } => {
+            output.report(&explain_command::explain(request, files)?)
+        }
         Command::History { last } => output.report(&history_command::history(session, *last)?),
         Command::Status => output.report(&status_command::status(session)?),
         Command::Nodes => output.report(&nodes_command::nodes(session)?),
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -68,6 +68,22 @@
         /// What the parser found.
         source: serde_json::Error,
     },
+    /// No line names the request.
+    #[snafu(display("no line names request `{request}`: plain successes in time are not logged"))]
+    UnknownRequest {
+        /// Identifier of the request.
+        request: String,
+    },
+    /// No line names the request, and lines are missing.
+    #[snafu(display(
+        "no line names request `{request}`, and {lines} lines were dropped or withheld"
+    ))]
+    LogIncomplete {
+        /// Identifier of the request.
+        request: String,
+        /// Lines that are missing.
+        lines: u64,
+    },
     /// The platform failed, and nothing was written.
     #[snafu(display("{source}; nothing was changed"))]
     Platform {
@@ -166,6 +182,8 @@
             Self::NoPlatform | Self::NoOperator | Self::NoNode | Self::BadEndpoints { .. } => {
                 ResultCode::BadSetting
             }
+            Self::UnknownRequest { .. } => ResultCode::RequestUnknown,
+            Self::LogIncomplete { .. } => ResultCode::LogIncomplete,
             Self::NodeUnreachable { .. } => ResultCode::AdminUnreachable,
             Self::NodeBadAnswer { .. } | Self::UnknownInstance { .. } => ResultCode::AdminBadAnswer,
         }
--- /dev/null
+++ b/crates/ctl/src/explain/story_event.rs
@@ -0,0 +1,109 @@
+//! One decision about a request.
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// One decision about a request, as a node logged it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct StoryEvent {
+    /// Time of day at the node.
+    pub time: String,
+    /// Node that decided.
+    pub node: String,
+    /// What the node logged.
+    pub message: String,
+    /// The decision in words, with its inputs.
+    pub text: String,
+    /// What the node last heard of the member that the decision names.
+    pub belief: Option<String>,
+}
+
+impl StoryEvent {
+    pub(super) fn new(message: String, fields: &Map<String, Value>) -> Self {
+        let text = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or_default();
+        Self {
+            time: text("ts").to_owned(),
+            node: text("node").to_owned(),
+            text: in_words(&message, fields),
+            message,
+            belief: None,
+        }
+    }
+
+    pub(super) fn because(mut self, belief: Option<Self>) -> Self {
+        self.belief = belief.map(|belief| format!("{}: {}", belief.time, belief.text));
+        self
+    }
+}
+
+fn in_words(message: &str, fields: &Map<String, Value>) -> String {
+    let show = |name: &str| match fields.get(name) {
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Null) | None => "-".to_owned(),
+        Some(value) => value.to_string(),
+    };
+    match message {
+        "door refused" => format!(
+            "the node at {} refused it for its backend server {}: {} (room expected in {} ms); it did not run there",
+            show("at"),
+            show("instance"),
+            show("reason"),
+            show("retry_after_ms")
+        ),
+        "node unreachable" => format!(
+            "the node at {} could not be reached, nothing was sent: {}",
+            show("at"),
+            show("cause")
+        ),
+        "try broke" => format!(
+            "the try at {} (backend server {}) broke after it was sent and may have run: {}",
+            show("at"),
+            show("instance"),
+            show("cause")
+        ),
+        "request answered" => format!(
+            "answered {} by backend server {} at {} after {} ms and {} tries; target {} ms",
+            show("status"),
+            show("instance"),
+            show("at"),
+            show("took_ms"),
+            show("tries"),
+            show("target_ms")
+        ),
+        "request given up" => format!(
+            "given up with {} ({} {}) after {} ms and {} tries on service {} by configuration {}; cause {}; come back in {} ms",
+            show("status"),
+            show("code"),
+            show("reason"),
+            show("took_ms"),
+            show("tries"),
+            show("service"),
+            show("version"),
+            show("cause"),
+            show("retry_after_ms")
+        ),
+        "request rejected" => format!(
+            "rejected with {} ({} {}) by configuration {}",
+            show("status"),
+            show("code"),
+            show("reason"),
+            show("version")
+        ),
+        "caller left" => format!(
+            "the caller left after {} ms and {} tries; the run, if any, was cancelled",
+            show("took_ms"),
+            show("tries")
+        ),
+        "member announced" => format!(
+            "member {} ({}, {}) announced as {} at revision {}",
+            show("at"),
+            show("service"),
+            show("instance"),
+            show("state"),
+            show("revision")
+        ),
+        "announcement missing" => format!("the announcement of {} is missing", show("at")),
+        "member gone" => format!("member {} dropped: {}", show("at"), show("cause")),
+        other => format!("{other}: {}", Value::Object(fields.clone())),
+    }
+}
--- a/crates/ctl/src/invocation.rs
+++ b/crates/ctl/src/invocation.rs
@@ -39,6 +39,11 @@
   geranium-ctl activate peak
   geranium-ctl activate ordinary-day --expect-version 41";
 
+const EXPLAIN_EXAMPLES: &str = "\
+Examples:
+  geranium-ctl explain 9c41d07be2a35f68 /var/log/geranium/*.log
+  geranium-ctl --output json explain 9c41d07be2a35f68 < all.log";
+
 const DRAIN_EXAMPLES: &str = "\
 Examples:
   geranium-ctl --node 10.0.1.7:7070 drain hofdi-3
@@ -161,6 +166,14 @@
         #[arg(long, value_parser = parse_version)]
         expect_version: Option<PresetVersion>,
     },
+    /// Tell what became of a request, out of the nodes' logs.
+    #[command(after_help = EXPLAIN_EXAMPLES)]
+    Explain {
+        /// Identifier of the caller's attempt.
+        request: String,
+        /// Log files of any nodes; none, or `-`, for standard input.
+        files: Vec<PathBuf>,
+    },
     /// List past activations, newest last.
     History {
         /// How many.
--- /dev/null
+++ b/crates/ctl/tests/all/explain.rs
@@ -0,0 +1,53 @@
+//! A request's story out of the nodes' logs.
+
+use geranium_ctl::LogScan;
+
+/// Lines of two nodes, as a collector mixes them: out of order, with a prefix,
+/// with lines about others and one that is cut short.
+const LINES: &str = r#"
+ 3.1 n1 {"msg":"door refused","ts":"2026-06-01T10:00:03.100Z","node":"n1","request":"q7","at":"10.1.0.5:7600","instance":"i-5","reason":"leaving","retry_after_ms":50}
+ 2.0 n1 {"msg":"member announced","ts":"2026-06-01T10:00:02.000Z","node":"n1","at":"10.1.0.5:7600","instance":"i-5","service":"orders","state":"ready","revision":41}
+ 3.3 n1 {"msg":"request given up","ts":"2026-06-01T10:00:03.300Z","node":"n1","request":"q7","service":"orders","version":12,"code":131,"reason":"backend-broke","status":502,"retry_after_ms":null,"tries":2,"cause":"connection closed","took_ms":220}
+ 3.2 n1 {"msg":"try broke","ts":"2026-06-01T10:00:03.250Z","node":"n1","request":"q7","at":"10.1.0.6:7600","instance":"i-6","cause":"connection closed"}
+ 3.2 n2 {"msg":"request given up","ts":"2026-06-01T10:00:03.2Z","node":"n2","request":"q8","code":111}
+ 3.4 n2 {"msg":"cut sho
+ 4.0 n2 {"msg":"log lines dropped","lines":3}
+"#;
+
+fn story(request: &str) -> geranium_ctl::RequestStory {
+    let mut scan = LogScan::new(request);
+    scan.read(LINES.as_bytes()).expect("bytes can be read");
+    scan.finish()
+}
+
+#[test]
+fn a_story_is_in_order_and_names_its_inputs() {
+    insta::assert_snapshot!(story("q7"), @r"
+    request q7
+    2026-06-01T10:00:03.100Z n1: the node at 10.1.0.5:7600 refused it for its backend server i-5: leaving (room expected in 50 ms); it did not run there
+    2026-06-01T10:00:03.250Z n1: the try at 10.1.0.6:7600 (backend server i-6) broke after it was sent and may have run: connection closed
+    2026-06-01T10:00:03.300Z n1: given up with 502 (131 backend-broke) after 220 ms and 2 tries on service orders by configuration 12; cause connection closed; come back in - ms
+    3 lines were dropped or withheld under load; more may have happened
+    ");
+}
+
+#[test]
+fn what_was_believed_before_stands_beside_a_decision() {
+    let text = r#"{"msg":"member announced","ts":"1","node":"n1","at":"a","service":"s","instance":"i","state":"ready","revision":4}
+{"msg":"door refused","ts":"2","node":"n1","request":"q","at":"a","instance":"i","reason":"full","retry_after_ms":9}"#;
+    let mut scan = LogScan::new("q");
+    scan.read(text.as_bytes()).expect("bytes can be read");
+    let story = scan.finish();
+    let belief = story.events[0].belief.as_deref();
+    assert_eq!(
+        belief,
+        Some("1: member a (s, i) announced as ready at revision 4")
+    );
+}
+
+#[test]
+fn an_unknown_request_has_no_events_and_tells_of_missing_lines() {
+    let story = story("nobody");
+    assert!(story.events.is_empty());
+    assert_eq!((story.dropped_lines, story.unreadable_lines), (3, 1));
+}
--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod bad_documents;
 mod code_table;
 mod examples;
+mod explain;
 mod fleet;
 mod messages;
 mod overtaken;
--- a/crates/model/src/result_code.rs
+++ b/crates/model/src/result_code.rs
@@ -140,6 +140,10 @@
     FileUnreadable = 503,
     /// Some nodes couldn't be read, so a report covers a part of the fleet.
     PartialReport = 504,
+    /// No log line names the request.
+    RequestUnknown = 505,
+    /// No log line names the request, and lines are missing.
+    LogIncomplete = 506,
 }
 
 impl ResultCode {
--- a/crates/proxy/src/event_log.rs
+++ b/crates/proxy/src/event_log.rs
@@ -18,14 +18,46 @@
 /// Lines a second about single requests. Beyond it they are only counted: a
 /// node under overload refuses hundreds a second for one and the same reason.
 const LINES_MAX: u32 = 200;
+/// Longest wait for the log at the end of the process.
+const FLUSH_TIME: Duration = Duration::from_millis(500);
 /// Pause of the writing thread, in which lines gather to one write.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
 
+/// What goes to the writing thread.
+#[derive(Debug)]
+enum LogItem {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// Write what is there and say so.
+    Flush(Sender<()>),
+}
+
+/// Waits for the writing thread at the end of the process.
+#[derive(Debug)]
+pub struct LogFlush {
+    ring: Sender<LogItem>,
+}
+
+impl LogFlush {
+    /// Waits until the lines so far are written, half a second at most: a
+    /// reader that stalls must not keep the process from ending.
+    pub fn wait(&self) {
+        let (done, written) = bounded(1);
+        if self
+            .ring
+            .send_timeout(LogItem::Flush(done), FLUSH_TIME)
+            .is_ok()
+        {
+            let _late = written.recv_timeout(FLUSH_TIME);
+        }
+    }
+}
+
 /// Writer that cuts what is written into lines and hands them to a ring.
 #[derive(Debug)]
 struct LineWriter {
     line: Vec<u8>,
-    ring: Sender<Vec<u8>>,
+    ring: Sender<LogItem>,
     dropped: u64,
 }
 
@@ -37,11 +69,11 @@
                 "{{\"msg\":\"log lines dropped\",\"lines\":{}}}\n",
                 self.dropped
             );
-            if self.ring.try_send(note.into_bytes()).is_ok() {
+            if self.ring.try_send(LogItem::Line(note.into_bytes())).is_ok() {
                 self.dropped = 0;
             }
         }
-        if let Err(TrySendError::Full(_)) = self.ring.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.ring.try_send(LogItem::Line(line)) {
             self.dropped += 1;
         }
     }
@@ -67,8 +99,9 @@
 /// write blocks the event loop with every request in it. **Guard.** The event
 /// loop only hands lines to a ring; when that is full, lines are dropped and
 /// counted, and the count is written as soon as there is room.
-pub fn make_logger(instance: &str, output: impl Write + Send + 'static) -> Logger {
+pub fn make_logger(instance: &str, output: impl Write + Send + 'static) -> (Logger, LogFlush) {
     let (ring, lines) = bounded(RING_LINES);
+    let flush = LogFlush { ring: ring.clone() };
     let writer = LineWriter {
         line: Vec::new(),
         ring,
@@ -80,17 +113,28 @@
     // Without the thread the ring is closed, and the node runs without a log.
     drop(started);
     let json = slog_json::Json::default(writer);
-    Logger::root(Mutex::new(json).fuse(), o!("node" => instance.to_owned()))
+    let context = o!("node" => instance.to_owned());
+    (Logger::root(Mutex::new(json).fuse(), context), flush)
 }
 
-fn write_lines(lines: &Receiver<Vec<u8>>, mut output: impl Write) {
-    while let Ok(mut batch) = lines.recv() {
-        thread::sleep(WRITE_PAUSE);
-        while let Ok(line) = lines.try_recv() {
-            batch.extend_from_slice(&line);
+fn write_lines(lines: &Receiver<LogItem>, mut output: impl Write) {
+    while let Ok(first) = lines.recv() {
+        let mut batch = Vec::new();
+        let mut asked = Vec::new();
+        if matches!(first, LogItem::Line(_)) {
+            thread::sleep(WRITE_PAUSE);
+        }
+        for item in std::iter::once(first).chain(lines.try_iter()) {
+            match item {
+                LogItem::Line(line) => batch.extend_from_slice(&line),
+                LogItem::Flush(done) => asked.push(done),
+            }
         }
         // There is no better place to report that the log can't be written.
         drop(output.write_all(&batch).and_then(|()| output.flush()));
+        for done in asked {
+            let _gone = done.send(());
+        }
     }
 }
 
--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -45,8 +45,14 @@
 }
 
 /// What is known of a request's tries so far.
-#[derive(Debug, Default)]
-struct TryRecord {
+#[derive(Debug)]
+struct TryRecord<'a> {
+    core: &'a NodeCore,
+    request: &'a FrontRequest,
+    /// Whether the request has its answer.
+    settled: bool,
+    /// Member of the last try.
+    at: Option<MemberRecord>,
     tried: SmallVec<[MemberKey; TRIES_MAX]>,
     /// Backend servers that it came to, or may have come to.
     arrivals: u32,
@@ -56,6 +62,31 @@
     broke: Option<String>,
 }
 
+impl<'a> TryRecord<'a> {
+    fn new(core: &'a NodeCore, request: &'a FrontRequest) -> Self {
+        Self {
+            core,
+            request,
+            settled: false,
+            at: None,
+            tried: SmallVec::new(),
+            arrivals: 0,
+            maybe_run: false,
+            refusal: None,
+            broke: None,
+        }
+    }
+}
+
+impl Drop for TryRecord<'_> {
+    /// A record that is dropped unsettled belongs to a caller that left.
+    fn drop(&mut self) {
+        if !self.settled {
+            self.core.note_left(self.request, self.tried.len());
+        }
+    }
+}
+
 impl FrontFlow {
     /// Makes the path for the callers of a node.
     pub const fn new(core: Rc<NodeCore>) -> Self {
@@ -137,11 +168,13 @@
             .retries
             .borrow_mut()
             .requested(self.core.clock.now(), &request.service);
-        let mut tries = TryRecord::default();
+        let mut tries = TryRecord::new(&self.core, request);
         let served = timeout_at(request.ends_at, self.try_members(request, &mut tries)).await;
+        tries.settled = true;
         let answer = match served {
             Ok(Ok(response)) => {
-                self.core.note_served(request, &response, tries.tried.len());
+                self.core
+                    .note_served(request, &response, tries.at.as_ref(), tries.tried.len());
                 return response;
             }
             Ok(Err(answer)) => answer,
@@ -158,7 +191,7 @@
     async fn try_members(
         &self,
         request: &FrontRequest,
-        tries: &mut TryRecord,
+        tries: &mut TryRecord<'_>,
     ) -> Result<Response<AnswerBody>, FrontAnswer> {
         loop {
             let Some((key, record)) = self.next_member(request, tries) else {
@@ -176,6 +209,7 @@
             };
             let ran_before = tries.broke.is_some();
             let end = flow.send(key, &record).await;
+            let record = &*tries.at.insert(record);
             let now = self.core.clock.now();
             let mut fleet = self.core.fleet.borrow_mut();
             match end {
@@ -198,19 +232,19 @@
                         tries.arrivals = arrivals;
                     }
                     tries.refusal = Some(refusal);
-                    self.core.note_refusal(request, &record, &refusal);
+                    self.core.note_refusal(request, record, &refusal);
                 }
                 AttemptEnd::Unreachable(reason) => {
                     fleet.judged(now, key, TryEnd::Unreachable);
                     drop(fleet);
                     tries.maybe_run = ran_before;
                     tries.arrivals = arrivals;
-                    self.core.note_unreachable(request, &record, &reason);
+                    self.core.note_unreachable(request, record, &reason);
                 }
                 AttemptEnd::Broke(reason) => {
                     fleet.judged(now, key, TryEnd::Broke);
                     drop(fleet);
-                    self.core.note_broke(request, &record, &reason);
+                    self.core.note_broke(request, record, &reason);
                     tries.broke = Some(reason);
                     if !request.route.kind.is_idempotent() {
                         return Err(final_answer(tries));
@@ -224,7 +258,7 @@
     fn next_member(
         &self,
         request: &FrontRequest,
-        tries: &TryRecord,
+        tries: &TryRecord<'_>,
     ) -> Option<(MemberKey, MemberRecord)> {
         let first = tries.tried.is_empty();
         if tries.tried.len() >= TRIES_MAX {
@@ -246,7 +280,7 @@
     }
 
     /// Whether a failed answer may be replaced by another try.
-    fn may_retry(&self, request: &FrontRequest, tries: &TryRecord, failed: MemberKey) -> bool {
+    fn may_retry(&self, request: &FrontRequest, tries: &TryRecord<'_>, failed: MemberKey) -> bool {
         let early = Instant::now() < request.useful_until;
         let left = tries.arrivals < request.route.attempts && tries.tried.len() < TRIES_MAX;
         if !request.route.kind.is_idempotent() || !early || !left {
@@ -260,7 +294,7 @@
             && retries.has_room(now, &request.service, fleet.len())
     }
 
-    fn query<'a>(&self, request: &'a FrontRequest, tries: &'a TryRecord) -> PickQuery<'a> {
+    fn query<'a>(&self, request: &'a FrontRequest, tries: &'a TryRecord<'_>) -> PickQuery<'a> {
         PickQuery {
             service: &request.service,
             tried: &tries.tried,
@@ -288,7 +322,7 @@
 }
 
 /// Returns the answer for a request that is given up.
-fn final_answer(tries: &TryRecord) -> FrontAnswer {
+fn final_answer(tries: &TryRecord<'_>) -> FrontAnswer {
     if tries.maybe_run || tries.broke.is_some() {
         return FrontAnswer::maybe_run(ResultCode::BackendBroke);
     }
--- a/crates/proxy/src/node_core.rs
+++ b/crates/proxy/src/node_core.rs
@@ -313,14 +313,20 @@
     }
 
     /// Records a request that got a backend server's answer.
-    pub fn note_served(&self, request: &FrontRequest, answer: &Response<AnswerBody>, tries: usize) {
+    pub fn note_served(
+        &self,
+        request: &FrontRequest,
+        answer: &Response<AnswerBody>,
+        at: Option<&MemberRecord>,
+        tries: usize,
+    ) {
         let bytes = answer.body().size_hint().exact();
         if let Some(bytes) = bytes.filter(|_| answer.status().is_success()) {
             self.sizes.borrow_mut().observe(request.route.class, bytes);
         }
         let took = request.arrived.elapsed();
         self.metrics.served(request.route.kind, took);
-        let plain = answer.status().is_success() && tries == 1;
+        let plain = answer.status().is_success() && tries == 1 && took <= request.route.target;
         if plain {
             return;
         }
@@ -329,7 +335,10 @@
                 "request" => &*request.id,
                 "route" => &*request.route.name,
                 "status" => answer.status().as_u16(),
+                "at" => at.map(|at| at.hop.to_string()),
+                "instance" => at.map(|at| &*at.instance),
                 "tries" => tries,
+                "target_ms" => request.route.target.as_millis() as u64,
                 "took_ms" => took.as_millis() as u64);
         }
     }
@@ -359,6 +368,18 @@
         }
     }
 
+    /// Records that a caller left before its answer.
+    pub fn note_left(&self, request: &FrontRequest, tries: usize) {
+        self.metrics.refused("caller-left");
+        if let Some(log) = self.log.for_request(self.clock.now(), "caller left") {
+            info!(log, "caller left";
+                "request" => &*request.id,
+                "route" => &*request.route.name,
+                "tries" => tries,
+                "took_ms" => request.arrived.elapsed().as_millis() as u64);
+        }
+    }
+
     /// Records a request that was refused before it had a route.
     pub fn note_answer(&self, id: Option<&HeaderValue>, answer: &FrontAnswer) {
         self.metrics.answered(answer.code);
