--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -225,7 +225,11 @@
                 }
                 AttemptEnd::Refused(refusal) => {
                     let retry_after = refusal.retry_after;
-                    fleet.judged(now, key, TryEnd::Refused { retry_after });
+                    let end = match refusal.reason {
+                        RefusalReason::LinkFull => TryEnd::LinkRefused { retry_after },
+                        _ => TryEnd::Refused { retry_after },
+                    };
+                    fleet.judged(now, key, end);
                     drop(fleet);
                     tries.maybe_run = ran_before;
                     if !refusal.reason.reached_endpoint() {
@@ -258,7 +262,7 @@
     fn next_member(
         &self,
         request: &FrontRequest,
-        tries: &TryRecord<'_>,
+        tries: &mut TryRecord<'_>,
     ) -> Option<(MemberKey, MemberRecord)> {
         let first = tries.tried.is_empty();
         if tries.tried.len() >= TRIES_MAX {
@@ -267,6 +271,13 @@
         let now = self.core.clock.now();
         let query = self.query(request, tries);
         let fleet = self.core.fleet.borrow();
+        if let Some(retry_after) = fleet.link_wait(now, &query) {
+            // Every link is spoken for, as the doors told a moment ago: asking
+            // them again would cost each of them a request and change nothing.
+            let reason = RefusalReason::LinkFull;
+            tries.refusal = Some(DoorRefusal { reason, retry_after });
+            return None;
+        }
         if !first && !fleet.has_open(now, &query) {
             return None;
         }
--- a/crates/proxy/src/member/fleet_view.rs
+++ b/crates/proxy/src/member/fleet_view.rs
@@ -49,6 +49,12 @@
         /// Time after which it expects room.
         retry_after: Duration,
     },
+    /// The node beside it refused a long answer, for want of room on its
+    /// instance's link.
+    LinkRefused {
+        /// Time after which it expects room.
+        retry_after: Duration,
+    },
     /// The connection broke, or the answer was unusable.
     Broke,
     /// The node beside it couldn't be reached.
@@ -246,7 +252,8 @@
             let doubtful = member
                 .lapsed_at
                 .is_some_and(|at| member.served_at() < Some(at));
-            (!member.is_open(now) || doubtful, cost, key)
+            let open = member.is_open(now) && (!query.is_long() || member.has_link(now));
+            (!open || doubtful, cost, key)
         });
         let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         best.map(|(_, _, key)| key)
@@ -260,7 +267,23 @@
             .map_or(&[][..], Vec::as_slice);
         let fresh = keys.iter().filter(|key| !query.tried.contains(key));
         let mut views = fresh.filter_map(|&key| self.get(key));
-        views.any(|member| member.takes_work() && member.is_open(now))
+        views.any(|member| {
+            let fits = !query.is_long() || member.has_link(now);
+            member.takes_work() && member.is_open(now) && fits
+        })
+    }
+
+    /// Returns when a long answer may next be asked for, if no member has room
+    /// on its link for one now.
+    pub fn link_wait(&self, now: Duration, query: &PickQuery<'_>) -> Option<Duration> {
+        if !query.is_long() {
+            return None;
+        }
+        let keys = self.services.get(query.service)?;
+        let views = keys.iter().filter_map(|&key| self.get(key));
+        let waits = views.filter(|member| member.takes_work());
+        let wait = waits.map(|member| member.link_wait(now)).min()?;
+        (wait > Duration::ZERO).then_some(wait)
     }
 
     /// Whether another member fails clearly less often than `key`.
@@ -331,6 +354,7 @@
         match end {
             TryEnd::Answered { failed } => member.answered(now, failed),
             TryEnd::Refused { retry_after } => member.refused(now, retry_after),
+            TryEnd::LinkRefused { retry_after } => member.link_refused(now, retry_after),
             TryEnd::Broke => member.broke(),
             TryEnd::Unreachable => member.unreachable(now),
             TryEnd::Abandoned => {}
--- a/crates/proxy/src/member/member_view.rs
+++ b/crates/proxy/src/member/member_view.rs
@@ -23,6 +23,9 @@
 /// Longest time out; with it, a machine that is dark costs each node one
 /// request in four seconds.
 const OUT_MAX: Duration = Duration::from_secs(4);
+/// Longest time for which a refusal for want of room on the link keeps long
+/// answers away: a link that is spoken for carries two or three of them in it.
+const LINK_REFUSED_MAX: Duration = Duration::from_millis(300);
 /// Longest time for which a refusal keeps new requests away. Queues turn over
 /// in about one service time.
 const REFUSED_MAX: Duration = Duration::from_millis(150);
@@ -46,6 +49,7 @@
     out_until: Duration,
     out_time: Duration,
     refused_until: Duration,
+    link_refused_until: Duration,
     served_at: Option<Duration>,
 }
 
@@ -73,6 +77,7 @@
             out_until: Duration::ZERO,
             out_time: Duration::ZERO,
             refused_until: Duration::ZERO,
+            link_refused_until: Duration::ZERO,
             served_at: None,
         }
     }
@@ -123,6 +128,17 @@
         now >= self.out_until && now >= self.refused_until
     }
 
+    /// Whether its instance's link has room for a long answer, as far as is
+    /// known.
+    pub(super) fn has_link(&self, now: Duration) -> bool {
+        now >= self.link_refused_until
+    }
+
+    /// Time until its instance's link is expected to have room.
+    pub(super) const fn link_wait(&self, now: Duration) -> Duration {
+        self.link_refused_until.saturating_sub(now)
+    }
+
     /// When it last answered.
     pub(super) const fn served_at(&self) -> Option<Duration> {
         self.served_at
@@ -191,6 +207,12 @@
         self.out_time = Duration::ZERO;
     }
 
+    pub(super) fn link_refused(&mut self, now: Duration, retry_after: Duration) {
+        self.link_refused_until = now + retry_after.min(LINK_REFUSED_MAX);
+        self.served_at = Some(now);
+        self.out_time = Duration::ZERO;
+    }
+
     pub(super) fn broke(&mut self) {
         self.failures.observe(1.0, FAILURE_WEIGHT);
     }
--- a/crates/proxy/src/member/pick_query.rs
+++ b/crates/proxy/src/member/pick_query.rs
@@ -12,3 +12,14 @@
     /// Bytes of a usual answer on this route; 0 when unknown.
     pub answer_bytes: u64,
 }
+
+/// Bytes from which on an answer counts as long: what doors read whole before
+/// they pass it on.
+const LONG_BYTES: u64 = 32 * 1024;
+
+impl PickQuery<'_> {
+    /// Whether a long answer is expected.
+    pub const fn is_long(&self) -> bool {
+        self.answer_bytes > LONG_BYTES
+    }
+}
