Leave silent members, read an old configuration once, and stop a loop of writes

A member that has answered nobody for three runs is left. Ruled out: renewals and watches (23 to 34 calls each). The store's own answers now count as newer than the news before them.

--- a/crates/ctl/src/explain/story_event.rs
+++ b/crates/ctl/src/explain/story_event.rs
@@ -61,6 +61,12 @@
             show("instance"),
             show("cause")
         ),
+        "member silent" => format!(
+            "the member at {} (backend server {}) showed no sign of life for {} ms; the try may run",
+            show("at"),
+            show("instance"),
+            show("patience_ms")
+        ),
         "request answered" => format!(
             "answered {} by backend server {} at {} after {} ms and {} tries; target {} ms",
             show("status"),
--- a/crates/platform-standin/src/kv_fault.rs
+++ b/crates/platform-standin/src/kv_fault.rs
@@ -23,6 +23,8 @@
     Late(Duration),
     /// Answers come after a while.
     Slow(Duration),
+    /// Watches hear nothing of what changes.
+    Deaf,
     /// Answers aren't JSON.
     Garbled,
 }
--- a/crates/platform-standin/src/kv_server.rs
+++ b/crates/platform-standin/src/kv_server.rs
@@ -214,10 +214,11 @@
         let wait = Duration::from_millis(self.query("WaitMs").parse().unwrap_or(0));
         let begun = Instant::now();
         while begun.elapsed() < wait {
-            if shared.fault(port) != KvFault::Sound {
+            let fault = shared.fault(port);
+            if !matches!(fault, KvFault::Sound | KvFault::Deaf) {
                 return (503, Value::Null);
             }
-            {
+            if fault == KvFault::Sound {
                 let mut state = shared.state();
                 state.expire();
                 if let Some(done) = state.watch(self.query("Prefix"), after) {
--- a/crates/proxy/src/follow/announcer.rs
+++ b/crates/proxy/src/follow/announcer.rs
@@ -27,7 +27,11 @@
 #[derive(Debug, Default)]
 struct Announcement {
     lease: Option<LeaseId>,
+    /// Revision of the key, which the next write replaces.
     revision: Revision,
+    /// Revision of the last news of the key that were taken in. The store's
+    /// own answers are newer than the news that came before them.
+    seen: Revision,
     record: Option<MemberRecord>,
 }
 
@@ -139,6 +143,7 @@
                     "state" => <&'static str>::from(wanted.state),
                     "revision" => revision.0);
                 self.revision = revision;
+                self.seen = revision;
                 self.record = Some(wanted.clone());
                 core.fleet
                     .borrow_mut()
@@ -199,9 +204,10 @@
         else {
             return;
         };
-        if member.revision() <= self.revision {
+        if member.revision() <= self.seen {
             return;
         }
+        self.seen = member.revision();
         let stands = !member.has_lapsed();
         if !stands || Some(&member.record) != self.record.as_ref() {
             self.record = None;
--- a/crates/proxy/src/follow/config_watcher.rs
+++ b/crates/proxy/src/follow/config_watcher.rs
@@ -69,11 +69,11 @@
     source: ConfigSource,
 ) -> Result<Revision, StoreError> {
     core.metrics.store_call("read-config");
-    let Some(item) = store.read(source.key).await? else {
-        return Ok(Revision(0));
-    };
-    take(core, source, &item);
-    Ok(item.revision)
+    let read = store.read(source.key).await?;
+    if let Some(item) = &read.item {
+        take(core, source, item);
+    }
+    Ok(read.revision)
 }
 
 /// Waits for a change, or until this node needn't watch any more.
--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -1,6 +1,6 @@
 //! The path of a caller's request.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use geranium_model::ResultCode;
@@ -8,7 +8,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{AttemptEnd, AttemptFlow, FrontAnswer, FrontRequest, attempt::path_only};
 use crate::{
@@ -208,7 +208,7 @@
                 request,
             };
             let ran_before = tries.broke.is_some();
-            let end = flow.send(key, &record).await;
+            let end = self.send_watched(flow, (key, &record), tries).await;
             let record = &*tries.at.insert(record);
             let now = self.core.clock.now();
             let mut fleet = self.core.fleet.borrow_mut();
@@ -245,6 +245,10 @@
                     tries.arrivals = arrivals;
                     self.core.note_unreachable(request, record, &reason);
                 }
+                AttemptEnd::Silent => {
+                    drop(fleet);
+                    tries.broke = Some("no sign of life".to_owned());
+                }
                 AttemptEnd::Broke(reason) => {
                     fleet.judged(now, key, TryEnd::Broke);
                     drop(fleet);
@@ -258,6 +262,51 @@
         }
     }
 
+    /// Sends a try, and watches whether its member lives.
+    ///
+    /// **Failure.** A member freezes, loses power, or its connection goes
+    /// silent for good: nothing answers and nothing breaks, and whoever sends
+    /// to it waits until the end. **Guard.** A member that has answered nobody
+    /// here for some runs since this was sent is left by others, and by this
+    /// request if it may run twice and another has room.
+    async fn send_watched(
+        &self,
+        flow: AttemptFlow<'_>,
+        (key, record): (MemberKey, &MemberRecord),
+        tries: &TryRecord<'_>,
+    ) -> AttemptEnd {
+        let request = flow.request;
+        let sent_at = self.core.clock.now();
+        let patience = self.core.fleet.borrow().patience(sent_at, key);
+        let mut send = pin!(flow.send(key, record));
+        if let Ok(end) = timeout(patience, &mut send).await {
+            return end;
+        }
+        if !self.core.fleet.borrow().is_silent(key, sent_at) {
+            return send.await;
+        }
+        let now = self.core.clock.now();
+        self.core
+            .fleet
+            .borrow_mut()
+            .judged(now, key, TryEnd::Silent);
+        self.core.note_silent(request, record, patience);
+        if request.route.kind.is_idempotent() && self.has_other(request, tries) {
+            return AttemptEnd::Silent;
+        }
+        send.await
+    }
+
+    /// Whether another member has room, and the budget a further try.
+    fn has_other(&self, request: &FrontRequest, tries: &TryRecord<'_>) -> bool {
+        let now = self.core.clock.now();
+        let fleet = self.core.fleet.borrow();
+        let retries = self.core.retries.borrow();
+        let left = tries.arrivals < request.route.attempts && tries.tried.len() < TRIES_MAX;
+        left && fleet.has_open(now, &self.query(request, tries))
+            && retries.has_room(now, &request.service, fleet.len())
+    }
+
     /// Picks the next member, or none when the request is to be given up.
     fn next_member(
         &self,
@@ -275,7 +324,10 @@
             // Every link is spoken for, as the doors told a moment ago: asking
             // them again would cost each of them a request and change nothing.
             let reason = RefusalReason::LinkFull;
-            tries.refusal = Some(DoorRefusal { reason, retry_after });
+            tries.refusal = Some(DoorRefusal {
+                reason,
+                retry_after,
+            });
             return None;
         }
         if !first && !fleet.has_open(now, &query) {
--- a/crates/proxy/src/member/fleet_view.rs
+++ b/crates/proxy/src/member/fleet_view.rs
@@ -31,6 +31,12 @@
 /// Dropped members that are remembered for nodes that ask for news; one that
 /// asks for older news gets the whole list.
 const DROPS_KEPT: usize = 256;
+/// Expected times to an answer for which a member may stay silent. One run in
+/// a hundred takes three times the mean.
+const PATIENCE_RUNS: f64 = 3.0;
+/// Least time for which a member may stay silent: a machine that has used up
+/// its share of the processor stands still for a tenth of a second.
+const PATIENCE_MIN: Duration = Duration::from_millis(300);
 /// Part of a member's failure rate below which another counts as healthier.
 /// After a single failure among good answers the rate is 0.1 or more, and the
 /// usual rate of the others 0.02.
@@ -55,6 +61,8 @@
         /// Time after which it expects room.
         retry_after: Duration,
     },
+    /// Nothing has come from it for some runs.
+    Silent,
     /// The connection broke, or the answer was unusable.
     Broke,
     /// The node beside it couldn't be reached.
@@ -306,6 +314,18 @@
         })
     }
 
+    /// Returns how long a member may stay silent before it is doubted.
+    pub fn patience(&self, now: Duration, key: MemberKey) -> Duration {
+        let expected = self.get(key).map_or(0.0, |member| member.expected_s(now));
+        PATIENCE_MIN.max(Duration::from_secs_f64(expected * PATIENCE_RUNS))
+    }
+
+    /// Whether a member has answered nobody here since `since`.
+    pub fn is_silent(&self, key: MemberKey, since: Duration) -> bool {
+        self.get(key)
+            .is_some_and(|member| member.served_at() < Some(since))
+    }
+
     /// Returns a member, unless it has gone.
     pub fn get(&self, key: MemberKey) -> Option<&MemberView> {
         let member = self.members.get(key.index as usize)?;
@@ -356,7 +376,7 @@
             TryEnd::Refused { retry_after } => member.refused(now, retry_after),
             TryEnd::LinkRefused { retry_after } => member.link_refused(now, retry_after),
             TryEnd::Broke => member.broke(),
-            TryEnd::Unreachable => member.unreachable(now),
+            TryEnd::Unreachable | TryEnd::Silent => member.unreachable(now),
             TryEnd::Abandoned => {}
         }
     }
--- a/crates/proxy/src/node_core.rs
+++ b/crates/proxy/src/node_core.rs
@@ -420,6 +420,18 @@
         }
     }
 
+    /// Records that a member shows no sign of life.
+    pub fn note_silent(&self, request: &FrontRequest, at: &MemberRecord, patience: Duration) {
+        self.metrics.refused("silent");
+        if let Some(log) = self.log.for_request(self.clock.now(), "silent") {
+            warn!(log, "member silent";
+                "request" => &*request.id,
+                "at" => %at.hop,
+                "instance" => &*at.instance,
+                "patience_ms" => patience.as_millis() as u64);
+        }
+    }
+
     /// Records that a try broke after it was sent.
     pub fn note_broke(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
         self.metrics.refused("broke");
--- a/crates/proxy/src/store/meta_store.rs
+++ b/crates/proxy/src/store/meta_store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{LeaseGrant, LeaseId, Revision, StoreError, StoreItem, StoreList, WatchBatch};
+use super::{LeaseGrant, LeaseId, Revision, StoreError, StoreList, StoreRead, WatchBatch};
 
 /// Key-value store with compare-and-swap, leases and watches.
 ///
@@ -15,7 +15,7 @@
     /// # Errors
     ///
     /// When the store can't be reached or refuses.
-    fn read(&self, key: &str) -> impl Future<Output = Result<Option<StoreItem>, StoreError>>;
+    fn read(&self, key: &str) -> impl Future<Output = Result<StoreRead, StoreError>>;
 
     /// Reads every key under a prefix.
     ///
--- a/crates/proxy/src/store/mod.rs
+++ b/crates/proxy/src/store/mod.rs
@@ -10,4 +10,6 @@
 
 pub use meta_store::MetaStore;
 pub use store_error::StoreError;
-pub use store_item::{LeaseGrant, LeaseId, Revision, StoreEvent, StoreItem, StoreList, WatchBatch};
+pub use store_item::{
+    LeaseGrant, LeaseId, Revision, StoreEvent, StoreItem, StoreList, StoreRead, WatchBatch,
+};
--- a/crates/proxy/src/store/store_item.rs
+++ b/crates/proxy/src/store/store_item.rs
@@ -27,6 +27,16 @@
     pub revision: Revision,
 }
 
+/// One key as it was read.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct StoreRead {
+    /// The key, if it exists.
+    pub item: Option<StoreItem>,
+    /// Revision of the store, from which a watch goes on without a gap. That
+    /// of the key may be older than the history which the store keeps.
+    pub revision: Revision,
+}
+
 /// All items under a prefix.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct StoreList {
