--- a/crates/proxy/src/crash/crash_watch.rs
+++ b/crates/proxy/src/crash/crash_watch.rs
@@ -4,6 +4,7 @@
 
 use geranium_model::{CrashRow, Incarnation};
 use slog::{info, warn};
+use strum::IntoStaticStr;
 use tokio::{
     net::TcpStream,
     sync::Notify,
@@ -58,7 +59,10 @@
         core.door.broken().heard.notified().await;
         sleep(GATHER).await;
         let runs = core.door.broken().runs.take();
-        if !has_crashed(&core).await {
+        let look = look_at_endpoint(&core).await;
+        info!(core.log.logger(), "backend server's connections broke";
+            "runs" => runs.len(), "look" => <&'static str>::from(look));
+        if look != EndpointLook::Gone {
             continue;
         }
         let rows: Vec<CrashRow> = runs.iter().filter_map(row_of).collect();
@@ -78,10 +82,28 @@
     }
 }
 
-async fn has_crashed(core: &NodeCore) -> bool {
-    let look = timeout(LOOK_TIME, TcpStream::connect(core.settings.endpoint)).await;
-    let refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
-    matches!(look, Ok(Err(error)) if refused(&error))
+/// What a look at the backend server showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+enum EndpointLook {
+    /// It listens.
+    There,
+    /// Nothing listens at its address.
+    Gone,
+    /// Nothing answers at its address, or something else is wrong: no proof
+    /// of a crash.
+    Unclear,
+}
+
+async fn look_at_endpoint(core: &NodeCore) -> EndpointLook {
+    match timeout(LOOK_TIME, TcpStream::connect(core.settings.endpoint)).await {
+        Ok(Ok(_)) => EndpointLook::There,
+        Ok(Err(error)) => match error.kind() {
+            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => EndpointLook::Gone,
+            _ => EndpointLook::Unclear,
+        },
+        Err(_elapsed) => EndpointLook::Unclear,
+    }
 }
 
 fn row_of(run: &BrokenRun) -> Option<CrashRow> {
