--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -149,14 +149,7 @@
         let id = head.headers.get(&self.core.headers.request_id);
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
         let print = request_print(&head.method, &head.uri, &head.headers, &body);
-        let held = self
-            .core
-            .crashes
-            .borrow()
-            .refusal(self.core.clock.now(), print);
-        if let Some(retry_after) = held {
-            return Err(FrontAnswer::not_run(ResultCode::Poisoned, retry_after));
-        }
+        self.check_print(print)?;
         let service = route.shares.draw();
         Ok(FrontRequest {
             id: id.into(),
@@ -174,6 +167,15 @@
         })
     }
 
+    /// Refuses a request that has crashed backend servers.
+    fn check_print(&self, print: u64) -> Result<(), FrontAnswer> {
+        let now = self.core.clock.now();
+        let refusal = self.core.crashes.borrow().refusal(now, print);
+        refusal.map_or(Ok(()), |retry_after| {
+            Err(FrontAnswer::not_run(ResultCode::Poisoned, retry_after))
+        })
+    }
+
     async fn serve(&self, request: &FrontRequest) -> Response<AnswerBody> {
         self.core
             .retries
