--- a/crates/proxy/src/door/door_flow.rs
+++ b/crates/proxy/src/door/door_flow.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use snafu::Snafu;
@@ -25,7 +25,7 @@
 use crate::{
     answer_body::AnswerBody,
     crash::BrokenRuns,
-    header_set::{HeaderSet, strip_connection, strip_hop},
+    header_set::{HeaderSet, header_text, strip_connection, strip_hop},
     hop::{ConnectionPool, ExchangeError, PoolSettings, PooledSender},
     link_meter::{LinkMeter, LinkPromise},
     member::{AnswerSizes, LoadReport},
@@ -239,7 +239,8 @@
         let exchange = endpoints.exchange(self.settings.endpoint, request, IDLE_ONCE);
         let (response, sender) = timeout(HEALTH_TIME, exchange).await.ok()?.ok()?;
         let healthy = response.status() == StatusCode::OK;
-        let instance = text(response.headers(), &self.headers.instance).map(ToOwned::to_owned);
+        let instance =
+            header_text(response.headers(), &self.headers.instance).map(ToOwned::to_owned);
         if response.into_body().collect().await.is_ok() {
             endpoints.give_back(sender);
         }
@@ -402,7 +403,7 @@
         let headers = response.headers();
         let status = response.status();
         if status == StatusCode::MISDIRECTED_REQUEST {
-            if let Some(actual) = text(headers, &self.headers.instance) {
+            if let Some(actual) = header_text(headers, &self.headers.instance) {
                 self.gate.borrow_mut().corrected(actual);
             }
             return refused(RefusalReason::OtherInstance, RETRY_ELSEWHERE);
@@ -457,10 +458,6 @@
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 fn refused<T>(reason: RefusalReason, retry_after: Duration) -> Result<T, DoorError> {
     let refusal = DoorRefusal {
         reason,
--- a/crates/proxy/src/front/attempt.rs
+++ b/crates/proxy/src/front/attempt.rs
@@ -14,7 +14,8 @@
     config::ConfigVersion,
     door::{DoorError, DoorRefusal, DoorRequest},
     header_set::{
-        HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, strip_connection, strip_hop,
+        HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, header_text, set_header,
+        strip_connection, strip_hop,
     },
     hop::{ExchangeError, HopNote},
     member::{LoadReport, MemberKey, MemberRecord},
@@ -106,7 +107,7 @@
         mark.hold(sender);
         self.learn(key, record, response.headers());
         let refusal = parsed::<DoorRefusal>(response.headers(), &HOP_REFUSAL);
-        let broke = text(response.headers(), &HOP_BROKE).map(ToOwned::to_owned);
+        let broke = header_text(response.headers(), &HOP_BROKE).map(ToOwned::to_owned);
         let (mut head, body) = response.into_parts();
         strip_connection(&mut head.headers);
         strip_hop(&mut head.headers);
@@ -147,8 +148,8 @@
             &names.deadline_ms,
             HeaderValue::from(left.as_millis() as u64),
         );
-        insert_text(&mut headers, &names.expected_instance, &record.instance);
-        insert_text(&mut headers, &HOP_NOTE, &note.to_string());
+        set_header(&mut headers, &names.expected_instance, &record.instance);
+        set_header(&mut headers, &HOP_NOTE, &note.to_string());
         let mut outgoing = Request::new(Full::new(request.body.clone()));
         *outgoing.method_mut() = request.method.clone();
         *outgoing.uri_mut() = path_only(&request.uri);
@@ -161,7 +162,8 @@
         if let Some(load) = parsed::<LoadReport>(headers, &HOP_LOAD) {
             self.core.fleet.borrow_mut().loaded(key, load);
         }
-        if let Some(version) = text(headers, &HOP_VERSION).and_then(|text| text.parse().ok()) {
+        if let Some(version) = header_text(headers, &HOP_VERSION).and_then(|text| text.parse().ok())
+        {
             self.core.heard_version(ConfigVersion(version), record.hop);
         }
     }
@@ -187,16 +189,6 @@
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &header::HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 fn parsed<T: std::str::FromStr>(headers: &HeaderMap, name: &header::HeaderName) -> Option<T> {
-    text(headers, name)?.parse().ok()
-}
-
-fn insert_text(headers: &mut HeaderMap, name: &header::HeaderName, text: &str) {
-    if let Ok(value) = HeaderValue::from_str(text) {
-        headers.insert(name, value);
-    }
+    header_text(headers, name)?.parse().ok()
 }
--- /dev/null
+++ b/crates/proxy/src/front/caller_input.rs
@@ -0,0 +1,49 @@
+//! Reading of what callers send.
+
+use bytes::Bytes;
+use geranium_model::ResultCode;
+use http::{StatusCode, header, request::Parts};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use tokio::time::{Instant, timeout_at};
+
+use super::FrontAnswer;
+use crate::config::MeshConfig;
+
+/// Returns the host that a request names, without its port.
+pub(super) fn host_of(head: &Parts) -> Option<String> {
+    let named = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| head.uri.host())?;
+    let host = host.split(':').next().unwrap_or_default();
+    Some(host.to_ascii_lowercase())
+}
+
+/// Reads a request's body whole, within the configured limit.
+pub(super) async fn read_body(
+    body: Incoming,
+    config: &MeshConfig,
+    ends_at: Instant,
+) -> Result<Bytes, FrontAnswer> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let limited = Limited::new(body, config.limits.body_bytes);
+    match timeout_at(ends_at, limited.collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            Err(FrontAnswer::rejected(ResultCode::BodyTooLarge, status))
+        }
+        Ok(Err(_)) => {
+            let status = StatusCode::BAD_REQUEST;
+            Err(FrontAnswer::rejected(ResultCode::BadRequest, status))
+        }
+        Err(_elapsed) => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            Err(FrontAnswer::rejected(ResultCode::RequestTimeout, status))
+        }
+    }
+}
--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -2,18 +2,19 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use geranium_model::ResultCode;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
-use smallvec::SmallVec;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
 use tokio::time::{Instant, timeout, timeout_at};
 
-use super::{AttemptEnd, AttemptFlow, FrontAnswer, FrontRequest, attempt::path_only};
+use super::{
+    AttemptEnd, AttemptFlow, FrontAnswer, FrontRequest,
+    attempt::path_only,
+    caller_input::{host_of, read_body},
+    try_record::{RETRY_MIN, TRIES_MAX, TryRecord, final_answer},
+};
 use crate::{
     answer_body::AnswerBody,
-    config::MeshConfig,
     crash::request_print,
     door::{DoorRefusal, RefusalReason},
     header_set::{strip_connection, strip_hop},
@@ -22,19 +23,11 @@
     retry::RetryNeed,
 };
 
-/// Members asked for one request, refusals of doors included. A third that is
-/// full says that the service is.
-const TRIES_MAX: usize = 3;
 /// Advice before the first configuration: it is read within a fraction of a
 /// second once the store answers.
 const RETRY_NOT_READY: Duration = Duration::from_millis(200);
-/// Advice when no backend server takes work: one restarts, or is announced
-/// again, within a second or two.
-const RETRY_NO_BACKEND: Duration = Duration::from_millis(250);
 /// Advice while stopping: the process ends and is back within a second or so.
 const RETRY_STOPPING: Duration = Duration::from_millis(250);
-/// Least advice on when to come back.
-const RETRY_MIN: Duration = Duration::from_millis(30);
 /// Time before the caller's own end at which it gets a final answer: the way
 /// back takes a millisecond, a busy machine a few more.
 const ANSWER_MARGIN: Duration = Duration::from_millis(8);
@@ -45,49 +38,6 @@
     core: Rc<NodeCore>,
 }
 
-/// What is known of a request's tries so far.
-#[derive(Debug)]
-struct TryRecord<'a> {
-    core: &'a NodeCore,
-    request: &'a FrontRequest,
-    /// Whether the request has its answer.
-    settled: bool,
-    /// Member of the last try.
-    at: Option<MemberRecord>,
-    tried: SmallVec<[MemberKey; TRIES_MAX]>,
-    /// Backend servers that it came to, or may have come to.
-    arrivals: u32,
-    /// Whether it may have run.
-    maybe_run: bool,
-    refusal: Option<DoorRefusal>,
-    broke: Option<String>,
-}
-
-impl<'a> TryRecord<'a> {
-    fn new(core: &'a NodeCore, request: &'a FrontRequest) -> Self {
-        Self {
-            core,
-            request,
-            settled: false,
-            at: None,
-            tried: SmallVec::new(),
-            arrivals: 0,
-            maybe_run: false,
-            refusal: None,
-            broke: None,
-        }
-    }
-}
-
-impl Drop for TryRecord<'_> {
-    /// A record that is dropped unsettled belongs to a caller that left.
-    fn drop(&mut self) {
-        if !self.settled {
-            self.core.note_left(self.request, self.tried.len());
-        }
-    }
-}
-
 impl FrontFlow {
     /// Makes the path for the callers of a node.
     pub const fn new(core: Rc<NodeCore>) -> Self {
@@ -396,68 +346,3 @@
         Duration::try_from_secs_f64(millis / 1_000.0).ok()
     }
 }
-
-/// Returns the answer for a request that is given up.
-fn final_answer(tries: &TryRecord<'_>) -> FrontAnswer {
-    if tries.maybe_run || tries.broke.is_some() {
-        return FrontAnswer::maybe_run(ResultCode::BackendBroke);
-    }
-    let Some(refusal) = tries.refusal else {
-        let code = if tries.tried.is_empty() {
-            ResultCode::NoBackend
-        } else {
-            ResultCode::NodeUnreachable
-        };
-        return FrontAnswer::not_run(code, RETRY_NO_BACKEND);
-    };
-    let retry_after = refusal.retry_after.max(RETRY_MIN);
-    FrontAnswer::not_run(code_of(refusal.reason), retry_after)
-}
-
-const fn code_of(reason: RefusalReason) -> ResultCode {
-    match reason {
-        RefusalReason::Shut | RefusalReason::EndpointDown | RefusalReason::OtherInstance => {
-            ResultCode::NoBackend
-        }
-        RefusalReason::Leaving | RefusalReason::Stopping => ResultCode::Draining,
-        RefusalReason::Full | RefusalReason::LinkFull => ResultCode::QueueFull,
-        RefusalReason::EndpointRefused => ResultCode::BackendRefused,
-    }
-}
-
-/// Returns the host that a request names, without its port.
-fn host_of(head: &Parts) -> Option<String> {
-    let named = head
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok());
-    let host = named.or_else(|| head.uri.host())?;
-    let host = host.split(':').next().unwrap_or_default();
-    Some(host.to_ascii_lowercase())
-}
-
-async fn read_body(
-    body: Incoming,
-    config: &MeshConfig,
-    ends_at: Instant,
-) -> Result<Bytes, FrontAnswer> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let limited = Limited::new(body, config.limits.body_bytes);
-    match timeout_at(ends_at, limited.collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(FrontAnswer::rejected(ResultCode::BodyTooLarge, status))
-        }
-        Ok(Err(_)) => {
-            let status = StatusCode::BAD_REQUEST;
-            Err(FrontAnswer::rejected(ResultCode::BadRequest, status))
-        }
-        Err(_elapsed) => {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            Err(FrontAnswer::rejected(ResultCode::RequestTimeout, status))
-        }
-    }
-}
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -7,10 +7,12 @@
 //! tries in [`retry`](crate::retry).
 
 mod attempt;
+mod caller_input;
 mod front_answer;
 mod front_flow;
 mod front_request;
 mod sent_mark;
+mod try_record;
 
 pub use attempt::{AttemptEnd, AttemptFlow};
 pub use front_answer::FrontAnswer;
--- a/crates/proxy/src/header_set.rs
+++ b/crates/proxy/src/header_set.rs
@@ -1,6 +1,6 @@
 //! Names of the headers that callers and backend servers speak.
 
-use http::HeaderName;
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 /// Names of the headers that callers and backend servers speak.
 ///
@@ -52,7 +52,7 @@
 
 /// Removes the headers that concern one connection only, those that
 /// `Connection` names among them.
-pub fn strip_connection(headers: &mut http::HeaderMap) {
+pub fn strip_connection(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(http::header::CONNECTION)
         .iter()
@@ -70,8 +70,22 @@
 
 /// Removes the headers by which nodes speak to one another: what comes from
 /// outside must not be taken for a node's word.
-pub fn strip_hop(headers: &mut http::HeaderMap) {
+pub fn strip_hop(headers: &mut HeaderMap) {
     for name in &HOP_HEADERS {
         headers.remove(name);
     }
 }
+
+/// Returns a header as text, if it is there and printable.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// Sets a header to a text; one that no header can hold becomes `unprintable`.
+pub fn set_header(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
+    let value = HeaderValue::from_str(text);
+    headers.insert(
+        name,
+        value.unwrap_or(HeaderValue::from_static("unprintable")),
+    );
+}
--- a/crates/proxy/src/hop_port.rs
+++ b/crates/proxy/src/hop_port.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::time::Duration;
@@ -14,7 +14,10 @@
     crash::request_print,
     door::{DoorError, DoorRefusal, DoorRequest, RefusalReason},
     follow::{FOLLOW_PATH, FollowPort},
-    header_set::{HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, strip_connection},
+    header_set::{
+        HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, header_text, set_header,
+        strip_connection,
+    },
     hop::HopNote,
     node_core::NodeCore,
 };
@@ -44,14 +47,15 @@
             self.run(incoming).await
         };
         let headers = response.headers_mut();
-        insert_text(headers, &HOP_LOAD, &self.core.door.load().to_string());
+        set_header(headers, &HOP_LOAD, &self.core.door.load().to_string());
         headers.insert(HOP_VERSION, HeaderValue::from(self.core.version().0));
         response
     }
 
     async fn run(&self, incoming: Request<Incoming>) -> Response<AnswerBody> {
         let (head, body) = incoming.into_parts();
-        let note = text(&head.headers, &HOP_NOTE).and_then(|text| text.parse::<HopNote>().ok());
+        let note =
+            header_text(&head.headers, &HOP_NOTE).and_then(|text| text.parse::<HopNote>().ok());
         let Some(note) = note else {
             return plain(StatusCode::BAD_REQUEST);
         };
@@ -83,9 +87,10 @@
         now: Instant,
     ) -> DoorRequest {
         let names = &self.core.headers;
-        let left = text(&head.headers, &names.deadline_ms).and_then(|text| text.parse().ok());
+        let left =
+            header_text(&head.headers, &names.deadline_ms).and_then(|text| text.parse().ok());
         let left = Duration::from_millis(left.unwrap_or(0));
-        let instance = text(&head.headers, &names.expected_instance).map(ToOwned::to_owned);
+        let instance = header_text(&head.headers, &names.expected_instance).map(ToOwned::to_owned);
         let mut headers = head.headers;
         strip_connection(&mut headers);
         let print = request_print(&head.method, &head.uri, &headers, &body);
@@ -112,25 +117,13 @@
 
 fn refused(refusal: &DoorRefusal) -> Response<AnswerBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
-    insert_text(response.headers_mut(), &HOP_REFUSAL, &refusal.to_string());
+    set_header(response.headers_mut(), &HOP_REFUSAL, &refusal.to_string());
     response
 }
 
 fn broke(reason: &str) -> Response<AnswerBody> {
     let mut response = plain(StatusCode::BAD_GATEWAY);
     let reason = if reason.is_empty() { "unknown" } else { reason };
-    insert_text(response.headers_mut(), &HOP_BROKE, reason);
+    set_header(response.headers_mut(), &HOP_BROKE, reason);
     response
 }
-
-fn text<'a>(headers: &'a HeaderMap, name: &http::HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-fn insert_text(headers: &mut HeaderMap, name: &http::HeaderName, text: &str) {
-    let value = HeaderValue::from_str(text);
-    headers.insert(
-        name,
-        value.unwrap_or(HeaderValue::from_static("unprintable")),
-    );
-}
--- a/crates/proxy/src/node_core.rs
+++ b/crates/proxy/src/node_core/mod.rs
@@ -1,5 +1,8 @@
 //! What the parts of a node share.
 
+mod open_mark;
+mod request_notes;
+
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -7,23 +10,21 @@
     time::Duration,
 };
 
-use geranium_model::ResultCode;
-use http::{HeaderValue, Response};
-use hyper::body::Body;
-use slog::{info, warn};
+use http::HeaderValue;
+use slog::info;
 use tokio::{sync::Notify, time::timeout};
 
+pub use open_mark::OpenMark;
+
 use crate::{
-    answer_body::AnswerBody,
     config::{ConfigVersion, MeshConfig},
     crash::CrashBook,
-    door::{DoorFlow, DoorRefusal, DoorSettings, EndpointReport, ReportVerdict},
+    door::{DoorFlow, DoorSettings, EndpointReport, ReportVerdict},
     event_log::EventLog,
     follow::{ConfigHistory, Guide, GuideChoice},
-    front::{FrontAnswer, FrontRequest},
     header_set::HeaderSet,
     hop::{ConnectionPool, PoolSettings},
-    link_meter::{LinkMeter, LinkPromise},
+    link_meter::LinkMeter,
     member::{AnswerSizes, FleetView, MemberRecord},
     node_clock::NodeClock,
     node_metrics::NodeMetrics,
@@ -48,29 +49,6 @@
 /// Longest wait of an acknowledgment for the store.
 const ACK_WAIT: Duration = Duration::from_millis(400);
 
-/// Counts a request as open until dropped.
-#[derive(Debug)]
-pub struct OpenMark(Rc<NodeCore>);
-
-impl OpenMark {
-    /// Notes bytes of the answer that were sent, as `promise` said if there
-    /// is one.
-    pub fn sent(&self, bytes: u64, promise: Option<&mut LinkPromise>) {
-        let core = &self.0;
-        let now = core.clock.now();
-        match promise {
-            Some(promise) => promise.sent(now, bytes),
-            None => core.link.borrow_mut().sent(now, bytes),
-        }
-    }
-}
-
-impl Drop for OpenMark {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get().saturating_sub(1));
-    }
-}
-
 /// What the parts of a node share.
 ///
 /// Everything runs on one thread, so that decisions need no locks.
@@ -349,146 +327,6 @@
         self.config.borrow().is_some() && !self.fleet.borrow().is_empty() && !self.is_stopping()
     }
 
-    /// Records a request that got a backend server's answer.
-    pub fn note_served(
-        &self,
-        request: &FrontRequest,
-        answer: &Response<AnswerBody>,
-        at: Option<&MemberRecord>,
-        tries: usize,
-    ) {
-        let bytes = answer.body().size_hint().exact();
-        if let Some(bytes) = bytes.filter(|_| answer.status().is_success()) {
-            self.sizes.borrow_mut().observe(request.route.class, bytes);
-        }
-        if answer.status().is_success() {
-            self.crashes.borrow_mut().completed(request.print);
-        }
-        let took = request.arrived.elapsed();
-        self.metrics.served(request.route.kind, took);
-        let plain = answer.status().is_success() && tries == 1 && took <= request.route.target;
-        if plain {
-            return;
-        }
-        if let Some(log) = self.log.for_request(self.clock.now(), "answered") {
-            info!(log, "request answered";
-                "request" => &*request.id,
-                "route" => &*request.route.name,
-                "status" => answer.status().as_u16(),
-                "at" => at.map(|at| at.hop.to_string()),
-                "instance" => at.map(|at| &*at.instance),
-                "tries" => tries,
-                "target_ms" => request.route.target.as_millis() as u64,
-                "took_ms" => took.as_millis() as u64);
-        }
-    }
-
-    /// Records a request that got an answer of this node's own.
-    pub fn note_failed(
-        &self,
-        request: &FrontRequest,
-        answer: &FrontAnswer,
-        tries: usize,
-        cause: Option<&str>,
-    ) {
-        self.metrics.answered(answer.code);
-        if let Some(log) = self.log.for_request(self.clock.now(), answer.code.into()) {
-            info!(log, "request given up";
-                "request" => &*request.id,
-                "route" => &*request.route.name,
-                "service" => &*request.service,
-                "version" => request.version.0,
-                "code" => answer.code.number(),
-                "reason" => <&'static str>::from(answer.code),
-                "status" => answer.status.as_u16(),
-                "retry_after_ms" => answer.retry_after.map(|time| time.as_millis() as u64),
-                "tries" => tries,
-                "cause" => cause,
-                "took_ms" => request.arrived.elapsed().as_millis() as u64);
-        }
-    }
-
-    /// Records that a caller left before its answer.
-    pub fn note_left(&self, request: &FrontRequest, tries: usize) {
-        self.metrics.refused("caller-left");
-        if let Some(log) = self.log.for_request(self.clock.now(), "caller left") {
-            info!(log, "caller left";
-                "request" => &*request.id,
-                "route" => &*request.route.name,
-                "tries" => tries,
-                "took_ms" => request.arrived.elapsed().as_millis() as u64);
-        }
-    }
-
-    /// Records a request that was refused before it had a route.
-    pub fn note_answer(&self, id: Option<&HeaderValue>, answer: &FrontAnswer) {
-        self.metrics.answered(answer.code);
-        if let Some(log) = self.log.for_request(self.clock.now(), answer.code.into()) {
-            info!(log, "request rejected";
-                "request" => id.and_then(|id| id.to_str().ok()),
-                "version" => self.version().0,
-                "code" => answer.code.number(),
-                "reason" => <&'static str>::from(answer.code),
-                "status" => answer.status.as_u16());
-        }
-    }
-
-    /// Records that a door refused a try.
-    pub fn note_refusal(&self, request: &FrontRequest, at: &MemberRecord, refusal: &DoorRefusal) {
-        let reason: &'static str = refusal.reason.into();
-        self.metrics.refused(reason);
-        if let Some(log) = self.log.for_request(self.clock.now(), "door refused") {
-            info!(log, "door refused";
-                "request" => &*request.id,
-                "at" => %at.hop,
-                "instance" => &*at.instance,
-                "reason" => reason,
-                "retry_after_ms" => refusal.retry_after.as_millis() as u64);
-        }
-    }
-
-    /// Records that a node couldn't be reached.
-    pub fn note_unreachable(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
-        self.metrics.refused("unreachable");
-        self.hops.forget(at.hop);
-        if let Some(log) = self.log.for_request(self.clock.now(), "unreachable") {
-            warn!(log, "node unreachable";
-                "request" => &*request.id,
-                "at" => %at.hop,
-                "instance" => &*at.instance,
-                "cause" => cause);
-        }
-    }
-
-    /// Records that a member shows no sign of life.
-    pub fn note_silent(&self, request: &FrontRequest, at: &MemberRecord, patience: Duration) {
-        self.metrics.refused("silent");
-        if let Some(log) = self.log.for_request(self.clock.now(), "silent") {
-            warn!(log, "member silent";
-                "request" => &*request.id,
-                "at" => %at.hop,
-                "instance" => &*at.instance,
-                "patience_ms" => patience.as_millis() as u64);
-        }
-    }
-
-    /// Records that a try broke after it was sent.
-    pub fn note_broke(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
-        self.metrics.refused("broke");
-        if let Some(log) = self.log.for_request(self.clock.now(), "broke") {
-            warn!(log, "try broke";
-                "request" => &*request.id,
-                "at" => %at.hop,
-                "instance" => &*at.instance,
-                "cause" => cause);
-        }
-    }
-
-    /// Counts a request answered before it had a route.
-    pub fn count(&self, code: ResultCode) {
-        self.metrics.answered(code);
-    }
-
     /// Does what is due now and then: closes idle connections and forgets
     /// members that vanished.
     pub fn sweep(&self, now: Duration) {
--- /dev/null
+++ b/crates/proxy/src/node_core/request_notes.rs
@@ -0,0 +1,152 @@
+//! What is logged and counted of each request.
+
+use std::time::Duration;
+
+use http::{HeaderValue, Response};
+use hyper::body::Body;
+use slog::{info, warn};
+
+use super::NodeCore;
+use crate::{
+    answer_body::AnswerBody,
+    door::DoorRefusal,
+    front::{FrontAnswer, FrontRequest},
+    member::MemberRecord,
+};
+
+impl NodeCore {
+    /// Records a request that got a backend server's answer.
+    pub fn note_served(
+        &self,
+        request: &FrontRequest,
+        answer: &Response<AnswerBody>,
+        at: Option<&MemberRecord>,
+        tries: usize,
+    ) {
+        let bytes = answer.body().size_hint().exact();
+        if let Some(bytes) = bytes.filter(|_| answer.status().is_success()) {
+            self.sizes.borrow_mut().observe(request.route.class, bytes);
+        }
+        if answer.status().is_success() {
+            self.crashes.borrow_mut().completed(request.print);
+        }
+        let took = request.arrived.elapsed();
+        self.metrics.served(request.route.kind, took);
+        let plain = answer.status().is_success() && tries == 1 && took <= request.route.target;
+        if plain {
+            return;
+        }
+        if let Some(log) = self.log.for_request(self.clock.now(), "answered") {
+            info!(log, "request answered";
+                "request" => &*request.id,
+                "route" => &*request.route.name,
+                "status" => answer.status().as_u16(),
+                "at" => at.map(|at| at.hop.to_string()),
+                "instance" => at.map(|at| &*at.instance),
+                "tries" => tries,
+                "target_ms" => request.route.target.as_millis() as u64,
+                "took_ms" => took.as_millis() as u64);
+        }
+    }
+
+    /// Records a request that got an answer of this node's own.
+    pub fn note_failed(
+        &self,
+        request: &FrontRequest,
+        answer: &FrontAnswer,
+        tries: usize,
+        cause: Option<&str>,
+    ) {
+        self.metrics.answered(answer.code);
+        if let Some(log) = self.log.for_request(self.clock.now(), answer.code.into()) {
+            info!(log, "request given up";
+                "request" => &*request.id,
+                "route" => &*request.route.name,
+                "service" => &*request.service,
+                "version" => request.version.0,
+                "code" => answer.code.number(),
+                "reason" => <&'static str>::from(answer.code),
+                "status" => answer.status.as_u16(),
+                "retry_after_ms" => answer.retry_after.map(|time| time.as_millis() as u64),
+                "tries" => tries,
+                "cause" => cause,
+                "took_ms" => request.arrived.elapsed().as_millis() as u64);
+        }
+    }
+
+    /// Records that a caller left before its answer.
+    pub fn note_left(&self, request: &FrontRequest, tries: usize) {
+        self.metrics.refused("caller-left");
+        if let Some(log) = self.log.for_request(self.clock.now(), "caller left") {
+            info!(log, "caller left";
+                "request" => &*request.id,
+                "route" => &*request.route.name,
+                "tries" => tries,
+                "took_ms" => request.arrived.elapsed().as_millis() as u64);
+        }
+    }
+
+    /// Records a request that was refused before it had a route.
+    pub fn note_answer(&self, id: Option<&HeaderValue>, answer: &FrontAnswer) {
+        self.metrics.answered(answer.code);
+        if let Some(log) = self.log.for_request(self.clock.now(), answer.code.into()) {
+            info!(log, "request rejected";
+                "request" => id.and_then(|id| id.to_str().ok()),
+                "version" => self.version().0,
+                "code" => answer.code.number(),
+                "reason" => <&'static str>::from(answer.code),
+                "status" => answer.status.as_u16());
+        }
+    }
+
+    /// Records that a door refused a try.
+    pub fn note_refusal(&self, request: &FrontRequest, at: &MemberRecord, refusal: &DoorRefusal) {
+        let reason: &'static str = refusal.reason.into();
+        self.metrics.refused(reason);
+        if let Some(log) = self.log.for_request(self.clock.now(), "door refused") {
+            info!(log, "door refused";
+                "request" => &*request.id,
+                "at" => %at.hop,
+                "instance" => &*at.instance,
+                "reason" => reason,
+                "retry_after_ms" => refusal.retry_after.as_millis() as u64);
+        }
+    }
+
+    /// Records that a node couldn't be reached.
+    pub fn note_unreachable(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
+        self.metrics.refused("unreachable");
+        self.hops.forget(at.hop);
+        if let Some(log) = self.log.for_request(self.clock.now(), "unreachable") {
+            warn!(log, "node unreachable";
+                "request" => &*request.id,
+                "at" => %at.hop,
+                "instance" => &*at.instance,
+                "cause" => cause);
+        }
+    }
+
+    /// Records that a member shows no sign of life.
+    pub fn note_silent(&self, request: &FrontRequest, at: &MemberRecord, patience: Duration) {
+        self.metrics.refused("silent");
+        if let Some(log) = self.log.for_request(self.clock.now(), "silent") {
+            warn!(log, "member silent";
+                "request" => &*request.id,
+                "at" => %at.hop,
+                "instance" => &*at.instance,
+                "patience_ms" => patience.as_millis() as u64);
+        }
+    }
+
+    /// Records that a try broke after it was sent.
+    pub fn note_broke(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
+        self.metrics.refused("broke");
+        if let Some(log) = self.log.for_request(self.clock.now(), "broke") {
+            warn!(log, "try broke";
+                "request" => &*request.id,
+                "at" => %at.hop,
+                "instance" => &*at.instance,
+                "cause" => cause);
+        }
+    }
+}
