--- a/crates/proxy/src/node.rs
+++ b/crates/proxy/src/node.rs
@@ -4,7 +4,7 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use slog::info;
+use slog::{Logger, info, warn};
 use tokio::{
     net::TcpListener,
     task::spawn_local,
@@ -49,18 +49,25 @@
 }
 
 impl NodePorts {
-    /// Opens them.
+    /// Opens them. A node whose metrics port is taken runs without metrics:
+    /// callers must not suffer for it.
     ///
     /// # Errors
     ///
-    /// When an address can't be bound.
-    pub fn open(addrs: &ListenAddrs) -> Result<Self, PortError> {
+    /// When another address can't be bound.
+    pub fn open(addrs: &ListenAddrs, logger: &Logger) -> Result<Self, PortError> {
+        let metrics = addrs.metrics.and_then(|addr| {
+            let opened = open_port(addr);
+            opened
+                .inspect_err(|cause| warn!(logger, "no metrics"; "cause" => %cause))
+                .ok()
+        });
         Ok(Self {
             callers: open_port(addrs.callers)?,
             hop: open_port(addrs.hop)?,
             readiness: open_port(addrs.readiness)?,
             reports: open_port(addrs.reports)?,
-            metrics: addrs.metrics.map(open_port).transpose()?,
+            metrics,
         })
     }
 }
