Count the store as heard only when it answered

By reading: a wake-up without a call also counted, so a guide that the store turns away could seem fresh to its followers for some seconds. A notification that nobody waited for is gone.

--- a/crates/proxy/src/follow/announcer.rs
+++ b/crates/proxy/src/follow/announcer.rs
@@ -51,9 +51,6 @@
         match step {
             Ok(()) => {
                 announcement.settle(&core);
-                if announcement.lease.is_some() {
-                    core.store_answered();
-                }
                 if pause.is_failing() {
                     info!(core.log.logger(), "store regained"; "for" => "announcement");
                 }
@@ -97,6 +94,7 @@
                     Err(StoreError::NoLease) => self.grant(core, store).await?,
                     renewed => {
                         renewed?;
+                        core.store_answered();
                         lease
                     }
                 }
@@ -121,6 +119,7 @@
         self.lease = None;
         self.record = None;
         let grant = store.grant(LEASE_TIME).await?;
+        core.store_answered();
         self.lease = Some(grant.lease);
         Ok(grant.lease)
     }
@@ -139,6 +138,7 @@
         core.metrics.store_call("announce");
         match store.put(key, &value, self.revision, lease).await {
             Ok(revision) => {
+                core.store_answered();
                 info!(core.log.logger(), "announced";
                     "instance" => &*wanted.instance,
                     "state" => <&'static str>::from(wanted.state),
--- a/crates/proxy/src/node_core/mod.rs
+++ b/crates/proxy/src/node_core/mod.rs
@@ -88,8 +88,6 @@
     pub announced: Notify,
     /// Whether the announcement in the store is known to be old.
     pub announce_pending: Cell<bool>,
-    /// Wakes whoever waits for the stop.
-    pub stop: Notify,
     /// A node that holds a later configuration than this one.
     pub ahead: RefCell<Option<(ConfigVersion, SocketAddr)>>,
     /// Wakes the exchange with that node.
@@ -139,7 +137,6 @@
             own_record_heard: Notify::new(),
             announced: Notify::new(),
             announce_pending: Cell::new(false),
-            stop: Notify::new(),
             ahead: RefCell::default(),
             ahead_heard: Notify::new(),
             news: Notify::new(),
@@ -319,7 +316,6 @@
         self.stopping_since.set(Some(self.clock.now()));
         self.door.stop();
         self.announce.notify_one();
-        self.stop.notify_waiters();
     }
 
     /// Whether callers may be sent here.
