--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -261,12 +261,16 @@
     }
 
     /// Whether another member has room, and the budget a further try.
+    ///
+    /// A node that stops gives up no try: the others may refuse, and then the
+    /// one that runs was the only one to answer.
     fn has_other(&self, request: &FrontRequest, tries: &TryRecord<'_>) -> bool {
         let now = self.core.clock.now();
         let fleet = self.core.fleet.borrow();
         let retries = self.core.retries.borrow();
         let left = tries.arrivals < request.route.attempts && tries.tried.len() < TRIES_MAX;
-        left && fleet.has_open(now, &self.query(request, tries))
+        left && !self.core.is_stopping()
+            && fleet.has_open(now, &self.query(request, tries))
             && retries.has_room(now, &request.service, fleet.len())
     }
 
