Send a silent try to a second member beside the first, not in its place

Now nothing that runs is given up until another member has answered. The test of the stopping node holds by this alone.

--- a/crates/proxy/src/front/attempt.rs
+++ b/crates/proxy/src/front/attempt.rs
@@ -37,8 +37,6 @@
     Unreachable(String),
     /// The request may have run; there is no usable answer.
     Broke(String),
-    /// The request may run; its member shows no sign of life.
-    Silent,
 }
 
 /// Sends requests to doors, the own one or those of other nodes.
--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/proxy/src/front/front_flow.rs
@@ -1,11 +1,14 @@
 //! The path of a caller's request.
 
-use std::{pin::pin, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use geranium_model::ResultCode;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::{
+    select,
+    time::{Instant, timeout, timeout_at},
+};
 
 use super::{
     AttemptEnd, AttemptFlow, FrontAnswer, FrontRequest,
@@ -170,8 +173,8 @@
                 core: &self.core,
                 request,
             };
+            let (key, record, end) = self.send_watched(flow, key, record, tries).await;
             let ran_before = tries.broke.is_some();
-            let end = self.send_watched(flow, (key, &record), tries).await;
             let record = &*tries.at.insert(record);
             let now = self.core.clock.now();
             let mut fleet = self.core.fleet.borrow_mut();
@@ -208,10 +211,6 @@
                     tries.arrivals = arrivals;
                     self.core.note_unreachable(request, record, &reason);
                 }
-                AttemptEnd::Silent => {
-                    drop(fleet);
-                    tries.broke = Some("no sign of life".to_owned());
-                }
                 AttemptEnd::Broke(reason) => {
                     fleet.judged(now, key, TryEnd::Broke);
                     drop(fleet);
@@ -225,52 +224,101 @@
         }
     }
 
-    /// Sends a try, and watches whether its member lives.
+    /// Sends a try, and watches whether its member lives. Returns the member
+    /// that the outcome is of.
     ///
     /// **Failure.** A member freezes, loses power, or its connection goes
     /// silent for good: nothing answers and nothing breaks, and whoever sends
     /// to it waits until the end. **Guard.** A member that has answered nobody
-    /// here for some runs since this was sent is left by others, and by this
-    /// request if it may run twice and another has room.
+    /// here for some runs since this was sent is left by others; a request
+    /// that may run twice is sent to another one as well. The first try goes
+    /// on until the second has an answer: it may be the only one to get one.
     async fn send_watched(
         &self,
         flow: AttemptFlow<'_>,
-        (key, record): (MemberKey, &MemberRecord),
-        tries: &TryRecord<'_>,
-    ) -> AttemptEnd {
+        key: MemberKey,
+        record: MemberRecord,
+        tries: &mut TryRecord<'_>,
+    ) -> (MemberKey, MemberRecord, AttemptEnd) {
         let request = flow.request;
         let sent_at = self.core.clock.now();
         let patience = self.core.fleet.borrow().patience(sent_at, key);
-        let mut send = pin!(flow.send(key, record));
-        if let Ok(end) = timeout(patience, &mut send).await {
-            return end;
+        let mut first = Box::pin(flow.send(key, &record));
+        if let Ok(end) = timeout(patience, &mut first).await {
+            drop(first);
+            return (key, record, end);
         }
-        if !self.core.fleet.borrow().is_silent(key, sent_at) {
-            return send.await;
+        let silent = self.core.fleet.borrow().is_silent(key, sent_at);
+        if silent {
+            let now = self.core.clock.now();
+            self.core
+                .fleet
+                .borrow_mut()
+                .judged(now, key, TryEnd::Silent);
+            self.core.note_silent(request, &record, patience);
         }
+        let doubled =
+            silent && request.route.kind.is_idempotent() && self.has_other(request, tries);
+        let other = if doubled {
+            self.next_member(request, tries)
+        } else {
+            None
+        };
+        let Some((other_key, other_record)) = other else {
+            let end = first.await;
+            return (key, record, end);
+        };
+        tries.tried.push(other_key);
+        tries.arrivals += 1;
+        let mut second = Box::pin(flow.send(other_key, &other_record));
+        select! {
+            biased;
+            end = &mut second => {
+                if matches!(end, AttemptEnd::Answered(_)) {
+                    drop((first, second));
+                    return (other_key, other_record, end);
+                }
+                self.note_lost_try(tries, other_key, end);
+                let end = first.await;
+                (key, record, end)
+            }
+            end = &mut first => {
+                if matches!(end, AttemptEnd::Answered(_)) {
+                    drop((first, second));
+                    return (key, record, end);
+                }
+                self.note_lost_try(tries, key, end);
+                let end = second.await;
+                (other_key, other_record, end)
+            }
+        }
+    }
+
+    /// Takes in how one of two tries ended without an answer.
+    fn note_lost_try(&self, tries: &mut TryRecord<'_>, key: MemberKey, end: AttemptEnd) {
         let now = self.core.clock.now();
-        self.core
-            .fleet
-            .borrow_mut()
-            .judged(now, key, TryEnd::Silent);
-        self.core.note_silent(request, record, patience);
-        if request.route.kind.is_idempotent() && self.has_other(request, tries) {
-            return AttemptEnd::Silent;
+        let mut fleet = self.core.fleet.borrow_mut();
+        match end {
+            AttemptEnd::Refused(refusal) => {
+                let retry_after = refusal.retry_after;
+                fleet.judged(now, key, TryEnd::Refused { retry_after });
+            }
+            AttemptEnd::Unreachable(_) => fleet.judged(now, key, TryEnd::Unreachable),
+            AttemptEnd::Broke(reason) => {
+                fleet.judged(now, key, TryEnd::Broke);
+                tries.broke = Some(reason);
+            }
+            AttemptEnd::Answered(_) => {}
         }
-        send.await
     }
 
     /// Whether another member has room, and the budget a further try.
-    ///
-    /// A node that stops gives up no try: the others may refuse, and then the
-    /// one that runs was the only one to answer.
     fn has_other(&self, request: &FrontRequest, tries: &TryRecord<'_>) -> bool {
         let now = self.core.clock.now();
         let fleet = self.core.fleet.borrow();
         let retries = self.core.retries.borrow();
         let left = tries.arrivals < request.route.attempts && tries.tried.len() < TRIES_MAX;
-        left && !self.core.is_stopping()
-            && fleet.has_open(now, &self.query(request, tries))
+        left && fleet.has_open(now, &self.query(request, tries))
             && retries.has_room(now, &request.service, fleet.len())
     }
 
