--- a/crates/burn/src/burn_error.rs
+++ b/crates/burn/src/burn_error.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, path::PathBuf};
 
-use geranium_model::{DocumentError, ResultCode};
+use geranium_node::result_code::ResultCode;
 use snafu::Snafu;
 
 /// A run without a report.
@@ -10,31 +10,37 @@
 #[snafu(visibility(pub(crate)))]
 pub enum BurnError {
     /// No node is named.
-    #[snafu(display("the admin address of a node is needed: --node or GERANIUM_NODES"))]
+    #[snafu(display("the page address of a node is needed: --node or GERANIUM_NODES"))]
     NoNode,
-    /// A node's admin port can't be reached.
+    /// A node's page can't be reached.
     #[snafu(display("the node at {addr} can't be reached: {source}"))]
     NodeUnreachable {
-        /// Admin address.
+        /// Address of its page.
         addr: SocketAddr,
         /// What the connection ended with.
         source: attohttpc::Error,
     },
-    /// A node's admin port answered with something unexpected.
+    /// A node's page answered with something unexpected.
     #[snafu(display("the node at {addr} answered with something unexpected: {reason}"))]
     NodeBadAnswer {
-        /// Admin address.
+        /// Address of its page.
         addr: SocketAddr,
         /// What is wrong with it.
         reason: String,
     },
-    /// A preset fails a check.
-    #[snafu(display("the preset of {}: {source}", place.display()))]
-    BadPreset {
-        /// File, or address of the node.
-        place: PathBuf,
-        /// The failed check.
-        source: DocumentError,
+    /// The objectives aren't of the expected shape.
+    #[snafu(display("{}: {source}", path.display()))]
+    BadObjectives {
+        /// The file.
+        path: PathBuf,
+        /// What the parser found.
+        source: serde_json::Error,
+    },
+    /// An objective leaves nothing to spare, or promises nothing.
+    #[snafu(display("the objective of {service} needs shares above 0 and below 1, and a latency"))]
+    UnsoundObjective {
+        /// The service.
+        service: String,
     },
     /// A file can't be read or written.
     #[snafu(display("{}: {source}", path.display()))]
@@ -74,10 +80,11 @@
     /// ```
     pub const fn code(&self) -> ResultCode {
         match self {
-            Self::NoNode => ResultCode::BadSetting,
-            Self::NodeUnreachable { .. } => ResultCode::AdminUnreachable,
-            Self::NodeBadAnswer { .. } => ResultCode::AdminBadAnswer,
-            Self::BadPreset { source, .. } => source.code(),
+            Self::NoNode | Self::UnsoundObjective { .. } | Self::BadObjectives { .. } => {
+                ResultCode::BadSetting
+            }
+            Self::NodeUnreachable { .. } => ResultCode::NodePageUnreachable,
+            Self::NodeBadAnswer { .. } => ResultCode::NodePageMalformed,
             Self::File { .. } | Self::BadSample { .. } | Self::Picture { .. } => {
                 ResultCode::FileUnreadable
             }
--- a/crates/burn/src/burn_run.rs
+++ b/crates/burn/src/burn_run.rs
@@ -5,12 +5,12 @@
     time::{Duration, Instant},
 };
 
-use geranium_model::ResultCode;
+use geranium_node::result_code::ResultCode;
 use snafu::ResultExt;
 
 use crate::{
     BurnError, BurnLedger, BurnReport, Command, FleetSample, FleetSampler, Invocation,
-    PresetSource, SampleFile, burn_error::FileSnafu, burn_picture,
+    ObjectiveSource, SampleFile, burn_error::FileSnafu, burn_picture,
 };
 
 /// One run of the program.
@@ -34,9 +34,8 @@
         if seeds.is_empty() {
             return Err(BurnError::NoNode);
         }
-        let source = match &invocation.preset {
-            Some(path) => PresetSource::File(path.clone()),
-            None => PresetSource::Nodes(seeds.clone()),
+        let source = ObjectiveSource {
+            path: invocation.objectives.clone(),
         };
         let file = invocation.samples.as_ref().map(SampleFile::new);
         let mut ledger = BurnLedger::new(invocation.window.duration());
--- a/crates/burn/src/burning/burn_interval.rs
+++ b/crates/burn/src/burning/burn_interval.rs
@@ -2,8 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use geranium_model::{InstanceName, ServiceName};
-
 use super::{BurnTally, TallyKey};
 
 /// Tallies of one service.
@@ -17,14 +15,14 @@
     /// Later sample.
     pub end_ms: u64,
     /// Tallies of services that have an objective.
-    pub tallies: BTreeMap<ServiceName, ServiceTallies>,
+    pub tallies: BTreeMap<String, ServiceTallies>,
     /// Services that got requests and have no objective.
-    pub without_objective: BTreeSet<ServiceName>,
+    pub without_objective: BTreeSet<String>,
     /// Services whose objective changed.
-    pub changed: BTreeSet<ServiceName>,
+    pub changed: BTreeSet<String>,
     /// Instances whose node restarted; what it counted between its last
     /// sample and its end is lost.
-    pub restarted: BTreeSet<InstanceName>,
+    pub restarted: BTreeSet<String>,
 }
 
 impl BurnInterval {
--- a/crates/burn/src/burning/burn_ledger.rs
+++ b/crates/burn/src/burning/burn_ledger.rs
@@ -5,8 +5,6 @@
     time::Duration,
 };
 
-use geranium_model::{InstanceName, PresetVersion};
-
 use super::{ALERT_RULES, BurnInterval, BurnTally, IntervalHistory, TallyKey};
 use crate::{FleetSample, MissingNode, NodeReading, Objectives};
 
@@ -22,7 +20,7 @@
 #[derive(Debug)]
 pub struct BurnLedger {
     history: IntervalHistory,
-    last: BTreeMap<InstanceName, NodeReading>,
+    last: BTreeMap<String, NodeReading>,
     /// Nodes with lost or unread counts, and when that was found.
     losses: BTreeMap<String, (u64, MissingNode)>,
     newest: Option<NewestSample>,
@@ -32,7 +30,7 @@
 #[derive(Debug)]
 struct NewestSample {
     at_ms: u64,
-    version: PresetVersion,
+    version: u64,
     objectives: Objectives,
     nodes: usize,
 }
@@ -87,9 +85,9 @@
     }
 
     /// Returns the version of the newest sample.
-    pub fn version(&self) -> PresetVersion {
+    pub fn version(&self) -> u64 {
         let newest = self.newest.as_ref();
-        newest.map_or(PresetVersion::NONE, |newest| newest.version)
+        newest.map_or(0, |newest| newest.version)
     }
 
     /// Returns the objectives of the newest sample.
@@ -187,7 +185,7 @@
             };
             let key = TallyKey {
                 data_centre: reading.data_centre.clone(),
-                class: traffic.class,
+                kind: traffic.kind,
             };
             let tallies = interval.tallies.entry(traffic.service).or_default();
             *tallies.entry(key).or_default() += BurnTally::weigh(&counts, objective);
@@ -198,13 +196,13 @@
 
 fn key(node: &MissingNode) -> String {
     match (&node.instance, node.admin_addr) {
-        (Some(instance), _) => instance.to_string(),
+        (Some(instance), _) => instance.clone(),
         (None, Some(addr)) => addr.to_string(),
         (None, None) => String::new(),
     }
 }
 
-fn changed(former: &Objectives, current: &Objectives) -> BTreeSet<geranium_model::ServiceName> {
+fn changed(former: &Objectives, current: &Objectives) -> BTreeSet<String> {
     let differs = |name| {
         let before = former.get(name);
         before.is_some() && before != current.get(name)
--- a/crates/burn/src/burning/burn_tally.rs
+++ b/crates/burn/src/burning/burn_tally.rs
@@ -2,9 +2,7 @@
 
 use std::ops::AddAssign;
 
-use geranium_model::ServiceObjective;
-
-use crate::TrafficCounts;
+use crate::{ServiceObjective, TrafficCounts};
 
 /// One of the two promises of an objective, weighed.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
@@ -58,9 +56,8 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_burn::{BurnTally, TrafficCounts};
-    /// use geranium_model::ServiceObjective;
-    ///
+    /// use geranium_burn::{BurnTally, ServiceObjective, TrafficCounts};
+    ///     ///
     /// let objective = ServiceObjective { availability: 0.75, ..Default::default() };
     /// let counts = TrafficCounts { good: 6, bad: 2, ..Default::default() };
     /// let tally = BurnTally::weigh(&counts, &objective);
--- a/crates/burn/src/burning/tally_key.rs
+++ b/crates/burn/src/burning/tally_key.rs
@@ -1,12 +1,12 @@
 //! What a service's tallies are kept apart by.
 
-use geranium_model::{DataCentre, RequestClass};
+use geranium_node::config::RequestKind;
 
-/// The data centre of the caller's node, and the route's class.
+/// The data centre of the caller's node, and the route's kind.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TallyKey {
     /// Data centre of the node that gave the final answer.
-    pub data_centre: DataCentre,
-    /// Class of the route.
-    pub class: RequestClass,
+    pub data_centre: String,
+    /// What may be repeated.
+    pub kind: RequestKind,
 }
--- a/crates/burn/src/exit_status.rs
+++ b/crates/burn/src/exit_status.rs
@@ -1,6 +1,6 @@
 //! Exit statuses.
 
-use geranium_model::ResultCode;
+use geranium_node::result_code::ResultCode;
 
 /// Derives the exit status from a result code: its first and last digit, as
 /// `geranium-ctl` does.
@@ -9,7 +9,7 @@
 ///
 /// ```
 /// use geranium_burn::exit_status;
-/// use geranium_model::ResultCode;
+/// use geranium_node::result_code::ResultCode;
 ///
 /// assert_eq!(exit_status(ResultCode::PartialReport), 54);
 /// ```
--- a/crates/burn/src/invocation.rs
+++ b/crates/burn/src/invocation.rs
@@ -8,10 +8,10 @@
 
 const EXAMPLES: &str = "\
 Examples:
-  geranium-burn --node 10.0.1.7:7070 once --over 60
-  geranium-burn --node 10.0.1.7:7070 --samples burn.jsonl once
-  geranium-burn --node 10.0.1.7:7070,10.0.2.7:7070 watch --for 3600 --every 15
-  geranium-burn --preset peak.json --output json --picture burn.svg once
+  geranium-burn --node 10.0.1.7:9464 once --over 60
+  geranium-burn --node 10.0.1.7:9464 --samples burn.jsonl once
+  geranium-burn --node 10.0.1.7:9464,10.0.2.7:9464 watch --for 3600 --every 15
+  geranium-burn --objectives ours.json --output json --picture burn.svg once
 
 Exit status: 0 for a whole report, 54 for one that lacks counts of some nodes
 (it names them), 2 for a bad command line; without a report the first and the
@@ -21,8 +21,8 @@
 #[derive(Debug, Clone, Parser)]
 #[command(name = "geranium-burn", version, after_help = EXAMPLES, max_term_width = 100)]
 pub struct Invocation {
-    /// Admin addresses of one or more nodes, IP:PORT; one of them tells the
-    /// rest of the fleet.
+    /// Addresses of the pages of one or more nodes, IP:PORT; one of them tells
+    /// the rest of the fleet, whose pages are on the same port.
     #[arg(
         long,
         global = true,
@@ -31,10 +31,15 @@
         hide_env_values = true
     )]
     pub node: Vec<SocketAddr>,
-    /// File with the preset whose objectives count; the one in force when
-    /// absent.
-    #[arg(long, global = true, env = "GERANIUM_PRESET", hide_env_values = true)]
-    pub preset: Option<PathBuf>,
+    /// File with an objective for each service; when absent, 0.999 of the
+    /// answers are promised to be good and 0.99 of those within 250 ms.
+    #[arg(
+        long,
+        global = true,
+        env = "GERANIUM_OBJECTIVES",
+        hide_env_values = true
+    )]
+    pub objectives: Option<PathBuf>,
     /// File that samples are read from and appended to.
     #[arg(long, global = true, env = "GERANIUM_SAMPLES", hide_env_values = true)]
     pub samples: Option<PathBuf>,
--- a/crates/burn/src/lib.rs
+++ b/crates/burn/src/lib.rs
@@ -31,14 +31,14 @@
 pub use invocation::{Command, Invocation};
 pub use output_format::OutputFormat;
 pub use reading::{
-    CALLER_FAULTS, CallerFault, LatencyBucket, MetricLine, MetricLineError, NodeReading,
-    ReadingError, TrafficCounts, TrafficKey, is_caller_fault,
+    LatencyBucket, MetricLine, MetricLineError, NodeReading, ReadingError, TrafficCounts,
+    TrafficKey,
 };
 pub use report::{
     BudgetLine, BurnReport, PartBurn, RuleBurn, ServiceBurn, WindowLength, WindowLengthError,
     burn_picture,
 };
 pub use sampling::{
-    AdminClient, FleetSample, FleetSampler, InForcePage, MissingNode, Objectives, PresetSource,
-    SampleFile, objectives_of,
+    AdminClient, FleetSample, FleetSampler, MissingNode, ObjectiveSource, Objectives, SampleFile,
+    ServiceObjective,
 };
--- a/crates/burn/src/main.rs
+++ b/crates/burn/src/main.rs
@@ -8,9 +8,6 @@
 use clap::Parser;
 use geranium_burn::{BurnReport, BurnRun, Command, Invocation, OutputFormat, exit_status};
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 /// Moves the cursor home and clears the screen.
 const CLEAR: &str = "\x1b[H\x1b[2J";
 
--- a/crates/burn/src/reading/metric_line.rs
+++ b/crates/burn/src/reading/metric_line.rs
@@ -67,6 +67,11 @@
         Ok(value as u64)
     }
 
+    /// Whether a label has this value.
+    pub fn has(&self, label: &str, value: &str) -> bool {
+        self.labels.get(label).is_some_and(|found| found == value)
+    }
+
     /// Returns a label's value in its checked form.
     ///
     /// # Errors
@@ -78,7 +83,7 @@
     /// ```
     /// use geranium_burn::MetricLine;
     ///
-    /// let line = MetricLine::try_from(r#"seconds_bucket{class="short",le="0.25"} 7"#)?;
+    /// let line = MetricLine::try_from(r#"seconds_bucket{kind="lookup",le="0.25"} 7"#)?;
     /// assert_eq!(line.label::<f64>("le")?, 0.25);
     /// assert_eq!(line.count()?, 7);
     /// # Ok::<(), geranium_burn::MetricLineError>(())
--- a/crates/burn/src/reading/mod.rs
+++ b/crates/burn/src/reading/mod.rs
@@ -1,13 +1,11 @@
 //! One node's `GET /metrics`, read into checked counts.
 
-mod caller_fault;
 mod latency_bucket;
 mod metric_line;
 mod node_reading;
 mod traffic_counts;
 mod traffic_key;
 
-pub use caller_fault::{CALLER_FAULTS, CallerFault, is_caller_fault};
 pub use latency_bucket::LatencyBucket;
 pub use metric_line::{MetricLine, MetricLineError};
 pub use node_reading::{NodeReading, ReadingError};
--- a/crates/burn/src/reading/node_reading.rs
+++ b/crates/burn/src/reading/node_reading.rs
@@ -2,33 +2,34 @@
 
 use std::collections::BTreeMap;
 
-use geranium_model::{DataCentre, InstanceName, Outcome, ResultCode};
+use geranium_node::node_metrics::RequestResult;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, Snafu};
 
-use super::{
-    LatencyBucket, MetricLine, MetricLineError, TrafficCounts, TrafficKey, is_caller_fault,
-};
+use super::{LatencyBucket, MetricLine, MetricLineError, TrafficCounts, TrafficKey};
 
 const INFO: &str = "geranium_node_info";
+const VERSION: &str = "geranium_config_version";
 const STARTED: &str = "geranium_node_started";
 const REQUESTS: &str = "geranium_requests_total";
 const LATENCY_BUCKET: &str = "geranium_request_seconds_bucket";
 const LATENCY_COUNT: &str = "geranium_request_seconds_count";
-/// Lowest status by which a backend server says that it failed.
-const FAILED_STATUS: u16 = 500;
+/// Label of requests that were refused before they had a route.
+const NO_SERVICE: &str = "";
 
 /// A node's counts at one moment, since its start.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct NodeReading {
     /// Instance beside which the node runs.
-    pub instance: InstanceName,
+    pub instance: String,
     /// Its data centre.
-    pub data_centre: DataCentre,
+    pub data_centre: String,
     /// Start of the process; counts of two starts have nothing in common.
     pub started: u64,
-    /// Counts by service and class.
+    /// Version of the configuration that it follows.
+    pub version: u64,
+    /// Counts by service and kind.
     #[serde(with = "traffic_rows")]
     pub traffic: BTreeMap<TrafficKey, TrafficCounts>,
 }
@@ -86,12 +87,17 @@
     fn try_from(page: &str) -> Result<Self, ReadingError> {
         let mut info = None;
         let mut started = None;
+        let mut version = 0;
         let mut traffic = BTreeMap::new();
         let lines = page.lines().map(str::trim);
         for text in lines.filter(|line| !line.is_empty() && !line.starts_with('#')) {
             let line = MetricLine::try_from(text)?;
+            if line.has("service", NO_SERVICE) {
+                continue;
+            }
             match line.name() {
                 INFO => info = Some((line.label("instance")?, line.label("data_centre")?)),
+                VERSION => version = line.count()?,
                 STARTED => started = Some(line.count()?),
                 REQUESTS => add_answers(counts(&mut traffic, &line)?, &line)?,
                 LATENCY_COUNT => counts(&mut traffic, &line)?.timed = line.count()?,
@@ -104,6 +110,7 @@
             instance,
             data_centre,
             started: started.context(MissingSnafu { name: STARTED })?,
+            version,
             traffic,
         })
     }
@@ -115,23 +122,18 @@
 ) -> Result<&'a mut TrafficCounts, MetricLineError> {
     let key = TrafficKey {
         service: line.label("service")?,
-        class: line.label("class")?,
+        kind: line.label("kind")?,
     };
     Ok(traffic.entry(key).or_default())
 }
 
 fn add_answers(counts: &mut TrafficCounts, line: &MetricLine) -> Result<(), MetricLineError> {
-    let code: u16 = line.label("code")?;
-    let outcome: Outcome = line.label("outcome")?;
-    let status: u16 = line.label("status")?;
+    let result: RequestResult = line.label("result")?;
     let count = line.count()?;
-    // A code that this program doesn't know yet counts as the service's fault.
-    if ResultCode::from_repr(code).is_some_and(is_caller_fault) {
-        counts.caller_faults += count;
-    } else if outcome == Outcome::Ran && status < FAILED_STATUS {
-        counts.good += count;
-    } else {
-        counts.bad += count;
+    match result {
+        RequestResult::Good | RequestResult::Slow => counts.good += count,
+        RequestResult::Failed => counts.bad += count,
+        RequestResult::CallerFault => counts.caller_faults += count,
     }
     Ok(())
 }
--- a/crates/burn/src/report/budget_line.rs
+++ b/crates/burn/src/report/budget_line.rs
@@ -1,13 +1,13 @@
-//! A data centre's or class's part of a service's burn.
+//! A data centre's or kind's part of a service's burn.
 
 use serde::Serialize;
 
 use crate::BurnTally;
 
-/// Burn of one data centre or class over the budget window.
+/// Burn of one data centre or kind over the budget window.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct BudgetLine {
-    /// Data centre or class.
+    /// Data centre or kind.
     pub name: String,
     /// Answers that aren't the caller's fault.
     pub answers: u64,
--- a/crates/burn/src/report/burn_report.rs
+++ b/crates/burn/src/report/burn_report.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use geranium_model::{InstanceName, PresetVersion, ResultCode, ServiceName};
+use geranium_node::result_code::ResultCode;
 use serde::Serialize;
 
 use super::ServiceBurn;
@@ -13,8 +13,8 @@
 pub struct BurnReport {
     /// Time of the newest sample, in milliseconds since the Unix epoch.
     pub at_ms: u64,
-    /// Version in force at the newest sample; 0 with objectives from a file.
-    pub version: PresetVersion,
+    /// Newest version that a node follows.
+    pub version: u64,
     /// Number of the result code: 0, or 504 for a partial report.
     pub code: u16,
     /// Whether counts of some nodes are missing.
@@ -31,9 +31,9 @@
     pub older_losses: usize,
     /// Instances whose node restarted within the budget window; what each
     /// counted between its last sample and its end is lost.
-    pub restarted: BTreeSet<InstanceName>,
+    pub restarted: BTreeSet<String>,
     /// Services that got requests and have no objective.
-    pub without_objective: BTreeSet<ServiceName>,
+    pub without_objective: BTreeSet<String>,
     /// Services with an objective, the most urgent first, then by burn.
     pub services: Vec<ServiceBurn>,
 }
@@ -63,7 +63,7 @@
             .collect();
         services.sort_by(|a, b| {
             let burn = |service: &ServiceBurn| {
-                let lines = service.classes.first();
+                let lines = service.kinds.first();
                 lines.map_or(0.0, super::BudgetLine::worst_burn)
             };
             let by_urgency = b.urgency.cmp(&a.urgency);
--- a/crates/burn/src/report/report_text.rs
+++ b/crates/burn/src/report/report_text.rs
@@ -56,7 +56,7 @@
             let slow = format!("over {} ms", self.latency_ms);
             part(f, "latency", &slow, &self.latency)?;
             lines(f, "data centres", &self.worst_data_centres)?;
-            lines(f, "classes", &self.classes)?;
+            lines(f, "kinds", &self.kinds)?;
         }
         if self.caller_faults > 0 {
             let count = self.caller_faults;
--- a/crates/burn/src/report/service_burn.rs
+++ b/crates/burn/src/report/service_burn.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use geranium_model::{ServiceName, ServiceObjective};
 use serde::Serialize;
 
 use super::{BudgetLine, PartBurn, RuleBurn};
 use crate::{
-    ALERT_RULES, AlertRule, BudgetPart, BurnInterval, BurnTally, IntervalHistory, TallyKey, Urgency,
+    ALERT_RULES, AlertRule, BudgetPart, BurnInterval, BurnTally, IntervalHistory, ServiceObjective,
+    TallyKey, Urgency,
 };
 
 /// Data centres shown for a service, the worst first: one at fault stands out,
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct ServiceBurn {
     /// Service.
-    pub service: ServiceName,
+    pub service: String,
     /// The most urgent that either promise calls for.
     pub urgency: Urgency,
     /// Milliseconds within which an answer counts as fast, as last promised.
@@ -34,17 +34,13 @@
     pub latency: PartBurn,
     /// Data centres of the callers' nodes with the highest burn.
     pub worst_data_centres: Vec<BudgetLine>,
-    /// Classes of callers' requests, the highest burn first.
-    pub classes: Vec<BudgetLine>,
+    /// Kinds of callers' requests, the highest burn first.
+    pub kinds: Vec<BudgetLine>,
 }
 
 impl ServiceBurn {
     /// Sums up a service.
-    pub fn new(
-        service: &ServiceName,
-        objective: &ServiceObjective,
-        history: &IntervalHistory,
-    ) -> Self {
+    pub fn new(service: &str, objective: &ServiceObjective, history: &IntervalHistory) -> Self {
         let budget = history.budget_window();
         let tally = |window: Duration| sum(service, history.within(window));
         let rules: Vec<_> = ALERT_RULES
@@ -69,10 +65,10 @@
             judge(|tally| tally.latency),
         );
         let all = || history.within(budget);
-        let mut worst = lines(service, all(), |key| key.data_centre.to_string());
+        let mut worst = lines(service, all(), |key| key.data_centre.clone());
         worst.truncate(WORST_SHOWN);
         Self {
-            service: service.clone(),
+            service: service.to_owned(),
             urgency: availability.urgency.max(latency.urgency),
             latency_ms: objective.latency_ms,
             objective_changed: all().any(|interval| interval.changed.contains(service)),
@@ -80,23 +76,20 @@
             availability,
             latency,
             worst_data_centres: worst,
-            classes: lines(service, all(), |key| key.class.to_string()),
+            kinds: lines(service, all(), |key| key.kind.to_string()),
         }
     }
 }
 
 fn of_service<'a>(
-    service: &'a ServiceName,
+    service: &'a str,
     intervals: impl Iterator<Item = &'a BurnInterval>,
 ) -> impl Iterator<Item = (&'a TallyKey, &'a BurnTally)> {
     let tallies = intervals.filter_map(|interval| interval.tallies.get(service));
     tallies.flatten()
 }
 
-fn sum<'a>(
-    service: &'a ServiceName,
-    intervals: impl Iterator<Item = &'a BurnInterval>,
-) -> BurnTally {
+fn sum<'a>(service: &'a str, intervals: impl Iterator<Item = &'a BurnInterval>) -> BurnTally {
     let mut sum = BurnTally::default();
     for (_, tally) in of_service(service, intervals) {
         sum += *tally;
@@ -105,7 +98,7 @@
 }
 
 fn lines<'a>(
-    service: &'a ServiceName,
+    service: &'a str,
     intervals: impl Iterator<Item = &'a BurnInterval>,
     name: impl Fn(&TallyKey) -> String,
 ) -> Vec<BudgetLine> {
--- a/crates/burn/src/sampling/admin_client.rs
+++ b/crates/burn/src/sampling/admin_client.rs
@@ -1,23 +1,25 @@
-//! Calls to one node's admin port.
+//! Calls to one node's pages.
 
 use std::{net::SocketAddr, time::Duration};
 
 use attohttpc::{ProxySettings, RequestBuilder};
-use geranium_model::MemberRow;
+use geranium_node::{
+    member::MemberRecord,
+    operators::{MEMBERS_PATH, METRICS_PATH},
+};
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
 
-use super::InForcePage;
 use crate::{BurnError, NodeReading, burn_error::NodeUnreachableSnafu};
 
 /// Long enough for a lost SYN to be sent again.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// A node answers in milliseconds, a preset of a megabyte included.
+/// A node answers in milliseconds.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 /// Bounds a page that trickles in, by which one sick node would hold up all.
 const WHOLE_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Client of one node's admin port.
+/// Client of one node's pages.
 #[derive(Debug, Clone, Copy)]
 pub struct AdminClient {
     addr: SocketAddr,
@@ -35,7 +37,7 @@
     ///
     /// [`BurnError::NodeUnreachable`] or [`BurnError::NodeBadAnswer`].
     pub fn reading(self) -> Result<NodeReading, BurnError> {
-        let page = self.get("/metrics")?;
+        let page = self.get(METRICS_PATH)?;
         NodeReading::try_from(page.as_str()).map_err(|error| self.bad_answer(error.to_string()))
     }
 
@@ -44,18 +46,8 @@
     /// # Errors
     ///
     /// [`BurnError::NodeUnreachable`] or [`BurnError::NodeBadAnswer`].
-    pub fn members(self) -> Result<Vec<MemberRow>, BurnError> {
-        self.get_json("/members")
-    }
-
-    /// Asks the node for the preset that it follows.
-    ///
-    /// # Errors
-    ///
-    /// [`BurnError::NodeUnreachable`] or [`BurnError::NodeBadAnswer`], the
-    /// latter also before the node's first preset.
-    pub fn preset(self) -> Result<InForcePage, BurnError> {
-        self.get_json("/preset")
+    pub fn members(self) -> Result<Vec<MemberRecord>, BurnError> {
+        self.get_json(MEMBERS_PATH)
     }
 
     fn get_json<T: DeserializeOwned>(self, path: &str) -> Result<T, BurnError> {
--- a/crates/burn/src/sampling/fleet_sampler.rs
+++ b/crates/burn/src/sampling/fleet_sampler.rs
@@ -1,16 +1,14 @@
 //! Reads every node of the fleet once.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Mutex,
     thread,
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use geranium_model::{MemberRow, MemberState};
-
-use super::{AdminClient, FleetSample, MissingNode, PresetSource};
+use super::{AdminClient, FleetSample, MissingNode, ObjectiveSource};
 use crate::{BurnError, NodeReading};
 
 /// Nodes asked at the same time: an unreachable one takes 1.5 s, and a failed
@@ -21,12 +19,12 @@
 #[derive(Debug)]
 pub struct FleetSampler {
     seeds: Vec<SocketAddr>,
-    source: PresetSource,
+    source: ObjectiveSource,
 }
 
 impl FleetSampler {
     /// Asks `seeds` for the members of the fleet, and `source` for objectives.
-    pub const fn new(seeds: Vec<SocketAddr>, source: PresetSource) -> Self {
+    pub const fn new(seeds: Vec<SocketAddr>, source: ObjectiveSource) -> Self {
         Self { seeds, source }
     }
 
@@ -37,52 +35,42 @@
     /// When no seed tells the members, or the objectives can't be had. A node
     /// that can't be read is no error: the sample names it.
     pub fn sample(&self) -> Result<FleetSample, BurnError> {
-        let rows = self.members()?;
-        let (version, objectives) = self.source.read()?;
-        let present = rows.iter().filter(|row| row.state != MemberState::Gone);
-        let mut expected: BTreeMap<SocketAddr, Option<&MemberRow>> =
-            present.map(|row| (row.admin_addr, Some(row))).collect();
-        for seed in &self.seeds {
-            expected.entry(*seed).or_default();
-        }
-        let answers = read_all(expected.keys().copied());
+        let answers = read_all(self.pages()?.into_iter());
         let mut readings = BTreeMap::new();
         let mut missing = Vec::new();
         for (addr, answer) in answers {
-            let row = expected[&addr];
             match answer {
-                Ok(mut reading) => {
-                    if let Some(row) = row {
-                        reading.data_centre = row.data_centre.clone();
-                    }
-                    readings.insert(reading.instance.clone(), reading);
-                }
+                Ok(reading) => drop(readings.insert(reading.instance.clone(), reading)),
                 Err(error) => missing.push(MissingNode {
-                    instance: row.map(|row| row.instance.clone()),
+                    instance: None,
                     admin_addr: Some(addr),
                     reason: error.to_string(),
                 }),
             }
         }
-        // An instance that moved is listed by its former address for a while.
-        missing.retain(|node| {
-            let known = node.instance.as_ref();
-            known.is_none_or(|instance| !readings.contains_key(instance))
-        });
+        let nodes: Vec<NodeReading> = readings.into_values().collect();
+        let traffic = nodes.iter().flat_map(|node| node.traffic.keys());
+        let objectives = self.source.read(traffic.map(|key| &*key.service))?;
         Ok(FleetSample {
             at_ms: wall_clock_ms(),
-            version,
+            version: nodes.iter().map(|node| node.version).max().unwrap_or(0),
             objectives,
-            nodes: readings.into_values().collect(),
+            nodes,
             missing,
         })
     }
 
-    fn members(&self) -> Result<Vec<MemberRow>, BurnError> {
+    /// Returns the pages of all nodes: those of one data centre's machines
+    /// have the same port.
+    fn pages(&self) -> Result<BTreeSet<SocketAddr>, BurnError> {
         let mut failure = BurnError::NoNode;
-        for addr in &self.seeds {
-            match AdminClient::new(*addr).members() {
-                Ok(rows) => return Ok(rows),
+        for seed in &self.seeds {
+            match AdminClient::new(*seed).members() {
+                Ok(members) => {
+                    let addrs = members.iter().map(|member| member.hop.ip());
+                    let pages = addrs.map(|ip| SocketAddr::new(ip, seed.port()));
+                    return Ok(pages.chain(self.seeds.iter().copied()).collect());
+                }
                 Err(error) => failure = error,
             }
         }
--- a/crates/burn/src/sampling/missing_node.rs
+++ b/crates/burn/src/sampling/missing_node.rs
@@ -2,7 +2,6 @@
 
 use std::{fmt, net::SocketAddr};
 
-use geranium_model::InstanceName;
 use serde::{Deserialize, Serialize};
 
 /// A node that couldn't be read.
@@ -10,7 +9,7 @@
 #[serde(deny_unknown_fields)]
 pub struct MissingNode {
     /// Instance, where a member row names it.
-    pub instance: Option<InstanceName>,
+    pub instance: Option<String>,
     /// Admin address, where it is known.
     pub admin_addr: Option<SocketAddr>,
     /// What the call ended with.
--- a/crates/burn/src/sampling/mod.rs
+++ b/crates/burn/src/sampling/mod.rs
@@ -3,15 +3,15 @@
 mod admin_client;
 mod fleet_sample;
 mod fleet_sampler;
-mod in_force_page;
 mod missing_node;
-mod preset_source;
+mod objective_source;
 mod sample_file;
+mod service_objective;
 
 pub use admin_client::AdminClient;
-pub use fleet_sample::{FleetSample, Objectives, objectives_of};
+pub use fleet_sample::FleetSample;
 pub use fleet_sampler::FleetSampler;
-pub use in_force_page::InForcePage;
 pub use missing_node::MissingNode;
-pub use preset_source::PresetSource;
+pub use objective_source::{ObjectiveSource, Objectives};
 pub use sample_file::SampleFile;
+pub use service_objective::ServiceObjective;
--- a/crates/model/src/service_objective.rs
+++ b/crates/burn/src/sampling/service_objective.rs
@@ -1,4 +1,4 @@
-//! Service-level objectives, as a preset states them.
+//! Service-level objectives.
 
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +14,14 @@
     pub latency_share: f64,
 }
 
+impl ServiceObjective {
+    /// Whether both shares leave something to spare, and something to promise.
+    pub fn is_sound(&self) -> bool {
+        let open = |share: f64| share > 0.0 && share < 1.0;
+        open(self.availability) && open(self.latency_share) && self.latency_ms > 0
+    }
+}
+
 impl Default for ServiceObjective {
     /// Three nines of availability, and 99 of 100 answers within 250 ms: a
     /// person at a counter doesn't notice a quarter of a second.
--- a/crates/ctl/src/commands/activate_command.rs
+++ b/crates/ctl/src/commands/activate_command.rs
@@ -2,42 +2,33 @@
 
 use std::fmt;
 
-use geranium_model::{PresetName, PresetVersion};
+use geranium_node::{config::ConfigVersion, store::MetaStore};
 use serde::Serialize;
 
-use super::activation_row::ActivationRow;
-use crate::{Activation, ActivationRequest, CtlError, Session, activate};
+use crate::{ActivationRecord, ActivationRequest, CtlError, PresetName, Session, activate};
 
 /// What `activate` prints.
 #[derive(Debug, Serialize)]
 pub struct ActivateReport {
-    activated: ActivationRow,
+    activated: ActivationRecord,
     answered: bool,
-    replaced_by: Option<ActivationRow>,
 }
 
-pub fn run(
-    session: &Session,
+pub async fn run(
+    session: &Session<impl MetaStore>,
     name: &PresetName,
-    expect_version: Option<PresetVersion>,
+    expect_version: Option<ConfigVersion>,
 ) -> Result<ActivateReport, CtlError> {
     let request = ActivationRequest {
         preset: name.clone(),
         expect_version,
         stamp: session.stamp()?,
     };
-    let activation = activate(session.store()?, &request, session.patience())?;
-    Ok(activation.into())
-}
-
-impl From<Activation> for ActivateReport {
-    fn from(activation: Activation) -> Self {
-        Self {
-            activated: (&activation.record).into(),
-            answered: activation.answered,
-            replaced_by: activation.replaced_by.as_ref().map(Into::into),
-        }
-    }
+    let activation = activate(session.store()?, session.codec, &request, session.patience).await?;
+    Ok(ActivateReport {
+        activated: activation.record,
+        answered: activation.answered,
+    })
 }
 
 impl fmt::Display for ActivateReport {
@@ -46,12 +37,9 @@
         if !self.answered {
             writeln!(
                 f,
-                "the platform's answer was lost; the own write was recognised"
+                "the store's answer was lost; the own record was recognised"
             )?;
         }
-        if let Some(newer) = &self.replaced_by {
-            writeln!(f, "replaced since by {newer}")?;
-        }
         Ok(())
     }
 }
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,17 +1,12 @@
-//! One module for each command, or for a few that belong together.
+//! The commands.
 
 mod activate_command;
-mod activation_row;
-mod diff_command;
-mod drain_command;
 mod explain_command;
 mod history_command;
-mod list_command;
-mod nodes_command;
-mod put_command;
-mod show_command;
+mod preset_commands;
 mod status_command;
-mod summary;
+
+use geranium_node::store::MetaStore;
 
 use crate::{Command, CtlError, OutputFormat, Session};
 
@@ -19,41 +14,32 @@
 ///
 /// # Errors
 ///
-/// See [`CtlError`]; nothing is printed then but the error.
-///
-/// # Examples
-///
-/// ```
-/// use geranium_ctl::{Command, OutputFormat, Patience, Session, run};
-/// use geranium_platform::MemoryStore;
-///
-/// let store = Box::new(MemoryStore::default());
-/// let session = Session::new(Some(store), None, Vec::new(), Patience::new(1));
-/// let text = run(&session, &Command::History { last: 20 }, OutputFormat::Text)?;
-/// assert_eq!(text, "nothing was activated yet\n");
-/// # Ok::<(), geranium_ctl::CtlError>(())
-/// ```
-pub fn run(session: &Session, command: &Command, output: OutputFormat) -> Result<String, CtlError> {
+/// Whatever the command met, with its numbered code.
+pub async fn run(
+    session: &Session<impl MetaStore>,
+    command: &Command,
+    output: OutputFormat,
+) -> Result<String, CtlError> {
     Ok(match command {
-        Command::Check { file } => output.report(&put_command::check(file)?),
-        Command::Put {
-            name,
-            file,
-            expect_digest,
-        } => output.report(&put_command::put(session, name, file, *expect_digest)?),
-        Command::List => output.report(&list_command::list(session)?),
-        Command::Show { name } => output.report(&show_command::show(session, name)?),
-        Command::Diff { from, to } => output.report(&diff_command::diff(session, from, to)?),
+        Command::Check { file } => output.report(&preset_commands::check(file)?),
+        Command::Put { name, file } => {
+            output.report(&preset_commands::put(session, name, file).await?)
+        }
+        Command::List => output.report(&preset_commands::list(session).await?),
+        Command::Show { name } => output.report(&preset_commands::show(session, name).await?),
+        Command::Diff { from, to } => {
+            output.report(&preset_commands::diff(session, from, to).await?)
+        }
         Command::Activate {
             name,
             expect_version,
-        } => output.report(&activate_command::run(session, name, *expect_version)?),
+        } => output.report(&activate_command::run(session, name, *expect_version).await?),
+        Command::History { last } => {
+            output.report(&history_command::history(session, *last).await?)
+        }
+        Command::Status => output.report(&status_command::status(session).await?),
         Command::Explain { request, files } => {
             output.report(&explain_command::explain(request, files)?)
         }
-        Command::History { last } => output.report(&history_command::history(session, *last)?),
-        Command::Status => output.report(&status_command::status(session)?),
-        Command::Nodes => output.report(&nodes_command::nodes(session)?),
-        Command::Drain { target } => output.report(&drain_command::drain(session, target)?),
     })
 }
--- a/crates/ctl/src/commands/status_command.rs
+++ b/crates/ctl/src/commands/status_command.rs
@@ -1,19 +1,82 @@
 //! `status`.
 
-use geranium_model::InForce;
+use std::{collections::BTreeSet, net::SocketAddr};
 
-use crate::{CtlError, FleetStatus, Session, fleet, presets::read_in_force};
+use geranium_node::{
+    config::ConfigVersion,
+    follow::MEMBER_PREFIX,
+    store::{MetaStore, StoreItem},
+};
+use snafu::ResultExt;
 
-/// Asks the nodes, and the platform if it can: the nodes' answer stands
-/// without it.
-pub fn status(session: &Session) -> Result<FleetStatus, CtlError> {
-    let survey = fleet::survey(session.nodes())?;
-    Ok(FleetStatus::new(&survey, in_force(session)))
+use crate::{
+    CtlError, FleetStatus, Session, StatusClient,
+    ctl_error::{BadDocumentSnafu, NodePageSnafu, StoreSnafu},
+    fleet,
+};
+
+/// What the store says of the fleet.
+struct StoreView {
+    version: ConfigVersion,
+    hops: Vec<SocketAddr>,
+}
+
+/// Asks every node that the store names. While the store is away, the nodes
+/// that were given on the command line name the others.
+pub async fn status(session: &Session<impl MetaStore>) -> Result<FleetStatus, CtlError> {
+    let seen = look(session).await;
+    if let (Err(_), true) = (&seen, session.nodes.is_empty()) {
+        return Err(seen.err().unwrap_or(CtlError::NoStore));
+    }
+    let (view, store) = match seen {
+        Ok(view) => (view, None),
+        Err(error) => (named_by_nodes(session)?, Some(error.to_string())),
+    };
+    let pages = view.hops.iter();
+    let pages = pages.map(|hop| SocketAddr::new(hop.ip(), session.status_port));
+    let pages: BTreeSet<SocketAddr> = pages.chain(session.nodes.iter().copied()).collect();
+    Ok(FleetStatus::new(fleet::survey(pages), view.version, store))
+}
+
+async fn look(session: &Session<impl MetaStore>) -> Result<StoreView, CtlError> {
+    let store = session.store()?;
+    let source = session.codec.source;
+    let read = store.read(source.key).await.context(StoreSnafu)?;
+    let version = match read.item {
+        Some(item) => {
+            let input = (source.parse)(&item.value);
+            input
+                .context(BadDocumentSnafu { place: source.key })?
+                .version
+        }
+        None => ConfigVersion(0),
+    };
+    let members = store.list(MEMBER_PREFIX).await.context(StoreSnafu)?;
+    Ok(StoreView {
+        version,
+        hops: members.items.iter().filter_map(hop_of).collect(),
+    })
+}
+
+fn named_by_nodes(session: &Session<impl MetaStore>) -> Result<StoreView, CtlError> {
+    let mut failure = CtlError::NoStore;
+    for &addr in &session.nodes {
+        match StatusClient::new(addr)
+            .members()
+            .context(NodePageSnafu { addr })
+        {
+            Ok(members) => {
+                return Ok(StoreView {
+                    version: ConfigVersion(0),
+                    hops: members.iter().map(|member| member.hop).collect(),
+                });
+            }
+            Err(error) => failure = error,
+        }
+    }
+    Err(failure)
 }
 
-fn in_force(session: &Session) -> Result<Option<InForce>, String> {
-    session
-        .store()
-        .and_then(read_in_force)
-        .map_err(|error| error.to_string())
+fn hop_of(item: &StoreItem) -> Option<SocketAddr> {
+    item.key.strip_prefix(MEMBER_PREFIX)?.parse().ok()
 }
--- a/crates/ctl/src/exit_status.rs
+++ b/crates/ctl/src/exit_status.rs
@@ -1,6 +1,6 @@
 //! Exit statuses of the operators' client.
 
-use geranium_model::ResultCode;
+use geranium_node::result_code::ResultCode;
 
 /// Derives the exit status from a result code: its first and last digit.
 ///
@@ -10,7 +10,7 @@
 ///
 /// ```
 /// use geranium_ctl::exit_status;
-/// use geranium_model::ResultCode;
+/// use geranium_node::result_code::ResultCode;
 ///
 /// assert_eq!(exit_status(ResultCode::Ok), 0);
 /// assert_eq!(exit_status(ResultCode::LostRace), 33);
--- a/crates/ctl/src/fleet/fleet_status.rs
+++ b/crates/ctl/src/fleet/fleet_status.rs
@@ -1,45 +1,43 @@
-//! How far the fleet follows the version in force.
+//! How far the fleet follows.
 
 use std::{collections::BTreeMap, fmt};
 
-use geranium_model::{InForce, PresetVersion};
+use geranium_node::config::ConfigVersion;
 use serde::Serialize;
 
-use super::FleetSurvey;
+use super::{FleetSurvey, SilentNode};
 
-/// Versions across the fleet.
+/// How far the fleet follows the version in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct FleetStatus {
-    /// Newest version that the platform or any node names.
-    pub version: PresetVersion,
-    /// Preset of that version, where it is known.
-    pub preset: Option<String>,
-    /// Why the platform wasn't asked, or what it failed with.
-    pub platform: Option<String>,
+    /// Version in force, as the store says or, when newer, the nodes.
+    pub version: ConfigVersion,
+    /// Why the store could not be asked.
+    pub store: Option<String>,
     /// Nodes that answered.
     pub nodes: usize,
-    /// Nodes that follow `version`.
+    /// Those of them that follow it.
     pub following: usize,
-    /// Nodes by version, newest first.
+    /// Nodes by the version that they follow, newest first.
     pub versions: Vec<VersionShare>,
     /// Nodes that follow an older version.
     pub lagging: Vec<LaggingNode>,
-    /// Nodes that refused a configuration.
-    pub refusing: Vec<RefusingNode>,
+    /// Nodes that take no callers.
+    pub unready: Vec<String>,
     /// Nodes that didn't answer.
     pub silent: Vec<SilentNode>,
 }
 
 /// Nodes that follow one version.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct VersionShare {
-    /// Version; 0 before a node's first.
-    pub version: PresetVersion,
-    /// Nodes.
+    /// The version; 0 for none yet.
+    pub version: u64,
+    /// How many.
     pub nodes: usize,
 }
 
-/// A node behind the newest version.
+/// A node that follows an older version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct LaggingNode {
     /// Instance.
@@ -47,133 +45,68 @@
     /// Data centre.
     pub data_centre: String,
     /// Version that it follows.
-    pub version: PresetVersion,
-    /// Versions that it lacks.
-    pub behind: u64,
-}
-
-/// A node that refused a configuration and kept the one it had.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct RefusingNode {
-    /// Instance.
-    pub instance: String,
-    /// What it refused, with the numbered code.
-    pub reason: String,
-}
-
-/// A node that didn't answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-pub struct SilentNode {
-    /// Admin address.
-    pub admin_addr: String,
-    /// What the call ended with.
-    pub reason: String,
+    pub version: u64,
+    /// Milliseconds since the store last answered it.
+    pub store_age_ms: u64,
 }
 
 impl FleetStatus {
-    /// Compares the nodes with the record in force.
+    /// Holds what the nodes answered against the version in force.
     ///
-    /// `in_force` is the platform's record, or why there is none; a read of it
-    /// may be stale, so a node with a newer version counts more.
-    pub fn new(survey: &FleetSurvey, in_force: Result<Option<InForce>, String>) -> Self {
-        let (record, platform) = match in_force {
-            Ok(record) => (record, None),
-            Err(reason) => (None, Some(reason)),
-        };
+    /// A node is never ahead of the store, so a newer version at a node shows
+    /// that what was read of the store is old, or that it is away.
+    pub fn new(survey: FleetSurvey, version: ConfigVersion, store: Option<String>) -> Self {
         let answers = &survey.answers;
-        let newest_node = answers.iter().max_by_key(|status| status.followed());
-        let mut version = record
-            .as_ref()
-            .map_or(PresetVersion::NONE, |record| record.version);
-        let mut preset = record.map(|record| record.preset.to_string());
-        if let Some(status) = newest_node.filter(|status| status.followed() > version) {
-            version = status.followed();
-            preset = status.preset.as_ref().map(ToString::to_string);
-        }
-        let mut counts = BTreeMap::new();
+        let newest = answers.iter().map(|status| status.version).max();
+        let version = version.max(ConfigVersion(newest.unwrap_or(0)));
+        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
         for status in answers {
-            *counts.entry(status.followed()).or_default() += 1;
+            *counts.entry(status.version).or_default() += 1;
         }
-        let share = |(version, nodes)| VersionShare { version, nodes };
+        let lagging = answers.iter().filter(|status| status.version < version.0);
+        let lagging = lagging.map(|status| LaggingNode {
+            instance: status.instance.clone(),
+            data_centre: status.data_centre.clone(),
+            version: status.version,
+            store_age_ms: status.store_age_ms,
+        });
+        let unready = answers.iter().filter(|status| !status.ready);
+        let share = |(&version, &nodes): (&u64, &usize)| VersionShare { version, nodes };
         Self {
             version,
-            preset,
-            platform,
+            store,
             nodes: answers.len(),
-            following: counts.get(&version).copied().unwrap_or(0),
-            versions: counts.into_iter().rev().map(share).collect(),
-            lagging: lagging(survey, version),
-            refusing: refusing(survey),
-            silent: silent(survey),
+            following: counts.range(version.0..).map(|(_, nodes)| nodes).sum(),
+            versions: counts.iter().rev().map(share).collect(),
+            lagging: lagging.collect(),
+            unready: unready.map(|status| status.instance.clone()).collect(),
+            silent: survey.silent,
         }
     }
 }
 
-fn lagging(survey: &FleetSurvey, version: PresetVersion) -> Vec<LaggingNode> {
-    let behind = survey
-        .answers
-        .iter()
-        .filter(|status| status.followed() < version);
-    behind
-        .map(|status| LaggingNode {
-            instance: status.instance.to_string(),
-            data_centre: status.data_centre.to_string(),
-            version: status.followed(),
-            behind: version.get() - status.followed().get(),
-        })
-        .collect()
-}
-
-fn refusing(survey: &FleetSurvey) -> Vec<RefusingNode> {
-    let nodes = survey.answers.iter();
-    nodes
-        .filter_map(|status| {
-            let reason = status.refused.clone()?;
-            let instance = status.instance.to_string();
-            Some(RefusingNode { instance, reason })
-        })
-        .collect()
-}
-
-fn silent(survey: &FleetSurvey) -> Vec<SilentNode> {
-    let nodes = survey.silent.iter();
-    nodes
-        .map(|(addr, reason)| SilentNode {
-            admin_addr: addr.to_string(),
-            reason: reason.clone(),
-        })
-        .collect()
-}
-
 impl fmt::Display for FleetStatus {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let preset = self.preset.as_deref().unwrap_or("unknown");
-        writeln!(f, "version {} in force, preset {preset}", self.version)?;
-        if let Some(reason) = &self.platform {
+        writeln!(f, "version {} in force", self.version)?;
+        if let Some(reason) = &self.store {
             writeln!(f, "by the nodes alone: {reason}")?;
         }
-        let (following, nodes) = (self.following, self.nodes);
-        writeln!(f, "{following} of {nodes} nodes follow it")?;
+        writeln!(f, "{} of {} nodes follow it", self.following, self.nodes)?;
         for share in &self.versions {
             writeln!(f, "  version {}: {} nodes", share.version, share.nodes)?;
         }
         for node in &self.lagging {
-            let LaggingNode {
-                instance,
-                data_centre,
-                version,
-                behind,
-            } = node;
             writeln!(
                 f,
-                "lagging {instance} ({data_centre}): version {version}, {behind} behind"
+                "lagging {} ({}): version {}, store heard {} ms ago",
+                node.instance, node.data_centre, node.version, node.store_age_ms
             )?;
         }
-        for node in &self.refusing {
-            writeln!(f, "refused by {}: {}", node.instance, node.reason)?;
+        for instance in &self.unready {
+            writeln!(f, "not ready {instance}")?;
         }
         for node in &self.silent {
-            writeln!(f, "silent {}: {}", node.admin_addr, node.reason)?;
+            writeln!(f, "silent {}: {}", node.addr, node.reason)?;
         }
         Ok(())
     }
--- a/crates/ctl/src/fleet/mod.rs
+++ b/crates/ctl/src/fleet/mod.rs
@@ -1,11 +1,9 @@
 //! The fleet as its nodes tell of it.
 
-mod admin_client;
 mod fleet_status;
-mod node_status;
-mod survey;
+mod fleet_survey;
+mod status_client;
 
-pub use admin_client::AdminClient;
 pub use fleet_status::FleetStatus;
-pub use node_status::NodeStatus;
-pub use survey::{FleetSurvey, members, survey};
+pub use fleet_survey::{FleetSurvey, SilentNode, survey};
+pub use status_client::StatusClient;
--- a/crates/ctl/src/invocation.rs
+++ b/crates/ctl/src/invocation.rs
@@ -6,10 +6,9 @@
 };
 
 use clap::{Parser, Subcommand};
-use geranium_model::{ContentDigest, PresetName, PresetVersion};
-use geranium_platform::Endpoint;
+use geranium_node::config::ConfigVersion;
 
-use crate::OutputFormat;
+use crate::{OutputFormat, PresetName, PresetNameError};
 
 const EXAMPLES: &str = "\
 Examples:
@@ -18,59 +17,48 @@
   geranium-ctl diff ordinary-day peak
   geranium-ctl activate peak
   geranium-ctl activate ordinary-day --expect-version 41
-  geranium-ctl --node 10.0.1.7:7070 status
+  geranium-ctl status
   geranium-ctl --output json history
 
 Exit status: 0 when it worked, 2 for a bad command line, otherwise the first
 and the last digit of the result code in the message (303 ends with 33).";
 
-const PUT_EXAMPLES: &str = "\
-Examples:
-  geranium-ctl put peak peak.json
-  geranium-ctl put peak peak.json --expect-digest 3ec4f7a3...";
-
 const DIFF_EXAMPLES: &str = "\
 Examples:
   geranium-ctl diff ordinary-day peak
   geranium-ctl diff peak ./edited/peak.json";
 
-const ACTIVATE_EXAMPLES: &str = "\
-Examples:
-  geranium-ctl activate peak
-  geranium-ctl activate ordinary-day --expect-version 41";
-
 const EXPLAIN_EXAMPLES: &str = "\
 Examples:
   geranium-ctl explain 9c41d07be2a35f68 /var/log/geranium/*.log
   geranium-ctl --output json explain 9c41d07be2a35f68 < all.log";
 
-const DRAIN_EXAMPLES: &str = "\
-Examples:
-  geranium-ctl --node 10.0.1.7:7070 drain hofdi-3
-  geranium-ctl drain 10.0.1.9:7070";
-
 /// Presets, activations and the fleet's state, for operators.
 #[derive(Debug, Clone, Parser)]
 #[command(name = "geranium-ctl", version, after_help = EXAMPLES, max_term_width = 100)]
 pub struct Invocation {
-    /// Endpoints of the platform, IP:PORT.
+    /// The metadata store, IP:PORT.
+    #[arg(long, global = true, env = "GERANIUM_STORE", hide_env_values = true)]
+    pub store: Option<SocketAddr>,
+    /// Pages of one or more nodes, IP:PORT, for `status` while the store is
+    /// away.
     #[arg(
         long,
         global = true,
-        env = "GERANIUM_PLATFORM",
+        env = "GERANIUM_NODES",
         value_delimiter = ',',
         hide_env_values = true
     )]
-    pub platform: Vec<Endpoint>,
-    /// Admin addresses of one or more nodes, IP:PORT.
+    pub node: Vec<SocketAddr>,
+    /// Port of the nodes' status pages, on each node's own address.
     #[arg(
         long,
         global = true,
-        env = "GERANIUM_NODES",
-        value_delimiter = ',',
-        hide_env_values = true
+        env = "GERANIUM_METRICS_PORT",
+        hide_env_values = true,
+        default_value_t = 9464
     )]
-    pub node: Vec<SocketAddr>,
+    pub status_port: u16,
     /// Name under which writes are recorded.
     #[arg(long, global = true, env = "GERANIUM_OPERATOR", hide_env_values = true)]
     pub operator: Option<String>,
@@ -98,7 +86,7 @@
     pub command: Command,
 }
 
-/// A preset's name in the platform, or a file: what holds a `/` or ends with
+/// A preset's name in the store, or a file: what holds a `/` or ends with
 /// `.json` is a file.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PresetSource {
@@ -109,13 +97,11 @@
 }
 
 impl std::str::FromStr for PresetSource {
-    type Err = geranium_model::NameError;
+    type Err = PresetNameError;
 
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
+    fn from_str(text: &str) -> Result<Self, PresetNameError> {
         let path = Path::new(text);
-        let is_json = path
-            .extension()
-            .is_some_and(|extension| extension == "json");
+        let is_json = path.extension().is_some_and(|ending| ending == "json");
         if is_json || text.contains('/') {
             return Ok(Self::File(path.into()));
         }
@@ -132,15 +118,11 @@
         file: PathBuf,
     },
     /// Check a document and store it under a name; it isn't put in force.
-    #[command(after_help = PUT_EXAMPLES)]
     Put {
         /// Name of the preset.
         name: PresetName,
         /// The document.
         file: PathBuf,
-        /// Store only if the name stands for this content, as `show` told.
-        #[arg(long, value_parser = parse_digest)]
-        expect_digest: Option<ContentDigest>,
     },
     /// List the named presets.
     List,
@@ -158,14 +140,21 @@
         to: PresetSource,
     },
     /// Put a preset in force on the whole fleet.
-    #[command(after_help = ACTIVATE_EXAMPLES)]
     Activate {
         /// Name of the preset.
         name: PresetName,
         /// Activate only if this version is in force now.
         #[arg(long, value_parser = parse_version)]
-        expect_version: Option<PresetVersion>,
+        expect_version: Option<ConfigVersion>,
     },
+    /// List past activations, newest last.
+    History {
+        /// How many, 256 at most.
+        #[arg(long, default_value_t = 20)]
+        last: usize,
+    },
+    /// Show how many nodes follow the version in force, and which don't.
+    Status,
     /// Tell what became of a request, out of the nodes' logs.
     #[command(after_help = EXPLAIN_EXAMPLES)]
     Explain {
@@ -174,29 +163,8 @@
         /// Log files of any nodes; none, or `-`, for standard input.
         files: Vec<PathBuf>,
     },
-    /// List past activations, newest last.
-    History {
-        /// How many.
-        #[arg(long, default_value_t = 20)]
-        last: u64,
-    },
-    /// Show how many nodes follow the version in force, and which don't.
-    Status,
-    /// List the instances that a node knows.
-    Nodes,
-    /// Let an instance take no new work.
-    #[command(after_help = DRAIN_EXAMPLES)]
-    Drain {
-        /// Instance name, or admin address of its node.
-        target: String,
-    },
-}
-
-fn parse_digest(text: &str) -> Result<ContentDigest, String> {
-    text.parse()
-        .map_err(|error: snafu::Whatever| error.to_string())
 }
 
-fn parse_version(text: &str) -> Result<PresetVersion, std::num::ParseIntError> {
-    text.parse().map(PresetVersion::new)
+fn parse_version(text: &str) -> Result<ConfigVersion, std::num::ParseIntError> {
+    text.parse().map(ConfigVersion)
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,17 +1,18 @@
 //! The operators' client: presets, activations and the fleet's state.
 //!
 //! [`Invocation`] is the command line. A [`Session`] holds what commands act
-//! on: the platform's store, the nodes' admin addresses, and the
-//! [`WriteStamp`] that names the operator. [`run`] executes one command and
-//! returns what to print; a [`CtlError`] carries a numbered result code, from
-//! which [`exit_status`] derives the process's exit status.
+//! on: the metadata store, how configurations are written there
+//! ([`ConfigCodec`]), and who the operator is. [`run`] executes one command
+//! and returns what to print; a [`CtlError`] carries a numbered result code,
+//! from which [`exit_status`] derives the process's exit status.
 //!
-//! Every write is a compare-and-swap. [`settle`] takes one through lost
-//! answers, and [`activate`] moves the in-force record with it.
+//! A preset is a named [`PresetDocument`] in the store. [`activate`] makes it
+//! the configuration in force, by compare-and-swap: version and history are
+//! written with it, together or not at all. Writes are pursued through lost
+//! answers by [`settle`].
 
 mod commands;
 mod ctl_error;
-mod documents;
 mod exit_status;
 mod explain;
 mod fleet;
@@ -26,17 +27,16 @@
 
 pub use commands::run;
 pub use ctl_error::CtlError;
-pub use documents::{CheckedFile, PresetDiff};
 pub use exit_status::exit_status;
 pub use explain::{LogScan, RequestStory, StoryEvent};
-pub use fleet::{AdminClient, FleetStatus, FleetSurvey, NodeStatus};
+pub use fleet::{FleetStatus, StatusClient};
 pub use invocation::{Command, Invocation, PresetSource};
 pub use output_format::OutputFormat;
 pub use patience::Patience;
 pub use presets::{
-    Activation, ActivationRequest, PresetCatalogue, PresetPointer, StoredPreset, activate,
-    activation_history,
+    Activation, ActivationRecord, ActivationRequest, ConfigCodec, PresetCatalogue, PresetDiff,
+    PresetDocument, PresetName, PresetNameError, PresetRecord, activate, activation_history,
 };
 pub use session::Session;
-pub use settled_write::{GuardedWrite, Settled, settle};
+pub use settled_write::{SettledWrite, settle};
 pub use write_stamp::WriteStamp;
--- a/crates/ctl/src/patience.rs
+++ b/crates/ctl/src/patience.rs
@@ -1,6 +1,6 @@
 //! How long a write is pursued.
 
-use std::{thread, time::Duration};
+use std::time::Duration;
 
 /// Pause before the second try; each later one is twice as long, so that five
 /// tries span 6 s, an operator's patience.
@@ -30,12 +30,20 @@
         }
     }
 
-    /// Yields the number of each try, after its pause.
-    pub(crate) fn tries(self) -> impl Iterator<Item = u32> {
-        (0..self.tries).inspect(move |number| {
-            if let Some(doublings) = number.checked_sub(1) {
-                thread::sleep(self.first_pause * 2_u32.saturating_pow(doublings));
-            }
+    /// Returns the pause before each try.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use geranium_ctl::Patience;
+    ///
+    /// let pauses: Vec<u128> = Patience::new(4).pauses().map(|pause| pause.as_millis()).collect();
+    /// assert_eq!(pauses, [0, 400, 800, 1_600]);
+    /// ```
+    pub fn pauses(self) -> impl Iterator<Item = Duration> {
+        (0..self.tries).map(move |number| match number.checked_sub(1) {
+            Some(doublings) => self.first_pause * 2_u32.saturating_pow(doublings),
+            None => Duration::ZERO,
         })
     }
 }
--- a/crates/ctl/src/presets/activation.rs
+++ b/crates/ctl/src/presets/activation.rs
@@ -1,12 +1,19 @@
-//! Moves of the in-force record.
+//! Putting presets in force.
 
-use geranium_model::{InForce, PresetName, PresetVersion, platform_keys};
-use geranium_platform::{Entry, PlatformStore, Revision};
+use geranium_node::{
+    config::ConfigVersion,
+    store::{MetaStore, Revision, StoreWrite},
+};
 use snafu::ResultExt;
 
-use super::{PresetCatalogue, activation_history, record};
+use super::{
+    ActivationRecord, ConfigCodec, PresetCatalogue, PresetName, activation_history::place_of,
+    record,
+};
 use crate::{
-    CtlError, GuardedWrite, Patience, Settled, WriteStamp, ctl_error::PlatformSnafu, settle,
+    CtlError, Patience, SettledWrite, WriteStamp,
+    ctl_error::{BadDocumentSnafu, StoreSnafu},
+    settle,
 };
 
 /// What an operator wants in force.
@@ -15,133 +22,127 @@
     /// Preset.
     pub preset: PresetName,
     /// Version that must be in force now, if the operator says so.
-    pub expect_version: Option<PresetVersion>,
+    pub expect_version: Option<ConfigVersion>,
     /// Who asks.
     pub stamp: WriteStamp,
 }
 
 /// An activation that took effect.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Activation {
-    /// The record that was written.
-    pub record: InForce,
+    /// Its record.
+    pub record: ActivationRecord,
     /// False when the answer was lost and the own record was recognised.
     pub answered: bool,
-    /// The record in force now, when it replaced this one already.
-    pub replaced_by: Option<InForce>,
 }
 
-/// Puts a preset in force: version + 1, by compare-and-swap.
+/// Puts a preset in force under the next version.
 ///
-/// The preset's content is read back and checked first, and the in-force
-/// record is written after everything it needs, so a crash at any step leaves
-/// either the old record or the new one, whole. All that is decided by is read
-/// through [`PlatformStore::get_latest`]: a stale read could bring content back
-/// that was replaced, though never lower or double a version, which the
-/// compare-and-swap prevents.
+/// Configuration and history are written together, under the condition that
+/// the version read before is still in force: of several operators one wins,
+/// and a crash leaves the old version or the new one, whole.
 ///
 /// # Errors
 ///
-/// [`CtlError::LostActivation`] when another activation came first;
-/// [`CtlError::ActivationUnknown`] when an answer was lost and none came since;
-/// a bad preset or a failure of the platform otherwise, with nothing changed.
-pub fn activate(
-    store: &dyn PlatformStore,
+/// [`CtlError::LostActivation`] when another version is in force than expected
+/// or another activation came first; [`CtlError::WriteUnknown`] when no answer
+/// came; a bad preset or a failure of the store otherwise, with nothing
+/// changed.
+pub async fn activate(
+    store: &impl MetaStore,
+    codec: ConfigCodec,
     request: &ActivationRequest,
     patience: Patience,
 ) -> Result<Activation, CtlError> {
-    let (pointer, _) = PresetCatalogue::new(store, patience).preset(&request.preset)?;
-    let current: Option<(Entry, InForce)> = record::latest(store, platform_keys::IN_FORCE)?;
-    let version = current
-        .as_ref()
-        .map_or(PresetVersion::NONE, |(_, record)| record.version);
+    let catalogue = PresetCatalogue::new(store, patience);
+    let preset = catalogue.get(&request.preset).await?;
+    preset.document.check(preset.name.as_str())?;
+    let (revision, in_force) = in_force(store, codec).await?;
     if request
         .expect_version
-        .is_some_and(|expected| expected != version)
+        .is_some_and(|expected| expected != in_force)
     {
-        return Err(lost(current.map(|(_, record)| record)));
+        return Err(lost(store, in_force).await);
     }
-    if let Some((_, replaced)) = &current {
-        activation_history::keep(store, replaced, patience)?;
-    }
-    let record = InForce {
-        version: version.next(),
-        preset: request.preset.clone(),
-        digest: pointer.digest,
-        operation: request.stamp.operation.clone(),
-        operator: request.stamp.operator.clone(),
-        written_at_ms: request.stamp.written_at_ms,
-    };
-    let expected = current.map_or(Revision::NONE, |(entry, _)| entry.revision);
-    let activation = move_record(store, expected, record, patience)?;
-    // The next activation adds the entry if this write fails.
-    let _kept = activation_history::keep(store, &activation.record, patience);
-    Ok(activation)
-}
-
-fn move_record(
-    store: &dyn PlatformStore,
-    expected: Revision,
-    own: InForce,
-    patience: Patience,
-) -> Result<Activation, CtlError> {
-    let write = GuardedWrite {
-        key: platform_keys::IN_FORCE.to_owned(),
-        expected,
-        value: record::bytes(&own),
+    let version = ConfigVersion(in_force.0 + 1);
+    let own = ActivationRecord {
+        version,
+        preset: preset.name,
+        stamp: request.stamp.clone(),
     };
-    match settle(store, &write, patience).context(PlatformSnafu)? {
-        Settled::Written { answered } => Ok(Activation {
+    let place = place_of(store, version).await?;
+    let entry = record::bytes(&own);
+    let config = (codec.write)(&preset.document.into_input(version));
+    let writes = [
+        StoreWrite::put(codec.source.key, &config, revision),
+        StoreWrite::put(&place.key, &entry, place.revision),
+    ];
+    match settle(store, &writes, patience).await {
+        Ok(SettledWrite::Done(_)) => Ok(Activation {
             record: own,
-            answered,
-            replaced_by: None,
+            answered: true,
         }),
-        Settled::Lost { current } => Err(lost(current.as_ref().map(record::parse).transpose()?)),
-        Settled::Overtaken { current } => judge_overtaken(store, own, current.as_ref()),
-        Settled::Unknown { source } => Err(unknown(&own, source.to_string())),
+        Ok(SettledWrite::Unknown(source)) => Err(CtlError::WriteUnknown {
+            operation: own.stamp.operation,
+            source,
+        }),
+        Ok(SettledWrite::Refused { lost_answer }) => {
+            if lost_answer && stands(store, &own).await? {
+                return Ok(Activation {
+                    record: own,
+                    answered: false,
+                });
+            }
+            Err(overtaken(store, codec, version).await)
+        }
+        Err(source) => Err(CtlError::Store { source }),
     }
 }
 
-/// Finds out whether an overtaken record was in force for a while.
-///
-/// Whoever replaced the record of some version put it into the history before.
-fn judge_overtaken(
-    store: &dyn PlatformStore,
-    own: InForce,
-    current: Option<&Entry>,
-) -> Result<Activation, CtlError> {
-    let current: Option<InForce> = current.map(record::parse).transpose()?;
-    let newest = current
-        .as_ref()
-        .map_or(PresetVersion::NONE, |record| record.version);
-    if newest == own.version {
-        return Err(lost(current));
-    }
-    let found = match activation_history::find(store, own.version) {
-        Ok(found) => found,
-        Err(error) => return Err(unknown(&own, error.to_string())),
-    };
-    match found {
-        Some(record) if record.operation == own.operation => Ok(Activation {
-            record: own,
-            answered: false,
-            replaced_by: current,
+/// Finds out whether an activation that was refused after a lost answer had
+/// been done before, unheard. While the store can't tell, nobody knows.
+async fn stands(store: &impl MetaStore, own: &ActivationRecord) -> Result<bool, CtlError> {
+    match place_of(store, own.version).await {
+        Ok(place) => Ok(place.record.as_ref() == Some(own)),
+        Err(CtlError::Store { source }) => Err(CtlError::WriteUnknown {
+            operation: own.stamp.operation.clone(),
+            source,
         }),
-        Some(_) => Err(lost(current)),
-        None => Err(unknown(&own, "the history has a gap".to_owned())),
+        Err(other) => Err(other),
     }
 }
 
-fn lost(current: Option<InForce>) -> CtlError {
-    CtlError::LostActivation {
-        current: current.map(Box::new),
-    }
+/// Says who came first; `version` is the least that is in force by now.
+async fn overtaken(store: &impl MetaStore, codec: ConfigCodec, version: ConfigVersion) -> CtlError {
+    let now = match in_force(store, codec).await {
+        Ok((_, now)) => now,
+        Err(_) => version,
+    };
+    lost(store, now).await
 }
 
-fn unknown(own: &InForce, reason: String) -> CtlError {
-    CtlError::ActivationUnknown {
-        operation: own.operation.clone(),
-        version: own.version,
-        reason,
+/// Returns the version in force and the revision of its key; 0 for none.
+async fn in_force(
+    store: &impl MetaStore,
+    codec: ConfigCodec,
+) -> Result<(Revision, ConfigVersion), CtlError> {
+    let read = store.read(codec.source.key).await.context(StoreSnafu)?;
+    let Some(item) = read.item else {
+        return Ok((Revision(0), ConfigVersion(0)));
+    };
+    let input = (codec.source.parse)(&item.value);
+    let input = input.context(BadDocumentSnafu { place: &*item.key })?;
+    Ok((item.revision, input.version))
+}
+
+async fn lost(store: &impl MetaStore, in_force: ConfigVersion) -> CtlError {
+    let last = match place_of(store, in_force).await {
+        Ok(place) => place.record.filter(|record| record.version == in_force),
+        // The version alone tells enough; who made it is a courtesy.
+        Err(_) => None,
+    };
+    CtlError::LostActivation {
+        in_force,
+        last: last.map(Box::new),
     }
 }
--- a/crates/ctl/src/presets/mod.rs
+++ b/crates/ctl/src/presets/mod.rs
@@ -1,14 +1,22 @@
-//! Presets and activations in the platform.
+//! Presets and activations in the store.
 
 mod activation;
 mod activation_history;
-mod in_force_read;
+mod activation_record;
+mod config_codec;
 mod preset_catalogue;
-mod preset_pointer;
+mod preset_diff;
+mod preset_document;
+mod preset_name;
+mod preset_record;
 mod record;
 
 pub use activation::{Activation, ActivationRequest, activate};
 pub use activation_history::activation_history;
-pub use in_force_read::read_in_force;
-pub use preset_catalogue::{PresetCatalogue, StoredPreset};
-pub use preset_pointer::PresetPointer;
+pub use activation_record::ActivationRecord;
+pub use config_codec::ConfigCodec;
+pub use preset_catalogue::PresetCatalogue;
+pub use preset_diff::PresetDiff;
+pub use preset_document::PresetDocument;
+pub use preset_name::{PresetName, PresetNameError};
+pub use preset_record::PresetRecord;
--- a/crates/ctl/src/documents/preset_diff.rs
+++ b/crates/ctl/src/presets/preset_diff.rs
@@ -2,10 +2,11 @@
 
 use std::{collections::BTreeMap, fmt};
 
-use geranium_model::Preset;
 use serde::Serialize;
 use serde_json::Value;
 
+use super::PresetDocument;
+
 /// What changes from one preset to another.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct PresetDiff {
@@ -13,10 +14,10 @@
     pub changes: Vec<DiffLine>,
 }
 
-/// One changed service, route or setting of the fleet.
+/// One changed service or route, or the limits.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct DiffLine {
-    /// `service`, `route` or `fleet`.
+    /// `service`, `route` or `limits`.
     pub kind: &'static str,
     /// Name of the service or route.
     pub name: String,
@@ -49,46 +50,20 @@
 
 impl PresetDiff {
     /// Compares two presets.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use geranium_ctl::PresetDiff;
-    /// use geranium_model::{Preset, PresetDocument};
-    ///
-    /// let empty = Preset::try_from(PresetDocument::default())?;
-    /// assert!(PresetDiff::between(&empty, &empty).changes.is_empty());
-    /// # Ok::<(), geranium_model::DocumentError>(())
-    /// ```
-    pub fn between(from: &Preset, to: &Preset) -> Self {
-        let (old, new) = (from.document(), to.document());
-        let mut changes = Vec::new();
-        let services = |preset: &[_]| {
-            by_name(preset, |entry: &geranium_model::ServiceDocument| {
-                &entry.name
-            })
+    pub fn between(from: &PresetDocument, to: &PresetDocument) -> Self {
+        let services = |preset: &PresetDocument| {
+            let entries = preset.services.iter();
+            by_name(entries.map(|entry| (&*entry.name, value(entry))))
         };
-        let routes =
-            |preset: &[_]| by_name(preset, |entry: &geranium_model::RouteDocument| &entry.name);
-        compare(
-            &mut changes,
-            "service",
-            &services(&old.services),
-            &services(&new.services),
-        );
-        compare(
-            &mut changes,
-            "route",
-            &routes(&old.routes),
-            &routes(&new.routes),
-        );
-        let fleet = |policy| BTreeMap::from([(String::new(), value(policy))]);
-        compare(
-            &mut changes,
-            "fleet",
-            &fleet(&old.fleet),
-            &fleet(&new.fleet),
-        );
+        let routes = |preset: &PresetDocument| {
+            let entries = preset.routes.iter();
+            by_name(entries.map(|entry| (&*entry.name, value(entry))))
+        };
+        let limits = |preset: &PresetDocument| by_name([("", value(&preset.limits))]);
+        let mut changes = Vec::new();
+        compare(&mut changes, "service", &services(from), &services(to));
+        compare(&mut changes, "route", &routes(from), &routes(to));
+        compare(&mut changes, "limits", &limits(from), &limits(to));
         Self { changes }
     }
 }
@@ -97,10 +72,10 @@
     serde_json::to_value(entry).expect("plain structs always serialize")
 }
 
-fn by_name<T: Serialize>(entries: &[T], name: impl Fn(&T) -> &String) -> BTreeMap<String, Value> {
-    entries
-        .iter()
-        .map(|entry| (name(entry).clone(), value(entry)))
+fn by_name<'a>(entries: impl IntoIterator<Item = (&'a str, Value)>) -> BTreeMap<String, Value> {
+    let named = entries.into_iter();
+    named
+        .map(|(name, entry)| (name.to_owned(), entry))
         .collect()
 }
 
--- a/crates/ctl/src/presets/record.rs
+++ b/crates/ctl/src/presets/record.rs
@@ -1,32 +1,32 @@
-//! JSON records under a key.
+//! Records that this client keeps in the store.
 
-use geranium_platform::{Entry, PlatformStore};
+use geranium_node::store::{MetaStore, Revision};
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::ResultExt;
 
-use crate::{
-    CtlError,
-    ctl_error::{BadRecordSnafu, PlatformSnafu},
-};
+use crate::{CtlError, ctl_error::StoreSnafu};
 
-/// Parses the record in `entry`.
-pub fn parse<T: DeserializeOwned>(entry: &Entry) -> Result<T, CtlError> {
-    let key = &entry.key;
-    serde_json::from_slice(&entry.value).context(BadRecordSnafu { key })
+/// Reads a record and its revision; 0 and nothing when there is none.
+pub(super) async fn read<T: DeserializeOwned>(
+    store: &impl MetaStore,
+    key: &str,
+) -> Result<(Revision, Option<T>), CtlError> {
+    let read = store.read(key).await.context(StoreSnafu)?;
+    let Some(item) = read.item else {
+        return Ok((Revision(0), None));
+    };
+    Ok((item.revision, Some(parse(key, &item.value)?)))
 }
 
-/// Writes a record as bytes.
-pub fn bytes(record: &impl Serialize) -> Vec<u8> {
-    serde_json::to_vec(record).expect("plain structs always serialize")
+/// Reads a record's value.
+pub(super) fn parse<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T, CtlError> {
+    serde_json::from_slice(value).map_err(|error| CtlError::BadRecord {
+        key: key.to_owned(),
+        reason: error.to_string(),
+    })
 }
 
-/// Reads the newest record under `key`, with its entry.
-pub fn latest<T: DeserializeOwned>(
-    store: &dyn PlatformStore,
-    key: &str,
-) -> Result<Option<(Entry, T)>, CtlError> {
-    let entry = store.get_latest(key).context(PlatformSnafu)?;
-    entry
-        .map(|entry| parse(&entry).map(|record| (entry, record)))
-        .transpose()
+/// Writes a record's value.
+pub(super) fn bytes(record: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(record).expect("plain structs always serialize")
 }
--- a/crates/ctl/src/session.rs
+++ b/crates/ctl/src/session.rs
@@ -2,56 +2,38 @@
 
 use std::net::SocketAddr;
 
-use geranium_platform::{GatewaySettings, GatewayStore, PlatformStore};
 use snafu::OptionExt;
 
 use crate::{
-    CtlError, Invocation, Patience, WriteStamp,
-    ctl_error::{NoOperatorSnafu, NoPlatformSnafu},
+    ConfigCodec, CtlError, Patience, WriteStamp,
+    ctl_error::{NoOperatorSnafu, NoStoreSnafu},
 };
 
 /// Everything that commands need besides their own arguments.
 #[derive(Debug)]
-pub struct Session {
-    store: Option<Box<dyn PlatformStore>>,
-    operator: Option<String>,
-    nodes: Vec<SocketAddr>,
-    patience: Patience,
+pub struct Session<S> {
+    /// Metadata store, if its address was given.
+    pub store: Option<S>,
+    /// How configurations are written there.
+    pub codec: ConfigCodec,
+    /// Operator, if one was named.
+    pub operator: Option<String>,
+    /// Pages of nodes that tell the rest of the fleet.
+    pub nodes: Vec<SocketAddr>,
+    /// Port of the nodes' status pages.
+    pub status_port: u16,
+    /// How long writes are pursued.
+    pub patience: Patience,
 }
 
-impl Session {
-    /// Makes a session on `store`, for tests and programs.
-    pub fn new(
-        store: Option<Box<dyn PlatformStore>>,
-        operator: Option<String>,
-        nodes: Vec<SocketAddr>,
-        patience: Patience,
-    ) -> Self {
-        Self {
-            store,
-            operator,
-            nodes,
-            patience,
-        }
-    }
-
-    /// Returns the platform's store.
+impl<S> Session<S> {
+    /// Returns the store.
     ///
     /// # Errors
     ///
-    /// [`CtlError::NoPlatform`] when no endpoint was given.
-    pub fn store(&self) -> Result<&dyn PlatformStore, CtlError> {
-        self.store.as_deref().context(NoPlatformSnafu)
-    }
-
-    /// Returns the nodes' admin addresses.
-    pub fn nodes(&self) -> &[SocketAddr] {
-        &self.nodes
-    }
-
-    /// Returns how long writes are pursued.
-    pub const fn patience(&self) -> Patience {
-        self.patience
+    /// [`CtlError::NoStore`] when its address wasn't given.
+    pub fn store(&self) -> Result<&S, CtlError> {
+        self.store.as_ref().context(NoStoreSnafu)
     }
 
     /// Stamps a new write.
@@ -64,23 +46,3 @@
         operator.map(WriteStamp::now).context(NoOperatorSnafu)
     }
 }
-
-impl TryFrom<&Invocation> for Session {
-    type Error = CtlError;
-
-    fn try_from(invocation: &Invocation) -> Result<Self, CtlError> {
-        let endpoints = invocation.platform.clone();
-        let store = if endpoints.is_empty() {
-            None
-        } else {
-            let store = GatewayStore::try_from(GatewaySettings::new(endpoints))?;
-            Some(Box::new(store) as Box<dyn PlatformStore>)
-        };
-        Ok(Self {
-            store,
-            operator: invocation.operator.clone(),
-            nodes: invocation.node.clone(),
-            patience: Patience::new(invocation.tries),
-        })
-    }
-}
--- /dev/null
+++ b/crates/ctl/tests/all/support/mod.rs
@@ -0,0 +1,100 @@
+//! What several subjects share.
+
+mod memory_store;
+
+use geranium_ctl::{
+    Activation, ActivationRequest, ConfigCodec, CtlError, Patience, PresetCatalogue,
+    PresetDocument, PresetName, PresetRecord, WriteStamp, activate,
+};
+use geranium_node::{
+    config::{ConfigError, ConfigInput, ConfigVersion},
+    follow::ConfigSource,
+    store::MetaStore,
+};
+
+pub use memory_store::{CallFault, MemoryStore};
+
+pub const PATIENCE: u32 = 3;
+pub const CONFIG_KEY: &str = "config";
+
+/// Writes configurations as the product's own JSON.
+pub fn codec() -> ConfigCodec {
+    ConfigCodec {
+        source: ConfigSource {
+            key: CONFIG_KEY,
+            parse: |value| {
+                serde_json::from_slice(value).map_err(|error| ConfigError::Malformed {
+                    reason: error.to_string(),
+                })
+            },
+        },
+        write: |input| serde_json::to_vec(input).unwrap(),
+    }
+}
+
+/// Runs a future to its end.
+pub fn wait<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build();
+    runtime.unwrap().block_on(future)
+}
+
+pub fn name(text: &str) -> PresetName {
+    text.parse().unwrap()
+}
+
+/// A small preset whose one route waits for so many seconds.
+pub fn document(timeout_s: f64) -> PresetDocument {
+    let text = format!(
+        r#"{{"services":[{{"name":"verdskra","health_path":"/health","connections":130}}],
+            "routes":[{{"name":"prices","host":"till.example","prefix":"/verdskra/","kind":"lookup",
+                        "timeout_s":{timeout_s},"target_s":0.4,"rank":2,"attempts":2,
+                        "shares":[{{"service":"verdskra","weight":1}}]}}],
+            "limits":{{"head_bytes":16384,"body_bytes":100000,"head_s":3,"idle_s":15}}}}"#
+    );
+    serde_json::from_str(&text).unwrap()
+}
+
+pub fn put(store: &MemoryStore, preset: &str, timeout_s: f64) -> Result<PresetRecord, CtlError> {
+    let catalogue = PresetCatalogue::new(store, Patience::without_pause(PATIENCE));
+    let stamp = WriteStamp::now("anna");
+    wait(catalogue.put(&name(preset), document(timeout_s), stamp))
+}
+
+pub fn request(preset: &str, operator: &str) -> ActivationRequest {
+    ActivationRequest {
+        preset: name(preset),
+        expect_version: None,
+        stamp: WriteStamp::now(operator),
+    }
+}
+
+pub fn put_in_force(store: &MemoryStore, preset: &str) -> Result<Activation, CtlError> {
+    let request = request(preset, "anna");
+    wait(activate(
+        store,
+        codec(),
+        &request,
+        Patience::without_pause(PATIENCE),
+    ))
+}
+
+/// A store with `ordinary-day` in force as version 1, and `peak` beside it.
+pub fn prepared() -> MemoryStore {
+    let store = MemoryStore::default();
+    put(&store, "ordinary-day", 1.0).unwrap();
+    put(&store, "peak", 2.0).unwrap();
+    put_in_force(&store, "ordinary-day").unwrap();
+    store
+}
+
+/// The configuration in force.
+pub fn in_force(store: &MemoryStore) -> ConfigInput {
+    let read = wait(store.read(CONFIG_KEY)).unwrap();
+    (codec().source.parse)(&read.item.unwrap().value).unwrap()
+}
+
+pub fn version(store: &MemoryStore) -> ConfigVersion {
+    in_force(store).version
+}
--- a/crates/proxy/src/config/config_delta.rs
+++ b/crates/node/src/config/config_delta.rs
@@ -61,7 +61,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_proxy::config::*;
+    /// use geranium_node::config::*;
     ///
     /// let limits = LimitsInput { head_bytes: 1, body_bytes: 1, head_s: 1.0, idle_s: 1.0 };
     /// let document = |version| ConfigInput {
--- a/crates/proxy/src/config/mesh_config.rs
+++ b/crates/node/src/config/mesh_config.rs
@@ -58,7 +58,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_proxy::config::*;
+    /// use geranium_node::config::*;
     ///
     /// let route = |name: &str, prefix: &str| RouteInput {
     ///     name: name.into(),
--- a/crates/proxy/src/config/request_kind.rs
+++ b/crates/node/src/config/request_kind.rs
@@ -10,6 +10,8 @@
     Copy,
     PartialEq,
     Eq,
+    PartialOrd,
+    Ord,
     Hash,
     Serialize,
     Deserialize,
--- a/crates/proxy/src/config/share_wheel.rs
+++ b/crates/node/src/config/share_wheel.rs
@@ -53,7 +53,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_proxy::config::ShareWheel;
+    /// use geranium_node::config::ShareWheel;
     ///
     /// let wheel = ShareWheel::new([("a".into(), 3), ("b".into(), 1)]);
     /// let drawn: Vec<_> = (0..8).map(|_| wheel.draw()).collect();
--- a/crates/proxy/src/crash/crash_book.rs
+++ b/crates/node/src/crash/crash_book.rs
@@ -2,9 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use geranium_decisions::poison::{PoisonRegister, PoisonVerdict};
-use geranium_model::{CrashRow, FleetPolicy};
-
+use super::{CrashRow, PoisonRegister, PoisonTerms, PoisonVerdict};
 use crate::store::Revision;
 
 /// Prefix of the crashes in the store.
@@ -12,7 +10,10 @@
 /// Crashes after which a request is refused. Backend servers crash for reasons
 /// of their own with a dozen requests in hand; three of them with the same one
 /// is no accident.
-const CRASHES_MAX: u8 = 3;
+const CRASHES_MAX: u32 = 3;
+/// Time for which such a request stays refused: a caller's automatic resends
+/// end by then.
+const HOLD: Duration = Duration::from_secs(600);
 /// Rows that are handed on to nodes that ask for news.
 const ROWS_KEPT: usize = 256;
 
@@ -25,12 +26,12 @@
 
 impl Default for CrashBook {
     fn default() -> Self {
-        let policy = FleetPolicy {
-            poison_crashes: CRASHES_MAX,
-            ..FleetPolicy::default()
+        let terms = PoisonTerms {
+            crashes: CRASHES_MAX,
+            hold: HOLD,
         };
         Self {
-            register: PoisonRegister::new(policy),
+            register: PoisonRegister::new(terms),
             rows: VecDeque::new(),
         }
     }
--- /dev/null
+++ b/crates/node/src/crash/crash_row.rs
@@ -0,0 +1,15 @@
+//! Records of backend servers that crashed under a request.
+
+use serde::{Deserialize, Serialize};
+
+/// One backend server that crashed while it ran a request.
+///
+/// Rows spread to every node, which counts distinct starts of backend servers
+/// for each fingerprint: a row that arrives twice counts once.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CrashRow {
+    /// Hash of the request, see [`request_print`](super::request_print).
+    pub fingerprint: u64,
+    /// The start of the backend server that crashed.
+    pub instance: String,
+}
--- a/crates/proxy/src/crash/crash_watch.rs
+++ b/crates/node/src/crash/crash_watch.rs
@@ -2,7 +2,6 @@
 
 use std::{cell::RefCell, io::ErrorKind, rc::Rc, time::Duration};
 
-use geranium_model::{CrashRow, Incarnation};
 use slog::{info, warn};
 use strum::IntoStaticStr;
 use tokio::{
@@ -10,12 +9,11 @@
     sync::Notify,
     time::{sleep, timeout},
 };
-use xxhash_rust::xxh3::xxh3_64;
 
-use super::CRASH_PREFIX;
+use super::{CRASH_PREFIX, CrashRow};
 use crate::{
     node_core::NodeCore,
-    store::{MetaStore, Revision, StoreError},
+    store::{MetaStore, Revision, StoreError, StoreWrite},
 };
 
 /// Time after a break in which further ones gather: a process that crashes
@@ -40,6 +38,15 @@
     print: u64,
 }
 
+impl From<BrokenRun> for CrashRow {
+    fn from(run: BrokenRun) -> Self {
+        Self {
+            fingerprint: run.print,
+            instance: run.instance,
+        }
+    }
+}
+
 impl BrokenRuns {
     /// Notes that the connection of a run broke.
     pub fn push(&self, instance: String, print: u64) {
@@ -65,7 +72,7 @@
         if look != EndpointLook::Gone {
             continue;
         }
-        let rows: Vec<CrashRow> = runs.iter().filter_map(row_of).collect();
+        let rows: Vec<CrashRow> = runs.into_iter().map(CrashRow::from).collect();
         warn!(core.log.logger(), "backend server crashed"; "runs" => rows.len());
         let now = core.clock.now();
         let published = publish(&*store, &core, &rows).await;
@@ -106,16 +113,6 @@
     }
 }
 
-fn row_of(run: &BrokenRun) -> Option<CrashRow> {
-    // Names of starts that the product's naming rule excludes are hashed.
-    let name = format!("i-{:x}", xxh3_64(run.instance.as_bytes()));
-    Some(CrashRow {
-        fingerprint: run.print,
-        instance: name.parse().ok()?,
-        announced: Incarnation::new(1),
-    })
-}
-
 async fn publish(
     store: &impl MetaStore,
     core: &NodeCore,
@@ -130,7 +127,9 @@
     core.metrics.store_call("tell-crash");
     let grant = store.grant(CRASH_LEASE).await?;
     let key = format!("{CRASH_PREFIX}{}", first.instance);
-    let revision = store.put(&key, &value, Revision(0), grant.lease).await?;
+    let revision = store
+        .commit(&[StoreWrite::leased(&key, &value, Revision(0), grant.lease)])
+        .await?;
     info!(core.log.logger(), "crash told"; "revision" => revision.0);
     Ok(revision)
 }
--- a/crates/decisions/src/poison/mod.rs
+++ b/crates/node/src/crash/mod.rs
@@ -1,31 +1,37 @@
 //! Requests that crash the backend servers which run them.
 //!
 //! **Load pattern.** Once in a while one request breaks each backend server
-//! that runs it, and its caller, its node or a hurried person sends it again.
+//! that runs it, and its caller or a hurried person sends it again.
 //!
 //! **Without it.** Every resend takes down one more server of the service;
 //! three servers last three resends.
 //!
-//! **How.** The node beside a backend server that breaks writes one
-//! [`CrashRow`](geranium_model::CrashRow) for each request then in flight.
-//! Rows spread with membership. [`PoisonRegister`] counts them per request
-//! [`fingerprint`]: after one crash a request is suspect and never retried,
-//! after two it is refused.
+//! **How.** A door whose connections broke looks whether the backend server is
+//! still there ([`watch_crashes`]). If it isn't, each request that was running
+//! gets a [`CrashRow`], which goes to every node by way of the store
+//! ([`CrashBook`]). [`PoisonRegister`] counts the rows of each
+//! [`request_print`] and says from which count on a request is refused.
 //!
 //! **Innocent neighbours** share the row of a crash that another request
 //! caused. What tells them apart is that they complete: each run of good
 //! completions pays off one crash, so a price that is looked up all day isn't
 //! refused for having sat beside two crashes. One that never completes here
 //! and was always in company is refused for a tenth of the time.
-//!
-//! **Grounds for figures** stand beside each constant.
 
 mod completion_credit;
-mod fingerprint;
+mod crash_book;
+mod crash_row;
+mod crash_watch;
 mod poison_register;
+mod poison_terms;
 mod poison_verdict;
+mod request_print;
 mod suspect_record;
 
-pub use fingerprint::fingerprint;
+pub use crash_book::{CRASH_PREFIX, CrashBook};
+pub use crash_row::CrashRow;
+pub use crash_watch::{BrokenRuns, watch_crashes};
 pub use poison_register::PoisonRegister;
+pub use poison_terms::PoisonTerms;
 pub use poison_verdict::PoisonVerdict;
+pub use request_print::request_print;
--- a/crates/decisions/src/poison/poison_register.rs
+++ b/crates/node/src/crash/poison_register.rs
@@ -5,10 +5,8 @@
     time::Duration,
 };
 
-use geranium_model::{CrashRow, FleetPolicy, Incarnation, InstanceName};
-
 use super::{
-    completion_credit::CompletionCredit, poison_verdict::PoisonVerdict,
+    CrashRow, PoisonTerms, PoisonVerdict, completion_credit::CompletionCredit,
     suspect_record::SuspectRecord,
 };
 
@@ -20,22 +18,19 @@
 /// guess costs one more crash in a minute's time.
 const COMPANY_HOLD_DIVISOR: u32 = 10;
 
-type CrashId = (InstanceName, Incarnation);
-
 /// Counts crashes per request and says which to refuse.
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::Duration;
-/// use geranium_decisions::poison::{PoisonRegister, PoisonVerdict};
-/// use geranium_model::{CrashRow, FleetPolicy, Incarnation};
+/// use geranium_node::crash::{CrashRow, PoisonRegister, PoisonTerms, PoisonVerdict};
 ///
-/// let mut register = PoisonRegister::new(FleetPolicy::default());
+/// let terms = PoisonTerms { crashes: 2, hold: Duration::from_secs(600) };
+/// let mut register = PoisonRegister::new(terms);
 /// let crash = |instance: &str| CrashRow {
 ///     fingerprint: 7,
-///     instance: instance.parse().unwrap(),
-///     announced: Incarnation::new(1),
+///     instance: instance.to_owned(),
 /// };
 /// let now = Duration::from_secs(1);
 /// assert!(register.record(now, crash("till-1")));
@@ -46,18 +41,18 @@
 /// ```
 #[derive(Debug)]
 pub struct PoisonRegister {
-    policy: FleetPolicy,
+    terms: PoisonTerms,
     rows: VecDeque<(Duration, CrashRow)>,
-    crashes: HashMap<CrashId, Vec<u64>>,
+    crashes: HashMap<String, Vec<u64>>,
     suspects: HashMap<u64, SuspectRecord>,
     credit: CompletionCredit,
 }
 
 impl PoisonRegister {
     /// Makes an empty register.
-    pub fn new(policy: FleetPolicy) -> Self {
+    pub fn new(terms: PoisonTerms) -> Self {
         Self {
-            policy,
+            terms,
             rows: VecDeque::new(),
             crashes: HashMap::new(),
             suspects: HashMap::new(),
@@ -65,15 +60,10 @@
         }
     }
 
-    /// Changes the limits, as a new preset says.
-    pub fn set_policy(&mut self, policy: FleetPolicy) {
-        self.policy = policy;
-    }
-
     /// Takes in a row and reports whether it was new.
     pub fn record(&mut self, now: Duration, row: CrashRow) -> bool {
         self.expire(now);
-        let crash = self.crashes.entry(crash_of(&row)).or_default();
+        let crash = self.crashes.entry(row.instance.clone()).or_default();
         if crash.contains(&row.fingerprint) {
             return false;
         }
@@ -108,10 +98,10 @@
             return PoisonVerdict::Clear;
         };
         let age = suspect.age(now);
-        if suspect.unpaid() == 0 || age >= self.memory() {
+        if suspect.unpaid() == 0 || age >= self.terms.hold {
             return PoisonVerdict::Clear;
         }
-        if suspect.unpaid() < u32::from(self.policy.poison_crashes) {
+        if suspect.unpaid() < self.terms.crashes {
             return PoisonVerdict::Suspect;
         }
         let hold = self.hold_of(fingerprint, suspect);
@@ -123,25 +113,21 @@
         }
     }
 
-    /// Returns the rows in memory, for repair between nodes.
+    /// Returns the rows in memory.
     pub fn rows(&self) -> impl Iterator<Item = &CrashRow> {
         self.rows.iter().map(|(_, row)| row)
     }
 
-    fn memory(&self) -> Duration {
-        Duration::from_secs(self.policy.poison_hold_s.into())
-    }
-
     fn hold_of(&self, fingerprint: u64, suspect: &SuspectRecord) -> Duration {
-        let beyond = suspect.unpaid() > u32::from(self.policy.poison_crashes);
-        // Several servers that end together, as of a bad release, each have the
+        let beyond = suspect.unpaid() > self.terms.crashes;
+        // Several servers that end together, as after a bad release, each have the
         // popular requests in flight. One that was answered well before is more
         // likely such a bystander than guilty, and refused it can't show it.
         let beyond = beyond && !suspect.was_good();
         if beyond || self.was_alone(fingerprint) {
-            self.memory()
+            self.terms.hold
         } else {
-            self.memory() / COMPANY_HOLD_DIVISOR
+            self.terms.hold / COMPANY_HOLD_DIVISOR
         }
     }
 
@@ -150,7 +136,7 @@
     }
 
     fn expire(&mut self, now: Duration) {
-        let memory = self.memory();
+        let memory = self.terms.hold;
         while let Some((at, _)) = self.rows.front() {
             if now.saturating_sub(*at) < memory {
                 break;
@@ -163,11 +149,10 @@
         let Some((_, row)) = self.rows.pop_front() else {
             return;
         };
-        let id = crash_of(&row);
-        if let Some(crash) = self.crashes.get_mut(&id) {
+        if let Some(crash) = self.crashes.get_mut(&row.instance) {
             crash.retain(|&fingerprint| fingerprint != row.fingerprint);
             if crash.is_empty() {
-                self.crashes.remove(&id);
+                self.crashes.remove(&row.instance);
             }
         }
         if let Some(suspect) = self.suspects.get_mut(&row.fingerprint) {
@@ -178,7 +163,3 @@
         }
     }
 }
-
-fn crash_of(row: &CrashRow) -> CrashId {
-    (row.instance.clone(), row.announced)
-}
--- a/crates/proxy/src/crash/request_print.rs
+++ b/crates/node/src/crash/request_print.rs
@@ -8,7 +8,7 @@
 /// # Examples
 ///
 /// ```
-/// use geranium_proxy::crash::request_print;
+/// use geranium_node::crash::request_print;
 /// use http::{HeaderMap, Method, Uri};
 ///
 /// let print = |path, body| {
--- a/crates/proxy/src/door/door_queue.rs
+++ b/crates/node/src/door/door_queue.rs
@@ -129,7 +129,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use geranium_proxy::door::{DoorQueue, JobOffer, OfferVerdict};
+    /// use geranium_node::door::{DoorQueue, JobOffer, OfferVerdict};
     ///
     /// let mut queue = DoorQueue::new(1);
     /// let offer = JobOffer { rank: 1, class: 7, useful_until: Duration::from_millis(400) };
--- a/crates/proxy/src/door/door_refusal.rs
+++ b/crates/node/src/door/door_refusal.rs
@@ -56,7 +56,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_proxy::door::{DoorRefusal, RefusalReason};
+    /// use geranium_node::door::{DoorRefusal, RefusalReason};
     ///
     /// let refusal: DoorRefusal = "full,80".parse()?;
     /// assert_eq!(refusal.reason, RefusalReason::Full);
--- a/crates/proxy/src/follow/announcer.rs
+++ b/crates/node/src/follow/announcer.rs
@@ -13,7 +13,7 @@
     door::LocalEndpoint,
     member::{MemberRecord, MemberState},
     node_core::NodeCore,
-    store::{LeaseId, MetaStore, Revision, StoreError},
+    store::{LeaseId, MetaStore, Revision, StoreError, StoreWrite},
 };
 
 /// Time after which an announcement that isn't renewed vanishes. Others learn
@@ -136,7 +136,8 @@
             reason: error.to_string(),
         })?;
         core.metrics.store_call("announce");
-        match store.put(key, &value, self.revision, lease).await {
+        let write = StoreWrite::leased(key, &value, self.revision, lease);
+        match store.commit(&[write]).await {
             Ok(revision) => {
                 core.store_answered();
                 info!(core.log.logger(), "announced";
@@ -151,7 +152,7 @@
                     .announce(core.clock.now(), wanted, revision);
                 Ok(())
             }
-            Err(StoreError::Conflict { current }) => {
+            Err(StoreError::Conflict { current, .. }) => {
                 self.revision = current;
                 core.announce.notify_one();
                 Ok(())
@@ -176,7 +177,10 @@
             return Ok(());
         }
         core.metrics.store_call("withdraw");
-        match store.remove(key, self.revision).await {
+        match store
+            .commit(&[StoreWrite::remove(key, self.revision)])
+            .await
+        {
             Ok(revision) => {
                 self.record = None;
                 self.revision = Revision(0);
@@ -184,7 +188,7 @@
                 info!(core.log.logger(), "announcement withdrawn");
                 Ok(())
             }
-            Err(StoreError::Conflict { current }) => {
+            Err(StoreError::Conflict { current, .. }) => {
                 self.revision = current;
                 if current == Revision(0) {
                     self.record = None;
--- a/crates/proxy/src/follow/follow_message.rs
+++ b/crates/node/src/follow/follow_message.rs
@@ -2,7 +2,7 @@
 
 use std::{num::ParseIntError, rc::Rc, str::FromStr, time::Duration};
 
-use geranium_model::CrashRow;
+use crate::crash::CrashRow;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -52,7 +52,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_proxy::follow::FollowQuestion;
+    /// use geranium_node::follow::FollowQuestion;
     ///
     /// let question: FollowQuestion = "12,530,2000".parse()?;
     /// assert_eq!(question.to_string(), "12,530,2000");
--- a/crates/proxy/src/follow/member_watcher.rs
+++ b/crates/node/src/follow/member_watcher.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
-use geranium_model::CrashRow;
+use crate::crash::CrashRow;
 use slog::{error, info, warn};
 use tokio::{
     select,
--- a/crates/proxy/src/follow/news_intake.rs
+++ b/crates/node/src/follow/news_intake.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, net::SocketAddr, rc::Rc};
 
-use geranium_model::CrashRow;
+use crate::crash::CrashRow;
 use slog::{info, warn};
 
 use super::{ConfigNews, FollowAnswer};
--- a/crates/proxy/src/front/caller_input.rs
+++ b/crates/node/src/front/caller_input.rs
@@ -1,7 +1,7 @@
 //! Reading of what callers send.
 
+use crate::result_code::ResultCode;
 use bytes::Bytes;
-use geranium_model::ResultCode;
 use http::{StatusCode, header, request::Parts};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
--- a/crates/proxy/src/front/front_answer.rs
+++ b/crates/node/src/front/front_answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geranium_model::ResultCode;
+use crate::result_code::ResultCode;
 use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::answer_body::AnswerBody;
--- a/crates/proxy/src/front/front_flow.rs
+++ b/crates/node/src/front/front_flow.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use geranium_model::ResultCode;
+use crate::result_code::ResultCode;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use tokio::{
--- a/crates/proxy/src/front/try_record.rs
+++ b/crates/node/src/front/try_record.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geranium_model::ResultCode;
+use crate::result_code::ResultCode;
 use smallvec::SmallVec;
 
 use super::{FrontAnswer, FrontRequest};
--- a/crates/proxy/src/hop/hop_note.rs
+++ b/crates/node/src/hop/hop_note.rs
@@ -65,7 +65,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_proxy::hop::HopNote;
+    /// use geranium_node::hop::HopNote;
     ///
     /// let note: HopNote = "2,ff,1,380,12,10.1.0.4:7600".parse()?;
     /// assert_eq!((note.rank, note.class, note.version.0), (2, 255, 12));
--- a/crates/proxy/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -1,6 +1,6 @@
 //! HTTP servers on the node's ports.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -9,7 +9,9 @@
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    time::sleep,
+    select,
+    sync::watch,
+    time::{sleep, timeout},
 };
 
 use crate::{answer_body::AnswerBody, hop::tune_socket, node_core::NodeCore};
@@ -20,6 +22,9 @@
 const BACKLOG: u32 = 1_024;
 /// Smallest read buffer that the HTTP library takes.
 const BUFFER_MIN: usize = 8_192;
+/// Time without a further connection after which a closing port is shut: what
+/// waits in the kernel is there at once.
+const LAST_ACCEPT: Duration = Duration::from_millis(3);
 /// Pause after a connection couldn't be accepted: descriptors have run out,
 /// and some are given back within milliseconds.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -59,6 +64,12 @@
 /// Answers every request that comes to a port with what `answer` makes of it.
 ///
 /// `limits` is asked for each connection, as configurations change.
+///
+/// **Failure.** A process ends while a caller's connection waits to be
+/// accepted, or a request is on its way on an idle one: the caller's request
+/// is reset though the process could have told it to come back. **Guard.**
+/// Once the node closes, what waits is accepted, then the port is shut; idle
+/// connections are closed and the others end with their next answer.
 pub async fn serve_port<F>(
     core: Rc<NodeCore>,
     listener: TcpListener,
@@ -67,12 +78,27 @@
 ) where
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
+    let mut closing = core.closing.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => {
+                match timeout(LAST_ACCEPT, listener.accept()).await {
+                    Ok(accepted) => accepted,
+                    Err(_nobody_waits) => return,
+                }
+            }
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tune_socket(&stream);
-                let connection = serve_connection(stream, limits(), answer.clone());
-                tokio::task::spawn_local(connection);
+                let closing = core.closing.subscribe();
+                let mark = core.connection_mark();
+                let connection = serve_connection(stream, limits(), answer.clone(), closing);
+                tokio::task::spawn_local(async move {
+                    connection.await;
+                    drop(mark);
+                });
             }
             Err(cause) => {
                 warn!(core.log.logger(), "connection not accepted"; "cause" => %cause);
@@ -86,6 +112,7 @@
     stream: TcpStream,
     limits: PortLimits,
     answer: impl Fn(Request<Incoming>) -> F,
+    mut closing: watch::Receiver<bool>,
 ) where
     F: Future<Output = Response<AnswerBody>>,
 {
@@ -100,9 +127,11 @@
         .max_buf_size(limits.head_bytes.max(BUFFER_MIN));
     // A caller that leaves or breaks off is no fault of the node's; what it
     // means for a request shows where the request is dropped.
-    drop(
-        builder
-            .serve_connection(TokioIo::new(stream), service)
-            .await,
-    );
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    select! {
+        ended = &mut connection => return drop(ended),
+        _ = closing.wait_for(|closing| *closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    drop(connection.await);
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,39 +1,37 @@
-//! The process that runs beside each backend server instance.
+//! A node: the process beside each backend server.
 //!
-//! A [`ServingNode`] is made of threads, one for each duty, joined by bounded
-//! rings:
+//! Callers on the node's machine send their requests to it. The
+//! [`front`] finds the route in the [`config`] in force, picks a backend
+//! server out of the [`member`] view and sends the request to the node beside
+//! that one, whose [`door`] admits it, runs it and answers. [`follow`] keeps
+//! configuration and members up to date from the metadata [`store`], and
+//! announces the own backend server there.
 //!
-//! - `callers` reads callers' HTTP requests, picks a backend server and writes
-//!   the answers ([`callers`]);
-//! - `guard` admits requests to the node's own backend server and keeps the
-//!   at-most-once ledger ([`guard`]); its workers call the backend server;
-//! - `control` follows configuration and membership ([`control`]), and
-//!   `platform-*` call the platform for it;
-//! - `admin` answers operators and takes announcements ([`admin`]);
-//! - `timer` wakes the others ([`timer`]).
-//!
-//! Requests between nodes travel over [`link`] and the [`DataPort`] in the
-//! messages of [`wire`].
-
-pub mod admin;
-pub mod callers;
-pub mod control;
-pub mod guard;
-pub mod link;
-pub mod settings;
-pub mod timer;
-pub mod wire;
-
-mod bound_socket;
-mod data_port;
-mod log_setup;
-mod metrics;
-mod node;
-mod node_error;
-mod node_parts;
+//! One thread runs it all, on one event loop, so that no decision needs a
+//! lock and no request is handed from thread to thread. A second thread only
+//! writes the log. What decides has no I/O and takes the time as an argument:
+//! [`member::FleetView`], [`door::DoorQueue`], [`door::EndpointGate`],
+//! [`retry::RetryBudget`], [`config::MeshConfig`].
 
-pub use data_port::{DataPort, QuestionHandler};
-pub use log_setup::make_logger;
-pub use metrics::{MessageDirection, NodeMetrics};
-pub use node::{DrainingNode, ServingNode, StartingNode};
-pub use node_error::NodeError;
+pub mod answer_body;
+pub mod config;
+pub mod crash;
+pub mod door;
+pub mod event_log;
+pub mod follow;
+pub mod front;
+pub mod header_set;
+pub mod hop;
+pub mod hop_port;
+pub mod http_port;
+pub mod link_meter;
+pub mod member;
+pub mod node;
+pub mod node_clock;
+pub mod node_core;
+pub mod node_metrics;
+pub mod node_settings;
+pub mod operators;
+pub mod result_code;
+pub mod retry;
+pub mod store;
--- a/crates/proxy/src/link_meter.rs
+++ b/crates/node/src/link_meter.rs
@@ -46,7 +46,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use geranium_proxy::link_meter::LinkMeter;
+    /// use geranium_node::link_meter::LinkMeter;
     ///
     /// let mut link = LinkMeter::new(8.0);
     /// link.sent(Duration::ZERO, 900_000);
--- a/crates/proxy/src/member/load_report.rs
+++ b/crates/node/src/member/load_report.rs
@@ -46,7 +46,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_proxy::member::LoadReport;
+    /// use geranium_node::member::LoadReport;
     ///
     /// let report: LoadReport = "3,1,120".parse()?;
     /// assert_eq!((report.running, report.waiting), (3, 1));
--- a/crates/proxy/src/member/moving_mean.rs
+++ b/crates/node/src/member/moving_mean.rs
@@ -12,7 +12,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_proxy::member::MovingMean;
+    /// use geranium_node::member::MovingMean;
     ///
     /// let mut mean = MovingMean::default();
     /// mean.observe(4.0, 0.5);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,197 +1,199 @@
-//! The node's life: it starts, serves, drains and ends.
-//!
-//! Each stage is a type of its own, so that a node that isn't serving can't be
-//! drained and one that drains can't start to serve again.
+//! The node put together.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    thread::{self, JoinHandle},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
-};
+use std::{rc::Rc, time::Duration};
 
-use crossbeam::channel::{Sender, bounded};
-use geranium_model::Incarnation;
+use http::{Request, Response};
+use hyper::body::Incoming;
 use slog::{Logger, info, warn};
+use tokio::{
+    net::TcpListener,
+    task::spawn_local,
+    time::{Instant, sleep},
+};
 
 use crate::{
-    DataPort, NodeError, NodeMetrics,
-    admin::{AdminPort, StatusCell},
-    callers::{CallersPort, FrontEvent},
-    control::ControlEvent,
-    guard::{GuardEvent, StreamTable},
-    node_parts::{NodeParts, Rings, setup},
-    settings::NodeSettings,
-    timer::TimerHub,
+    answer_body::AnswerBody,
+    crash::watch_crashes,
+    door::confirm_endpoint,
+    follow::{ConfigSource, catch_up, follow_guide, keep_announced, watch_config, watch_members},
+    front::FrontFlow,
+    hop_port::HopPort,
+    http_port::{PortError, PortLimits, open_port, serve_port},
+    node_core::{CALLERS_LEAVE, NodeCore},
+    node_settings::ListenAddrs,
+    operators::OperatorsPort,
+    store::MetaStore,
 };
 
-/// Events that may wait for each thread. A full ring refuses requests at once,
-/// and drops control messages, which digests repair.
-const GUARD_RING: usize = 4_096;
-const CONTROL_RING: usize = 4_096;
-const FRONT_RING: usize = 16_384;
-/// How often the guard renews its figures and sweeps streams.
-const GUARD_TICK: Duration = Duration::from_millis(500);
-/// How often the control thread looks after its timers.
-const CONTROL_TICK: Duration = Duration::from_millis(100);
-/// How often a draining node looks whether its requests have ended.
-const DRAIN_POLL: Duration = Duration::from_millis(10);
-/// Time for the last control messages to leave the process.
-const FAREWELL: Duration = Duration::from_millis(200);
-
-/// A node with checked settings that doesn't listen yet.
-#[derive(Debug)]
-pub struct StartingNode {
-    settings: NodeSettings,
-    log: Logger,
-}
-
-/// A node that takes requests.
-#[derive(Debug)]
-pub struct ServingNode {
-    settings: NodeSettings,
-    log: Logger,
-    guard: Sender<GuardEvent>,
-    control: Sender<ControlEvent>,
-    front: Sender<FrontEvent>,
-    callers: CallersPort,
-    admin: AdminPort,
-    data: DataPort,
-    streams: Arc<StreamTable>,
-    busy: Arc<AtomicBool>,
-    drain_asked: Arc<AtomicBool>,
-    control_thread: JoinHandle<()>,
-}
+/// Idle time of ports that only other nodes and the platform use; above that
+/// of the connections which nodes keep to one another.
+const INNER_IDLE: Duration = Duration::from_secs(60);
+/// Most bytes of a head on those ports.
+const INNER_HEAD: usize = 64 * 1024;
+/// Idle time towards callers before the first configuration.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+/// Time between sweeps of idle connections and vanished members.
+const SWEEP_TIME: Duration = Duration::from_millis(500);
+/// Time kept free before the kill.
+const STOP_MARGIN: Duration = Duration::from_millis(600);
+/// Longest time for connections to end once the ports are shut: each has an
+/// answer in hand or none. Callers that don't read hold theirs open.
+const CLOSE_MAX: Duration = Duration::from_millis(200);
+/// Time between looks at them.
+const CLOSE_LOOK: Duration = Duration::from_millis(5);
+/// Time between looks at what is still open while stopping.
+const STOP_LOOK: Duration = Duration::from_millis(50);
 
-/// A node that takes no new work and ends what is in flight.
+/// The ports of a node, open.
 #[derive(Debug)]
-pub struct DrainingNode {
-    serving: ServingNode,
-    give_up: Instant,
+pub struct NodePorts {
+    callers: TcpListener,
+    hop: TcpListener,
+    readiness: TcpListener,
+    reports: TcpListener,
+    metrics: Option<TcpListener>,
 }
 
-impl StartingNode {
-    /// Takes checked settings.
-    pub const fn new(settings: NodeSettings, log: Logger) -> Self {
-        Self { settings, log }
-    }
-
-    /// Opens every port and starts every thread.
+impl NodePorts {
+    /// Opens them. A node whose metrics port is taken runs without metrics:
+    /// callers must not suffer for it.
     ///
     /// # Errors
     ///
-    /// When a port can't be listened on or a thread can't be started.
-    pub fn serve(self) -> Result<ServingNode, NodeError> {
-        let Self { settings, log } = self;
-        let origin = Instant::now();
-        let started = wall_clock();
-        let metrics = NodeMetrics::new(
-            settings.instance.as_str(),
-            settings.data_centre.as_str(),
-            started,
-        );
-        let metrics = Arc::new(metrics.map_err(|error| setup("metrics", &error))?);
-        let rings = Rings {
-            guard: bounded(GUARD_RING),
-            control: bounded(CONTROL_RING),
-            front: bounded(FRONT_RING),
-        };
-        let mut timers = TimerHub::default();
-        timers.subscribe(GUARD_TICK, rings.guard.0.clone(), || GuardEvent::Tick);
-        timers.subscribe(CONTROL_TICK, rings.control.0.clone(), || ControlEvent::Tick);
-
-        let streams = Arc::new(StreamTable::default());
-        let status = Arc::new(StatusCell::default());
-        let busy = Arc::new(AtomicBool::new(false));
-        let drain_asked = Arc::new(AtomicBool::new(false));
-
-        let parts = NodeParts {
-            settings: &settings,
-            log: &log,
-            origin,
-            started,
-            metrics: &metrics,
-        };
-        parts.start_guard(&rings, &streams, &busy)?;
-        let data = parts.open_data(&rings)?;
-        let control_thread = parts.start_control(&rings, &status)?;
-        let callers = parts.start_callers(&rings)?;
-        let admin = parts.start_admin(&rings, &status, &drain_asked)?;
-        timers.start().map_err(|error| setup("timer", &error))?;
-        info!(log, "node serves"; "listen" => %settings.listen, "admin" => %settings.admin);
-        Ok(ServingNode {
-            settings,
-            log,
-            guard: rings.guard.0,
-            control: rings.control.0,
-            front: rings.front.0,
-            callers,
-            admin,
-            data,
-            streams,
-            busy,
-            drain_asked,
-            control_thread,
+    /// When another address can't be bound.
+    pub fn open(addrs: &ListenAddrs, logger: &Logger) -> Result<Self, PortError> {
+        let metrics = addrs.metrics.and_then(|addr| {
+            let opened = open_port(addr);
+            opened
+                .inspect_err(|cause| warn!(logger, "no metrics"; "cause" => %cause))
+                .ok()
+        });
+        Ok(Self {
+            callers: open_port(addrs.callers)?,
+            hop: open_port(addrs.hop)?,
+            readiness: open_port(addrs.readiness)?,
+            reports: open_port(addrs.reports)?,
+            metrics,
         })
     }
 }
 
-impl ServingNode {
-    /// Reports whether an operator asked this node to drain.
-    pub fn drain_asked(&self) -> bool {
-        self.drain_asked.load(Ordering::Acquire)
-    }
+/// What the platform asks of a node, as its adapter answers it.
+pub trait PlatformPort: Clone + 'static {
+    /// Answers a readiness check.
+    fn readiness(self, request: Request<Incoming>) -> impl Future<Output = Response<AnswerBody>>;
+
+    /// Answers a heartbeat or farewell of the backend server.
+    fn report(self, request: Request<Incoming>) -> impl Future<Output = Response<AnswerBody>>;
+}
 
-    /// Begins to leave: no new work from here on.
-    pub fn drain(self) -> DrainingNode {
-        info!(self.log, "node drains");
-        // The guard first: from here on nothing new runs, whoever asks. Then
-        // the fleet, and then the callers.
-        let _ = self.guard.send(GuardEvent::Drain);
-        let _ = self.control.send(ControlEvent::Drain);
-        let _ = self.front.send(FrontEvent::Draining);
-        let give_up = Instant::now() + self.settings.drain_timeout;
-        DrainingNode {
-            serving: self,
-            give_up,
+/// Starts every task of a node on the current thread's executor.
+pub fn start_node(
+    core: &Rc<NodeCore>,
+    ports: NodePorts,
+    platform: impl PlatformPort,
+    store: Rc<impl MetaStore>,
+    source: ConfigSource,
+) {
+    info!(core.log.logger(), "started";
+        "hop" => %core.settings.hop,
+        "endpoint" => %core.settings.endpoint,
+        "service" => &*core.settings.service,
+        "data_centre" => &*core.settings.data_centre);
+    serve_callers(core, ports.callers);
+    serve_inner(core, ports.hop, {
+        let port = HopPort::new(Rc::clone(core));
+        let core = Rc::clone(core);
+        move |request| {
+            let (port, open) = (port.clone(), core.open_mark());
+            async move { port.answer(request).await.map(|body| body.with_open(open)) }
         }
+    });
+    let readiness = platform.clone();
+    serve_inner(core, ports.readiness, move |request| {
+        readiness.clone().readiness(request)
+    });
+    serve_inner(core, ports.reports, move |request| {
+        platform.clone().report(request)
+    });
+    if let Some(metrics) = ports.metrics {
+        let port = OperatorsPort::new(Rc::clone(core));
+        serve_inner(core, metrics, move |request| {
+            std::future::ready(port.answer(&request))
+        });
     }
+    spawn_local(watch_config(Rc::clone(core), Rc::clone(&store), source));
+    spawn_local(watch_members(Rc::clone(core), Rc::clone(&store)));
+    spawn_local(follow_guide(Rc::clone(core)));
+    spawn_local(confirm_endpoint(Rc::clone(core)));
+    spawn_local(watch_crashes(Rc::clone(core), Rc::clone(&store)));
+    spawn_local(keep_announced(Rc::clone(core), store));
+    spawn_local(catch_up(Rc::clone(core)));
+    spawn_local(sweep(Rc::clone(core)));
 }
 
-impl DrainingNode {
-    /// Waits for requests in flight, tells the fleet, and ends every thread.
-    ///
-    /// Returns whether everything in flight ended by itself.
-    pub fn finish(self) -> bool {
-        let Self { serving, give_up } = self;
-        // The callers' port stays open for a while: requests that still come
-        // are routed to other nodes, and answers tell callers to go there.
-        thread::sleep(serving.settings.drain_linger);
-        let answered = serving.callers.stop(give_up);
-        let mut idle = false;
-        while !idle && Instant::now() < give_up {
-            thread::sleep(DRAIN_POLL);
-            idle = !serving.busy.load(Ordering::Acquire) && serving.streams.is_empty();
-        }
-        if !(answered && idle) {
-            warn!(serving.log, "requests were cut off by the drain timeout");
+/// Stops a node: finishes what is open and returns when the process may end.
+///
+/// Callers are still served until they have noticed that the node isn't ready
+/// any more; other nodes get refusals, upon which they go elsewhere.
+pub async fn stop_node(core: &Rc<NodeCore>) {
+    let begun = Instant::now();
+    info!(core.log.logger(), "stopping"; "open" => core.open.get());
+    core.begin_stop();
+    let latest = core.settings.stop_time.saturating_sub(STOP_MARGIN);
+    while begun.elapsed() < latest {
+        if begun.elapsed() >= CALLERS_LEAVE && core.open.get() == 0 {
+            break;
         }
-        let _ = serving.control.send(ControlEvent::Leave);
-        let _ = serving.control_thread.join();
-        thread::sleep(FAREWELL);
-        serving.data.close();
-        serving.admin.stop();
-        info!(serving.log, "node ends"; "whole" => answered && idle);
-        answered && idle
+        sleep(STOP_LOOK).await;
+    }
+    core.closing.send_replace(true);
+    let closed = Instant::now();
+    while closed.elapsed() < CLOSE_MAX && core.connections.get() > 0 {
+        sleep(CLOSE_LOOK).await;
     }
+    info!(core.log.logger(), "stopped";
+        "open" => core.open.get(),
+        "took_ms" => begun.elapsed().as_millis() as u64);
 }
 
-/// Takes the first incarnation from the wall clock.
-fn wall_clock() -> Incarnation {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Incarnation::new(since.as_millis() as u64)
+fn serve_callers(core: &Rc<NodeCore>, listener: TcpListener) {
+    let flow = FrontFlow::new(Rc::clone(core));
+    let (counted, limited) = (Rc::clone(core), Rc::clone(core));
+    let answer = move |request| {
+        let (flow, open) = (flow.clone(), counted.open_mark());
+        async move { flow.answer(request).await.map(|body| body.with_open(open)) }
+    };
+    let limits = move || match &*limited.config.borrow() {
+        Some(config) => PortLimits {
+            idle_time: config.limits.idle_time,
+            head_bytes: config.limits.head_bytes,
+        },
+        None => PortLimits {
+            idle_time: FIRST_IDLE,
+            head_bytes: INNER_HEAD,
+        },
+    };
+    spawn_local(serve_port(Rc::clone(core), listener, limits, answer));
+}
+
+fn serve_inner<F>(
+    core: &Rc<NodeCore>,
+    listener: TcpListener,
+    answer: impl Fn(Request<Incoming>) -> F + Clone + 'static,
+) where
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let limits = || PortLimits {
+        idle_time: INNER_IDLE,
+        head_bytes: INNER_HEAD,
+    };
+    spawn_local(serve_port(Rc::clone(core), listener, limits, answer));
+}
+
+async fn sweep(core: Rc<NodeCore>) {
+    loop {
+        sleep(SWEEP_TIME).await;
+        core.sweep(core.clock.now());
+    }
 }
--- /dev/null
+++ b/crates/node/src/node_core/connection_mark.rs
@@ -0,0 +1,16 @@
+//! Connections that are open.
+
+use std::rc::Rc;
+
+use super::NodeCore;
+
+/// Counts a connection as open until dropped.
+#[derive(Debug)]
+pub struct ConnectionMark(pub(super) Rc<NodeCore>);
+
+impl Drop for ConnectionMark {
+    fn drop(&mut self) {
+        let open = self.0.connections.get();
+        self.0.connections.set(open.saturating_sub(1));
+    }
+}
--- a/crates/proxy/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -1,5 +1,6 @@
 //! What the parts of a node share.
 
+mod connection_mark;
 mod open_mark;
 mod request_notes;
 
@@ -12,8 +13,12 @@
 
 use http::HeaderValue;
 use slog::info;
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
+};
 
+pub use connection_mark::ConnectionMark;
 pub use open_mark::OpenMark;
 
 use crate::{
@@ -102,6 +107,10 @@
     pub history: RefCell<ConfigHistory>,
     /// Requests of callers that are open.
     pub open: Cell<u32>,
+    /// Connections of others that are open.
+    pub connections: Cell<u32>,
+    /// Whether ports are being shut and connections closed.
+    pub closing: watch::Sender<bool>,
     sizes: RefCell<AnswerSizes>,
     caller_service: RefCell<HeaderValue>,
     stopping_since: Cell<Option<Duration>>,
@@ -109,7 +118,15 @@
 
 impl NodeCore {
     /// Makes a node that knows nothing yet.
-    pub fn new(settings: NodeSettings, headers: HeaderSet, log: EventLog) -> Rc<Self> {
+    ///
+    /// # Errors
+    ///
+    /// When the metrics can't be registered.
+    pub fn new(
+        settings: NodeSettings,
+        headers: HeaderSet,
+        log: EventLog,
+    ) -> Result<Rc<Self>, Box<dyn std::error::Error>> {
         let clock = NodeClock::start();
         let door_settings = DoorSettings {
             endpoint: settings.endpoint,
@@ -122,7 +139,8 @@
         });
         let link = Rc::new(RefCell::new(LinkMeter::new(settings.link_mbps)));
         let caller_service = service_value(&settings.service);
-        Rc::new(Self {
+        Ok(Rc::new(Self {
+            metrics: NodeMetrics::new(&settings)?,
             door: DoorFlow::new(door_settings, headers.clone(), clock, Rc::clone(&link)),
             link,
             config: RefCell::default(),
@@ -131,7 +149,6 @@
             hops,
             retries: RefCell::new(RetryBudget::new(settings.retries)),
             log,
-            metrics: NodeMetrics::default(),
             announce: Notify::new(),
             own_record: RefCell::default(),
             own_record_heard: Notify::new(),
@@ -144,13 +161,15 @@
             guide: RefCell::new(Guide::new(settings.hop)),
             history: RefCell::default(),
             open: Cell::new(0),
+            connections: Cell::new(0),
+            closing: watch::Sender::new(false),
             sizes: RefCell::default(),
             caller_service: RefCell::new(caller_service),
             stopping_since: Cell::new(None),
             settings,
             headers,
             clock,
-        })
+        }))
     }
 
     /// Counts a request as open until the mark is dropped.
@@ -159,6 +178,12 @@
         OpenMark(Rc::clone(self))
     }
 
+    /// Counts a connection as open until the mark is dropped.
+    pub fn connection_mark(self: &Rc<Self>) -> ConnectionMark {
+        self.connections.set(self.connections.get() + 1);
+        ConnectionMark(Rc::clone(self))
+    }
+
     /// Takes in a heartbeat of the backend server.
     pub fn report(&self, report: EndpointReport) -> ReportVerdict {
         let now = self.clock.now();
@@ -226,7 +251,7 @@
             "before" => before.0,
             "routes" => config.route_count(),
             "source" => source);
-        self.metrics.config_version.set(config.version.0);
+        self.metrics.config_version(config.version.0);
         self.history.borrow_mut().push(Rc::clone(&config.input));
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.news.notify_waiters();
--- a/crates/proxy/src/node_core/request_notes.rs
+++ b/crates/node/src/node_core/request_notes.rs
@@ -12,9 +12,27 @@
     door::DoorRefusal,
     front::{FrontAnswer, FrontRequest},
     member::MemberRecord,
+    node_metrics::{RequestCount, RequestResult},
+    result_code::ResultCode,
 };
 
 impl NodeCore {
+    fn count(
+        &self,
+        request: &FrontRequest,
+        code: ResultCode,
+        result: RequestResult,
+        took: Duration,
+    ) {
+        self.metrics.request(RequestCount {
+            service: &request.service,
+            kind: Some(request.route.kind),
+            code,
+            result,
+            took,
+        });
+    }
+
     /// Records a request that got a backend server's answer.
     pub fn note_served(
         &self,
@@ -31,9 +49,13 @@
             self.crashes.borrow_mut().completed(request.print);
         }
         let took = request.arrived.elapsed();
-        self.metrics.served(request.route.kind, took);
-        let plain = answer.status().is_success() && tries == 1 && took <= request.route.target;
-        if plain {
+        let result = match answer.status() {
+            status if status.is_server_error() => RequestResult::Failed,
+            _ if took <= request.route.target => RequestResult::Good,
+            _ => RequestResult::Slow,
+        };
+        self.count(request, ResultCode::Ok, result, took);
+        if result == RequestResult::Good && tries == 1 {
             return;
         }
         if let Some(log) = self.log.for_request(self.clock.now(), "answered") {
@@ -57,7 +79,8 @@
         tries: usize,
         cause: Option<&str>,
     ) {
-        self.metrics.answered(answer.code);
+        let took = request.arrived.elapsed();
+        self.count(request, answer.code, RequestResult::Failed, took);
         if let Some(log) = self.log.for_request(self.clock.now(), answer.code.into()) {
             info!(log, "request given up";
                 "request" => &*request.id,
@@ -70,13 +93,13 @@
                 "retry_after_ms" => answer.retry_after.map(|time| time.as_millis() as u64),
                 "tries" => tries,
                 "cause" => cause,
-                "took_ms" => request.arrived.elapsed().as_millis() as u64);
+                "took_ms" => took.as_millis() as u64);
         }
     }
 
     /// Records that a caller left before its answer.
     pub fn note_left(&self, request: &FrontRequest, tries: usize) {
-        self.metrics.refused("caller-left");
+        self.metrics.try_failed("caller-left");
         if let Some(log) = self.log.for_request(self.clock.now(), "caller left") {
             info!(log, "caller left";
                 "request" => &*request.id,
@@ -88,7 +111,18 @@
 
     /// Records a request that was refused before it had a route.
     pub fn note_answer(&self, id: Option<&HeaderValue>, answer: &FrontAnswer) {
-        self.metrics.answered(answer.code);
+        let result = if answer.status.is_client_error() {
+            RequestResult::CallerFault
+        } else {
+            RequestResult::Failed
+        };
+        self.metrics.request(RequestCount {
+            service: "",
+            kind: None,
+            code: answer.code,
+            result,
+            took: Duration::ZERO,
+        });
         if let Some(log) = self.log.for_request(self.clock.now(), answer.code.into()) {
             info!(log, "request rejected";
                 "request" => id.and_then(|id| id.to_str().ok()),
@@ -102,7 +136,7 @@
     /// Records that a door refused a try.
     pub fn note_refusal(&self, request: &FrontRequest, at: &MemberRecord, refusal: &DoorRefusal) {
         let reason: &'static str = refusal.reason.into();
-        self.metrics.refused(reason);
+        self.metrics.try_failed(reason);
         if let Some(log) = self.log.for_request(self.clock.now(), "door refused") {
             info!(log, "door refused";
                 "request" => &*request.id,
@@ -115,7 +149,7 @@
 
     /// Records that a node couldn't be reached.
     pub fn note_unreachable(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
-        self.metrics.refused("unreachable");
+        self.metrics.try_failed("unreachable");
         self.hops.forget(at.hop);
         if let Some(log) = self.log.for_request(self.clock.now(), "unreachable") {
             warn!(log, "node unreachable";
@@ -128,7 +162,7 @@
 
     /// Records that a member shows no sign of life.
     pub fn note_silent(&self, request: &FrontRequest, at: &MemberRecord, patience: Duration) {
-        self.metrics.refused("silent");
+        self.metrics.try_failed("silent");
         if let Some(log) = self.log.for_request(self.clock.now(), "silent") {
             warn!(log, "member silent";
                 "request" => &*request.id,
@@ -140,7 +174,7 @@
 
     /// Records that a try broke after it was sent.
     pub fn note_broke(&self, request: &FrontRequest, at: &MemberRecord, cause: &str) {
-        self.metrics.refused("broke");
+        self.metrics.try_failed("broke");
         if let Some(log) = self.log.for_request(self.clock.now(), "broke") {
             warn!(log, "try broke";
                 "request" => &*request.id,
--- /dev/null
+++ b/crates/node/src/node_metrics.rs
@@ -0,0 +1,170 @@
+//! Counters, gauges and latency histograms by `OpenTelemetry`.
+
+use std::{
+    error::Error,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use strum::{Display, EnumString, IntoStaticStr};
+
+use crate::{config::RequestKind, node_settings::NodeSettings, result_code::ResultCode};
+
+/// Bounds of the latency histogram in seconds: from a round trip between data
+/// centres to the longest deadlines.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0,
+];
+
+/// What a request's end says of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum RequestResult {
+    /// A good answer within the route's target time.
+    Good,
+    /// A good answer after it.
+    Slow,
+    /// No good answer.
+    Failed,
+    /// The request itself was at fault.
+    CallerFault,
+}
+
+/// A request that has its answer, for the counters.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestCount<'a> {
+    /// Service; empty when the request had no route.
+    pub service: &'a str,
+    /// What may be repeated; none when the request had no route.
+    pub kind: Option<RequestKind>,
+    /// Reason of an answer of this node's own.
+    pub code: ResultCode,
+    /// What it says of the service.
+    pub result: RequestResult,
+    /// Time to the answer's head.
+    pub took: Duration,
+}
+
+/// A node's metrics.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    // Keeps the reader registered for as long as metrics are asked for.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    tries_failed: Counter<u64>,
+    store_calls: Counter<u64>,
+    config_version: Gauge<u64>,
+    members: Gauge<u64>,
+    queue: Gauge<u64>,
+}
+
+impl NodeMetrics {
+    /// Registers every metric of a node.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter refuses its registry.
+    pub fn new(settings: &NodeSettings) -> Result<Self, Box<dyn Error>> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("geranium");
+        let labels = [
+            KeyValue::new("instance", settings.instance.clone()),
+            KeyValue::new("data_centre", settings.data_centre.clone()),
+            KeyValue::new("service", settings.service.clone()),
+        ];
+        meter
+            .u64_gauge("geranium_node_info")
+            .build()
+            .record(1, &labels);
+        // On the same page as the counters, so that a reader can't take the
+        // counters of one process for those of the next.
+        let started = SystemTime::now().duration_since(UNIX_EPOCH);
+        let started = started.map_or(0, |time| time.as_millis() as u64);
+        meter
+            .u64_gauge("geranium_node_started")
+            .build()
+            .record(started, &[]);
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("geranium_requests").build(),
+            latency: meter
+                .f64_histogram("geranium_request_seconds")
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            tries_failed: meter.u64_counter("geranium_tries_failed").build(),
+            store_calls: meter.u64_counter("geranium_store_calls").build(),
+            config_version: meter.u64_gauge("geranium_config_version").build(),
+            members: meter.u64_gauge("geranium_members").build(),
+            queue: meter.u64_gauge("geranium_queue").build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that got its final answer.
+    pub fn request(&self, count: RequestCount<'_>) {
+        let service = KeyValue::new("service", count.service.to_owned());
+        let kind = KeyValue::new("kind", count.kind.map_or("none", Into::into));
+        let code: &'static str = count.code.into();
+        let result: &'static str = count.result.into();
+        if matches!(count.result, RequestResult::Good | RequestResult::Slow) {
+            let labels = [service.clone(), kind.clone()];
+            self.latency.record(count.took.as_secs_f64(), &labels);
+        }
+        let labels = [
+            service,
+            kind,
+            KeyValue::new("code", code),
+            KeyValue::new("result", result),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// Counts a failed try.
+    pub fn try_failed(&self, reason: &'static str) {
+        self.tries_failed.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, kind: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Shows the version of the configuration in force.
+    pub fn config_version(&self, version: u64) {
+        self.config_version.record(version, &[]);
+    }
+
+    /// Shows how many members are known.
+    pub fn members(&self, count: usize) {
+        self.members.record(count as u64, &[]);
+    }
+
+    /// Shows a figure of the door's queue.
+    pub fn queue(&self, figure: &'static str, value: u32) {
+        let labels = [KeyValue::new("figure", figure)];
+        self.queue.record(value.into(), &labels);
+    }
+
+    /// Writes every metric in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// When the encoder refuses a metric.
+    pub fn text(&self) -> prometheus::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/node/src/operators/operators_port.rs
@@ -0,0 +1,103 @@
+//! The port for operators' programs.
+
+use std::rc::Rc;
+
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use serde::Serialize;
+use slog::error;
+
+use super::NodeStatus;
+use crate::{answer_body::AnswerBody, member::MemberRecord, node_core::NodeCore};
+
+/// Path of the metrics, in the Prometheus text format.
+pub const METRICS_PATH: &str = "/metrics";
+/// Path of the [`NodeStatus`], as JSON.
+pub const STATUS_PATH: &str = "/status";
+
+/// Path of the members that the node knows, as JSON.
+pub const MEMBERS_PATH: &str = "/members";
+
+/// Shows metrics and state to operators' programs.
+#[derive(Debug, Clone)]
+pub struct OperatorsPort {
+    core: Rc<NodeCore>,
+}
+
+impl OperatorsPort {
+    /// Makes the port of a node.
+    pub const fn new(core: Rc<NodeCore>) -> Self {
+        Self { core }
+    }
+
+    /// Answers a request.
+    pub fn answer(&self, request: &Request<Incoming>) -> Response<AnswerBody> {
+        match request.uri().path() {
+            METRICS_PATH => self.metrics(),
+            STATUS_PATH => self.status(),
+            MEMBERS_PATH => self.members(),
+            _ => page(StatusCode::NOT_FOUND, "text/plain", Vec::new()),
+        }
+    }
+
+    fn metrics(&self) -> Response<AnswerBody> {
+        let load = self.core.door.load();
+        let metrics = &self.core.metrics;
+        metrics.members(self.core.fleet.borrow().len());
+        metrics.queue("running", load.running);
+        metrics.queue("waiting", load.waiting);
+        match metrics.text() {
+            Ok(text) => page(StatusCode::OK, "text/plain; version=0.0.4", text),
+            Err(cause) => self.failed("metrics", &cause),
+        }
+    }
+
+    fn status(&self) -> Response<AnswerBody> {
+        let settings = &self.core.settings;
+        let load = self.core.door.load();
+        let gate = self.core.door.gate().borrow();
+        let now = self.core.clock.now();
+        let status = NodeStatus {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            service: settings.service.clone(),
+            hop: settings.hop,
+            version: self.core.version().0,
+            members: self.core.fleet.borrow().len(),
+            store_age_ms: self.core.guide.borrow().store_age(now).as_millis() as u64,
+            backend: gate
+                .current()
+                .map(|current| current.report.instance.clone()),
+            running: load.running,
+            waiting: load.waiting,
+            ready: self.core.is_ready(),
+        };
+        self.json("status", &status)
+    }
+
+    fn members(&self) -> Response<AnswerBody> {
+        let fleet = self.core.fleet.borrow();
+        let records: Vec<&MemberRecord> = fleet.records().collect();
+        self.json("members", &records)
+    }
+
+    fn json(&self, what: &str, value: &impl Serialize) -> Response<AnswerBody> {
+        match serde_json::to_vec(value) {
+            Ok(text) => page(StatusCode::OK, "application/json", text),
+            Err(cause) => self.failed(what, &cause),
+        }
+    }
+
+    fn failed(&self, what: &str, cause: &dyn std::error::Error) -> Response<AnswerBody> {
+        error!(self.core.log.logger(), "page not shown"; "page" => what, "cause" => %cause);
+        page(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", Vec::new())
+    }
+}
+
+fn page(status: StatusCode, kind: &'static str, text: Vec<u8>) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(text));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static(kind);
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- a/crates/proxy/src/retry/retry_budget.rs
+++ b/crates/node/src/retry/retry_budget.rs
@@ -70,7 +70,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use geranium_proxy::retry::{RetryBudget, RetryNeed, RetryTerms};
+    /// use geranium_node::retry::{RetryBudget, RetryNeed, RetryTerms};
     ///
     /// let window = Duration::from_secs(10);
     /// let mut budget = RetryBudget::new(RetryTerms { ratio: 0.2, slack: 50.0, window });
--- a/crates/proxy/src/store/meta_store.rs
+++ b/crates/node/src/store/meta_store.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use super::{LeaseGrant, LeaseId, Revision, StoreError, StoreList, StoreRead, WatchBatch};
+use super::{
+    LeaseGrant, LeaseId, Revision, StoreError, StoreList, StoreRead, StoreWrite, WatchBatch,
+};
 
 /// Key-value store with compare-and-swap, leases and watches.
 ///
@@ -37,31 +39,16 @@
         wait: Duration,
     ) -> impl Future<Output = Result<WatchBatch, StoreError>>;
 
-    /// Writes `key` under `lease` if it is at revision `expected`; 0 means
-    /// that it doesn't exist.
+    /// Makes changes together: all of them, or none when one of their keys
+    /// isn't at the revision that it names.
     ///
     /// # Errors
     ///
     /// [`StoreError::Conflict`], [`StoreError::NoLease`], or when the store
     /// can't be reached or refuses.
-    fn put(
+    fn commit(
         &self,
-        key: &str,
-        value: &[u8],
-        expected: Revision,
-        lease: LeaseId,
-    ) -> impl Future<Output = Result<Revision, StoreError>>;
-
-    /// Removes `key` if it is at revision `expected`.
-    ///
-    /// # Errors
-    ///
-    /// [`StoreError::Conflict`], or when the store can't be reached or
-    /// refuses.
-    fn remove(
-        &self,
-        key: &str,
-        expected: Revision,
+        writes: &[StoreWrite<'_>],
     ) -> impl Future<Output = Result<Revision, StoreError>>;
 
     /// Asks for a lease.
--- a/crates/proxy/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -7,9 +7,11 @@
 mod meta_store;
 mod store_error;
 mod store_item;
+mod store_write;
 
 pub use meta_store::MetaStore;
 pub use store_error::StoreError;
 pub use store_item::{
     LeaseGrant, LeaseId, Revision, StoreEvent, StoreItem, StoreList, StoreRead, WatchBatch,
 };
+pub use store_write::{StoreChange, StoreWrite};
--- a/crates/proxy/src/store/store_error.rs
+++ b/crates/node/src/store/store_error.rs
@@ -24,9 +24,11 @@
     /// The history asked for is gone: list again.
     #[snafu(display("the store no longer has this history"))]
     HistoryGone,
-    /// The key has another revision than expected.
-    #[snafu(display("the key is at revision {current}"))]
+    /// A key has another revision than expected.
+    #[snafu(display("the key {key} is at revision {current}"))]
     Conflict {
+        /// Key.
+        key: String,
         /// Revision of the key now; 0 when it doesn't exist.
         current: Revision,
     },
--- a/crates/proxy/tests/all/budget.rs
+++ b/crates/node/tests/all/budget.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use geranium_proxy::retry::{RetryBudget, RetryNeed, RetryTerms};
+use geranium_node::retry::{RetryBudget, RetryNeed, RetryTerms};
 
 const TERMS: RetryTerms = RetryTerms {
     ratio: 0.2,
--- a/crates/proxy/tests/all/config.rs
+++ b/crates/node/tests/all/config.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use geranium_proxy::{
+use geranium_node::{
     config::{
         ConfigDelta, ConfigError, ConfigInput, ConfigVersion, LimitsInput, MeshConfig, RequestKind,
         RouteInput, ServiceInput, ShareInput,
--- a/crates/proxy/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use geranium_proxy::{
+use geranium_node::{
     member::{FleetView, LoadReport, MemberKey, MemberRecord, MemberState, PickQuery, TryEnd},
     store::Revision,
 };
--- a/crates/proxy/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geranium_proxy::{
+use geranium_node::{
     door::{EndpointGate, EndpointReport, RefusalReason, ReportState, ReportVerdict},
     member::{MemberRecord, MemberState},
 };
--- a/crates/proxy/tests/all/guide.rs
+++ b/crates/node/tests/all/guide.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use geranium_proxy::{
+use geranium_node::{
     follow::{Guide, GuideChoice},
     member::{MemberRecord, MemberState},
 };
--- a/crates/proxy/tests/all/link.rs
+++ b/crates/node/tests/all/link.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use geranium_proxy::link_meter::{LinkMeter, LinkPromise};
+use geranium_node::link_meter::{LinkMeter, LinkPromise};
 
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
--- a/crates/proxy/tests/all/queue.rs
+++ b/crates/node/tests/all/queue.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use geranium_proxy::door::{DoorQueue, JobKey, JobOffer, OfferVerdict};
+use geranium_node::door::{DoorQueue, JobKey, JobOffer, OfferVerdict};
 
 fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
--- a/crates/proxy/tests/all/queue_load.rs
+++ b/crates/node/tests/all/queue_load.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use geranium_proxy::door::{DoorQueue, JobKey, JobOffer, OfferVerdict};
+use geranium_node::door::{DoorQueue, JobKey, JobOffer, OfferVerdict};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 /// A class of requests.
