--- /dev/null
+++ b/crates/rig/src/link_proxy.rs
@@ -0,0 +1,173 @@
+//! A link between two processes that can be made to fail.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use snafu::ResultExt;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpSocket, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
+    sync::watch,
+    task::JoinHandle,
+    time::sleep,
+};
+
+use crate::{LinkFault, RigError, rig_error::LinkSnafu};
+
+/// Bytes read at a time.
+const BUFFER: usize = 16 * 1024;
+
+/// A proxy on loopback that passes bytes on as its fault lets it.
+///
+/// Connections that were muted stay silent for good, while new ones work: only
+/// a timeout of the ends' own shows that.
+#[derive(Debug)]
+pub struct LinkProxy {
+    addr: SocketAddr,
+    shared: Arc<LinkShared>,
+    task: JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct LinkShared {
+    fault: watch::Sender<LinkFault>,
+    opened: AtomicU64,
+    /// Connections below this number are muted.
+    muted: AtomicU64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    Towards,
+    From,
+}
+
+impl LinkProxy {
+    /// Opens a link from `addr` to whoever listens at `target`.
+    ///
+    /// # Errors
+    ///
+    /// [`RigError::Link`] when the address can't be bound.
+    pub fn open(addr: SocketAddr, target: SocketAddr) -> Result<Self, RigError> {
+        let listen = || {
+            let socket = TcpSocket::new_v4()?;
+            socket.set_reuseaddr(true)?;
+            socket.bind(addr)?;
+            socket.listen(512)
+        };
+        let listener = listen().context(LinkSnafu)?;
+        let addr = listener.local_addr().context(LinkSnafu)?;
+        let shared = Arc::new(LinkShared {
+            fault: watch::Sender::new(LinkFault::Sound),
+            opened: AtomicU64::new(0),
+            muted: AtomicU64::new(0),
+        });
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&shared)));
+        Ok(Self { addr, shared, task })
+    }
+
+    /// Returns the address at which it listens.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Gives it a fault.
+    pub fn set_fault(&self, fault: LinkFault) {
+        self.shared.fault.send_replace(fault);
+    }
+
+    /// Mutes every open connection for good.
+    pub fn mute_open(&self) {
+        let opened = self.shared.opened.load(Ordering::Relaxed);
+        self.shared.muted.store(opened, Ordering::Relaxed);
+    }
+}
+
+impl Drop for LinkProxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, shared: Arc<LinkShared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let number = shared.opened.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(carry(stream, target, number, Arc::clone(&shared)));
+    }
+}
+
+async fn carry(near: TcpStream, target: SocketAddr, number: u64, shared: Arc<LinkShared>) {
+    let mut fault = shared.fault.subscribe();
+    let fault_now = *fault.borrow_and_update();
+    if fault_now == LinkFault::Reset {
+        return make_reset(&near);
+    }
+    let Ok(far) = TcpStream::connect(target).await else {
+        return make_reset(&near);
+    };
+    let _best_effort = (near.set_nodelay(true), far.set_nodelay(true));
+    let handles = [
+        SockRef::from(&near).try_clone(),
+        SockRef::from(&far).try_clone(),
+    ];
+    let (near_in, near_out) = near.into_split();
+    let (far_in, far_out) = far.into_split();
+    let towards = pump(near_in, far_out, Direction::Towards, number, &shared);
+    let from = pump(far_in, near_out, Direction::From, number, &shared);
+    let reset = fault.wait_for(|fault| *fault == LinkFault::Reset);
+    tokio::select! {
+        _ = async { tokio::join!(towards, from) } => {}
+        _ = reset => {
+            for handle in handles.iter().flatten() {
+                make_reset(handle);
+            }
+        }
+    }
+}
+
+/// Passes bytes on in one direction until an end closes.
+async fn pump(
+    mut input: OwnedReadHalf,
+    mut output: OwnedWriteHalf,
+    direction: Direction,
+    number: u64,
+    shared: &LinkShared,
+) {
+    let mut buffer = vec![0; BUFFER];
+    while let Ok(count @ 1..) = input.read(&mut buffer).await {
+        let fault = *shared.fault.borrow();
+        let muted = number < shared.muted.load(Ordering::Relaxed);
+        let lost = match fault {
+            LinkFault::Cut => true,
+            LinkFault::CutTowards => direction == Direction::Towards,
+            LinkFault::CutFrom => direction == Direction::From,
+            _ => muted,
+        };
+        if lost {
+            continue;
+        }
+        if let LinkFault::Delay(time) = fault {
+            sleep(time).await;
+        }
+        if output.write_all(&buffer[..count]).await.is_err() {
+            break;
+        }
+    }
+    let _closed = output.shutdown().await;
+}
+
+/// Makes the close of a connection a reset.
+fn make_reset<'a>(socket: impl Into<SockRef<'a>>) {
+    let _best_effort = socket.into().set_linger(Some(Duration::ZERO));
+}
--- /dev/null
+++ b/crates/rig/src/load/call_sender.rs
@@ -0,0 +1,146 @@
+//! Sends requests as callers do.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use geranium_standins::{CallerAnswer, CallerCall};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    net::TcpStream,
+    time::{timeout, timeout_at},
+};
+
+use super::CallOutcome;
+
+/// Callers allow a connection one second.
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+/// Time beyond the deadline after which nothing more is expected.
+const OVERTIME: Duration = Duration::from_secs(2);
+/// Most connections kept for later requests.
+const KEPT_MAX: usize = 8;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Sends requests to one node, on kept connections or new ones.
+#[derive(Debug, Clone)]
+pub struct CallSender {
+    addr: SocketAddr,
+    kept: Arc<Mutex<Vec<Sender>>>,
+}
+
+/// How a request was sent and ended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SentCall {
+    /// Whether a kept connection carried it.
+    pub kept: bool,
+    /// When it was sent.
+    pub sent: Instant,
+    /// How it ended.
+    pub outcome: CallOutcome,
+}
+
+impl CallSender {
+    /// Sends to the callers' port at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            kept: Arc::default(),
+        }
+    }
+
+    /// Sends a request and waits for its answer, `patience` at most when the
+    /// caller leaves early. `body` is what a good answer begins with.
+    pub async fn send(
+        &self,
+        call: &CallerCall,
+        reuse: bool,
+        patience: Option<Duration>,
+    ) -> SentCall {
+        let kept = if reuse { self.take() } else { None };
+        let was_kept = kept.is_some();
+        let sent = Instant::now();
+        let end = tokio::time::Instant::now() + call.deadline + OVERTIME;
+        let exchange = timeout_at(end, self.exchange(call, kept));
+        let outcome = match patience {
+            None => exchange.await.unwrap_or(CallOutcome::Silent),
+            Some(patience) => match timeout(patience, exchange).await {
+                Ok(ended) => ended.unwrap_or(CallOutcome::Silent),
+                Err(_left) => CallOutcome::Left,
+            },
+        };
+        SentCall {
+            kept: was_kept,
+            sent,
+            outcome,
+        }
+    }
+
+    async fn exchange(&self, call: &CallerCall, kept: Option<Sender>) -> CallOutcome {
+        let sender = match kept {
+            Some(sender) => Some(sender),
+            None => self.connect().await,
+        };
+        let Some(mut sender) = sender else {
+            return CallOutcome::NotSent;
+        };
+        let response = match sender.try_send_request(call.request()).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                return match error.take_message() {
+                    Some(_unsent) => CallOutcome::NotSent,
+                    None => CallOutcome::Closed,
+                };
+            }
+        };
+        let answer = CallerAnswer::read(response.status(), response.headers());
+        match response.into_body().collect().await {
+            Ok(body) => {
+                self.keep(sender);
+                let body = body.to_bytes();
+                let own = !answer.status.is_success() || is_own(call, &answer, &body);
+                CallOutcome::Answered { answer, own }
+            }
+            Err(_) => CallOutcome::Broken,
+        }
+    }
+
+    async fn connect(&self) -> Option<Sender> {
+        let stream = timeout(CONNECT_TIME, TcpStream::connect(self.addr)).await;
+        let stream = stream.ok()?.ok()?;
+        let _best_effort = stream.set_nodelay(true);
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(async move { drop(connection.await) });
+        Some(sender)
+    }
+
+    fn take(&self) -> Option<Sender> {
+        let mut kept = self.kept.lock().expect("no holder panics");
+        kept.retain(|sender| !sender.is_closed());
+        let ready = kept.iter().position(Sender::is_ready)?;
+        Some(kept.swap_remove(ready))
+    }
+
+    fn keep(&self, sender: Sender) {
+        let mut kept = self.kept.lock().expect("no holder panics");
+        if kept.len() < KEPT_MAX && !sender.is_closed() {
+            kept.push(sender);
+        }
+    }
+}
+
+/// Whether a good answer is signed, names the request, and holds its body and
+/// as many further bytes as were asked for.
+fn is_own(call: &CallerCall, answer: &CallerAnswer, body: &[u8]) -> bool {
+    let named = answer.id.as_deref() == Some(&*call.id);
+    let echoed = body.starts_with(call.body.as_bytes());
+    let asked = call.path.split_once("bytes=").map(|(_, text)| text);
+    let asked = asked.and_then(|text| text.split('&').next()?.parse::<usize>().ok());
+    let whole = asked.is_none_or(|bytes| body.len() == call.body.len() + bytes);
+    answer.signed && named && echoed && whole
+}
--- /dev/null
+++ b/crates/rig/src/load/caller_load.rs
@@ -0,0 +1,169 @@
+//! Open-loop load.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use geranium_standins::CallerCall;
+use http::Method;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::{
+    sync::watch,
+    task::JoinHandle,
+    time::{sleep, sleep_until},
+};
+
+use super::{CallKind, CallRecord, CallSender};
+
+/// Time for which callers wait.
+const DEADLINE: Duration = Duration::from_secs(2);
+/// Time after which a caller that leaves early is gone.
+const LEAVES_AFTER: Duration = Duration::from_millis(120);
+/// Time that an abandoned request would run, in milliseconds.
+const ABANDONED_WORK_MS: u64 = 3_000;
+/// Bytes of a file.
+const FILE_BYTES: u64 = 60_000;
+/// Time beyond the last request after which every record is there.
+const LAST_RECORDS: Duration = Duration::from_millis(4_200);
+
+/// A load.
+#[derive(Debug, Clone)]
+pub struct LoadPlan {
+    /// Callers' ports of the nodes.
+    pub nodes: Vec<SocketAddr>,
+    /// Requests a second at each node.
+    pub rate: f64,
+    /// Seed of gaps and kinds.
+    pub seed: u64,
+}
+
+/// A load that runs until it is ended.
+///
+/// Requests start on a schedule, whatever becomes of earlier ones: a node that
+/// stalls can't slow the load down and so hide its own delay.
+#[derive(Debug)]
+pub struct CallerLoad {
+    records: Arc<Mutex<Vec<CallRecord>>>,
+    stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl CallerLoad {
+    /// Starts a load.
+    pub fn start(plan: &LoadPlan) -> Self {
+        let records: Arc<Mutex<Vec<CallRecord>>> = Arc::default();
+        let stop = watch::Sender::new(false);
+        let numbers = Arc::new(AtomicU64::new(0));
+        let nodes = plan.nodes.iter().enumerate();
+        let tasks = nodes.map(|(node, addr)| {
+            let stream = CallStream {
+                node,
+                sender: CallSender::new(*addr),
+                records: Arc::clone(&records),
+                numbers: Arc::clone(&numbers),
+                rng: StdRng::seed_from_u64(plan.seed.wrapping_add(node as u64)),
+                rate: plan.rate,
+            };
+            tokio::spawn(stream.run(stop.subscribe()))
+        });
+        Self {
+            tasks: tasks.collect(),
+            records,
+            stop,
+        }
+    }
+
+    /// Ends the load and returns what callers got.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a caller did, which is a bug.
+    pub async fn end(self) -> Vec<CallRecord> {
+        self.stop.send_replace(true);
+        for task in self.tasks {
+            task.await.expect("no caller panics");
+        }
+        sleep(LAST_RECORDS).await;
+        std::mem::take(&mut *self.records.lock().expect("no holder panics"))
+    }
+}
+
+/// Requests to one node.
+struct CallStream {
+    node: usize,
+    sender: CallSender,
+    records: Arc<Mutex<Vec<CallRecord>>>,
+    numbers: Arc<AtomicU64>,
+    rng: StdRng,
+    rate: f64,
+}
+
+impl CallStream {
+    async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        let mut next = tokio::time::Instant::now();
+        loop {
+            let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+            next += Duration::from_secs_f64(-uniform.ln() / self.rate);
+            tokio::select! {
+                () = sleep_until(next) => {}
+                _ = stop.wait_for(|stop| *stop) => return,
+            }
+            self.start_one();
+        }
+    }
+
+    fn start_one(&mut self) {
+        let kind = match self.rng.random_range(0..100) {
+            0..58 => CallKind::Lookup,
+            58..85 => CallKind::Order,
+            85..97 => CallKind::File,
+            _ => CallKind::Abandoned,
+        };
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let call = call_of(kind, number);
+        let reuse = self.rng.random_bool(0.6);
+        let patience = (kind == CallKind::Abandoned).then_some(LEAVES_AFTER);
+        let (node, sender) = (self.node, self.sender.clone());
+        let records = Arc::clone(&self.records);
+        tokio::spawn(async move {
+            let sent = sender.send(&call, reuse, patience).await;
+            let record = CallRecord {
+                id: call.id,
+                node,
+                kind,
+                path: call.path,
+                kept: sent.kept,
+                sent: sent.sent,
+                ended: Instant::now(),
+                outcome: sent.outcome,
+            };
+            records.lock().expect("no holder panics").push(record);
+        });
+    }
+}
+
+fn call_of(kind: CallKind, number: u64) -> CallerCall {
+    let (method, path) = match kind {
+        CallKind::Lookup => (Method::GET, format!("/p/{number}")),
+        CallKind::Order => (Method::POST, format!("/o/{number}")),
+        CallKind::File => (Method::GET, format!("/f/{number}?bytes={FILE_BYTES}")),
+        CallKind::Abandoned => (Method::GET, format!("/p/{number}?work={ABANDONED_WORK_MS}")),
+    };
+    let id = format!("call-{number}");
+    CallerCall {
+        body: if kind == CallKind::Order {
+            format!("order {number} ")
+        } else {
+            String::new()
+        },
+        id,
+        method,
+        path,
+        deadline: DEADLINE,
+    }
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,15 +1,42 @@
-//! Demo and experiments with whole fleets.
+//! Demo and soaks with whole fleets.
 
 use std::process::ExitCode;
 
-use clap::Parser;
-use geranium_rig::{RigCommand, RigOptions, demo, scale, soak};
+use clap::{Parser, Subcommand};
+use geranium_rig::{
+    demo::{DemoOptions, run_demo},
+    soak::{SoakOptions, run_soak},
+};
+use tokio::runtime::Runtime;
+
+/// Demo and soaks with whole fleets, on one machine.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct RigOptions {
+    #[command(subcommand)]
+    command: RigCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum RigCommand {
+    /// Show both users' fleets under load, a change of preset and kills.
+    Demo(DemoOptions),
+    /// Inject drawn faults and check every promise.
+    Soak(SoakOptions),
+}
 
 fn main() -> ExitCode {
-    let result = match RigOptions::parse().command {
-        RigCommand::Demo(options) => demo::run_demo(&options),
-        RigCommand::Scale(options) => scale::run_scale(&options),
-        RigCommand::Soak(options) => soak::run_soak(&options),
+    let options = RigOptions::parse();
+    let runtime = match Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(cause) => {
+            eprintln!("geranium-rig: {cause}");
+            return ExitCode::from(2);
+        }
+    };
+    let result = match &options.command {
+        RigCommand::Demo(options) => runtime.block_on(run_demo(options)),
+        RigCommand::Soak(options) => runtime.block_on(run_soak(options)),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/rig/src/rig_endpoint.rs
@@ -0,0 +1,239 @@
+//! A backend server beside a node, with its life.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use geranium_standins::{
+    BeatState, EndpointFault, EndpointOptions, EndpointServer, Heartbeat, Machine, RunRecord,
+    farewell_path,
+};
+use tokio::{
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use crate::http_post::http_post;
+
+/// Time between heartbeats.
+const BEAT_TIME: Duration = Duration::from_millis(700);
+/// Longest wait for an acknowledgment, as the platform's.
+const ACK_TIME: Duration = Duration::from_secs(1);
+/// Time of a run, unless the request asks for another.
+const WORK_TIME: Duration = Duration::from_millis(20);
+/// Bytes of an answer, unless the request asks for others.
+const ANSWER_BYTES: usize = 300;
+/// Requests that a backend server runs at a time.
+const SLOTS: u32 = 12;
+
+/// A leaving that a node has acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AckedLeaving {
+    /// Start that leaves.
+    pub instance: String,
+    /// When the acknowledgment came.
+    pub at: Instant,
+}
+
+#[derive(Debug)]
+struct EndpointLife {
+    start: u64,
+    sequence: u64,
+    state: BeatState,
+    server: Option<EndpointServer>,
+    fault: EndpointFault,
+    work: Duration,
+    past_runs: Vec<RunRecord>,
+    leavings: Vec<AckedLeaving>,
+}
+
+/// A backend server beside a node: it reports there, crashes, leaves and comes
+/// back as another start.
+#[derive(Debug)]
+pub struct RigEndpoint {
+    machine: Machine,
+    life: Arc<Mutex<EndpointLife>>,
+    beats: JoinHandle<()>,
+}
+
+impl RigEndpoint {
+    /// Starts it on its machine.
+    pub fn start(machine: Machine) -> Self {
+        let life = EndpointLife {
+            start: 0,
+            sequence: 0,
+            state: BeatState::Ready,
+            server: None,
+            fault: EndpointFault::Sound,
+            work: WORK_TIME,
+            past_runs: Vec::new(),
+            leavings: Vec::new(),
+        };
+        let life = Arc::new(Mutex::new(life));
+        let beats = tokio::spawn(beat(machine.clone(), Arc::clone(&life)));
+        let endpoint = Self {
+            machine,
+            life,
+            beats,
+        };
+        endpoint.come_back();
+        endpoint
+    }
+
+    /// Ends it without a word; open requests break off.
+    pub fn crash(&self) {
+        let mut life = self.life();
+        if let Some(server) = life.server.take() {
+            life.past_runs.extend(server.end());
+        }
+    }
+
+    /// Starts it again, as another start.
+    pub fn come_back(&self) {
+        self.crash();
+        let mut life = self.life();
+        life.start += 1;
+        life.sequence = 0;
+        life.state = BeatState::Ready;
+        let options = life.options(&self.machine);
+        life.server = Some(EndpointServer::start(self.machine.addrs.endpoint, options));
+    }
+
+    /// Gives it a fault.
+    pub fn set_fault(&self, fault: EndpointFault) {
+        let mut life = self.life();
+        life.fault = fault;
+        if let Some(server) = &life.server {
+            server.options().fault = fault;
+        }
+    }
+
+    /// Makes every run take so many times as long as usual.
+    pub fn slow_down(&self, times: u32) {
+        let mut life = self.life();
+        life.work = WORK_TIME * times;
+        if let Some(server) = &life.server {
+            server.options().work = WORK_TIME * times;
+        }
+    }
+
+    /// Reports that it leaves and waits until its node acknowledges, or
+    /// `patience` is over.
+    pub async fn leave(&self, patience: Duration) {
+        let acknowledged = async {
+            loop {
+                let beat = {
+                    let mut life = self.life();
+                    life.state = BeatState::Draining;
+                    if let Some(server) = &life.server {
+                        server.options().healthy = false;
+                    }
+                    life.beat(&self.machine)
+                };
+                if send(&self.machine, &beat.path(), beat.body()).await {
+                    self.note_leaving(beat.instance);
+                    return;
+                }
+                sleep(BEAT_TIME / 4).await;
+            }
+        };
+        let _unheard = timeout(patience, acknowledged).await;
+    }
+
+    /// Says farewell and ends.
+    pub async fn deregister(&self) {
+        let instance = self.life().instance(&self.machine);
+        if send(&self.machine, &farewell_path(&instance), String::new()).await {
+            self.note_leaving(instance);
+        }
+        self.crash();
+    }
+
+    /// Returns everything that it ran, in all its starts.
+    pub fn runs(&self) -> Vec<RunRecord> {
+        let life = self.life();
+        let present = life.server.iter().flat_map(EndpointServer::runs);
+        life.past_runs.iter().cloned().chain(present).collect()
+    }
+
+    /// Returns the leavings that its node acknowledged.
+    pub fn leavings(&self) -> Vec<AckedLeaving> {
+        self.life().leavings.clone()
+    }
+
+    /// Whether it lives.
+    pub fn lives(&self) -> bool {
+        self.life().server.is_some()
+    }
+
+    fn note_leaving(&self, instance: String) {
+        let at = Instant::now();
+        let mut life = self.life();
+        let known = |leaving: &AckedLeaving| leaving.instance == instance;
+        if !life.leavings.iter().any(known) {
+            life.leavings.push(AckedLeaving { instance, at });
+        }
+    }
+
+    fn life(&self) -> MutexGuard<'_, EndpointLife> {
+        self.life.lock().expect("no holder panics")
+    }
+}
+
+impl Drop for RigEndpoint {
+    fn drop(&mut self) {
+        self.beats.abort();
+    }
+}
+
+impl EndpointLife {
+    fn instance(&self, machine: &Machine) -> String {
+        let ip = machine.addrs.hop.ip().to_string().replace('.', "-");
+        format!("i-{ip}-{}", self.start)
+    }
+
+    fn options(&self, machine: &Machine) -> EndpointOptions {
+        EndpointOptions {
+            instance: self.instance(machine),
+            work: self.work,
+            answer_bytes: ANSWER_BYTES,
+            healthy: true,
+            fault: self.fault,
+        }
+    }
+
+    fn beat(&mut self, machine: &Machine) -> Heartbeat {
+        self.sequence += 1;
+        Heartbeat {
+            instance: self.instance(machine),
+            service: machine.service.clone(),
+            address: machine.addrs.endpoint,
+            data_centre: machine.data_centre.clone(),
+            slots: SLOTS,
+            state: self.state,
+            sequence: self.sequence,
+        }
+    }
+}
+
+/// Sends heartbeats while the backend server lives.
+async fn beat(machine: Machine, life: Arc<Mutex<EndpointLife>>) {
+    loop {
+        let beat = {
+            let mut life = life.lock().expect("no holder panics");
+            let lives = life.server.is_some();
+            lives.then(|| life.beat(&machine))
+        };
+        if let Some(beat) = beat {
+            // One that isn't acknowledged is followed by the next.
+            let _acknowledged = send(&machine, &beat.path(), beat.body()).await;
+        }
+        sleep(BEAT_TIME).await;
+    }
+}
+
+async fn send(machine: &Machine, path: &str, body: String) -> bool {
+    let status = timeout(ACK_TIME, http_post(machine.addrs.reports, path, &body)).await;
+    matches!(status, Ok(Some(200..300)))
+}
--- /dev/null
+++ b/crates/rig/src/rig_node.rs
@@ -0,0 +1,223 @@
+//! A node with its backend server and its links.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Command,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use geranium_standins::{Machine, MachineAddrs};
+use snafu::ResultExt;
+
+use crate::{
+    ChildProcess, LinkProxy, ProcessSignal, ProgramPaths, RigEndpoint, RigError,
+    http_post::http_get, rig_error::FileSnafu,
+};
+
+/// The node's program.
+const NODE_PROGRAM: &str = "geranium-node";
+/// Port of the machine at which the link to the node's port for other nodes
+/// listens.
+const HOP_LINK_PORT: u16 = 7611;
+/// Port of the machine at which the link to the backend server listens.
+const ENDPOINT_LINK_PORT: u16 = 7612;
+/// Port of the machine at which the link to the store listens.
+const STORE_LINK_PORT: u16 = 7613;
+
+/// What a node needs to start.
+#[derive(Debug, Clone)]
+pub struct NodePlan<'a> {
+    /// Service of its backend server.
+    pub service: &'a str,
+    /// Data centre.
+    pub data_centre: &'a str,
+    /// The store.
+    pub store: SocketAddr,
+    /// Directory for settings and log.
+    pub directory: &'a Path,
+    /// Programs.
+    pub programs: &'a ProgramPaths,
+}
+
+/// Something that befell a node's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodeEvent {
+    /// When.
+    pub at: Instant,
+    /// What.
+    pub kind: NodeEventKind,
+}
+
+/// What befell a node's process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodeEventKind {
+    /// It was started.
+    Started,
+    /// It was asked to end.
+    Terminated,
+    /// It was killed.
+    Killed,
+    /// It was found ended by itself.
+    Ended,
+}
+
+/// A node with its backend server and its links.
+#[derive(Debug)]
+pub struct RigNode {
+    machine: Machine,
+    /// Link by which other nodes reach it.
+    pub hop_link: LinkProxy,
+    /// Link by which it reaches the backend server.
+    pub endpoint_link: LinkProxy,
+    /// Link by which it reaches the store.
+    pub store_link: LinkProxy,
+    /// Its backend server.
+    pub endpoint: Arc<RigEndpoint>,
+    process: Option<ChildProcess>,
+    program: PathBuf,
+    settings: PathBuf,
+    directory: PathBuf,
+    events: Vec<NodeEvent>,
+    lives: Arc<AtomicUsize>,
+}
+
+impl RigNode {
+    /// Starts backend server, links and node.
+    ///
+    /// # Errors
+    ///
+    /// When a program, file or address can't be had.
+    pub fn start(plan: &NodePlan<'_>) -> Result<Self, RigError> {
+        let addrs = MachineAddrs::free();
+        let links = [HOP_LINK_PORT, ENDPOINT_LINK_PORT, STORE_LINK_PORT];
+        let [hop, endpoint, store] = links.map(|port| addrs.other(port));
+        let hop_link = LinkProxy::open(hop, addrs.hop)?;
+        let endpoint_link = LinkProxy::open(endpoint, addrs.endpoint)?;
+        let store_link = LinkProxy::open(store, plan.store)?;
+        let machine = Machine {
+            addrs,
+            endpoint_seen: endpoint,
+            data_centre: plan.data_centre.to_owned(),
+            service: plan.service.to_owned(),
+            store,
+            link_mbps: 1_000.0,
+        };
+        let settings = plan.directory.join(format!("{}.toml", machine.name()));
+        std::fs::write(&settings, machine.settings_text())
+            .context(FileSnafu { path: &settings })?;
+        let mut node = Self {
+            endpoint: Arc::new(RigEndpoint::start(machine.clone())),
+            machine,
+            hop_link,
+            endpoint_link,
+            store_link,
+            process: None,
+            program: plan.programs.program(NODE_PROGRAM)?,
+            settings,
+            directory: plan.directory.to_owned(),
+            events: Vec::new(),
+            lives: Arc::default(),
+        };
+        node.start_process()?;
+        Ok(node)
+    }
+
+    /// Returns its machine.
+    pub const fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// Returns what befell its process.
+    pub fn events(&self) -> &[NodeEvent] {
+        &self.events
+    }
+
+    /// Returns the count of its process's starts.
+    pub fn lives(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.lives)
+    }
+
+    /// Starts the process unless it runs.
+    ///
+    /// # Errors
+    ///
+    /// When the program or the log can't be opened.
+    pub fn start_process(&mut self) -> Result<(), RigError> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let mut command = Command::new(&self.program);
+        let hop = self.hop_link.addr();
+        command
+            .args(["--announce-hop", &hop.to_string()])
+            .args([
+                "--metrics-port",
+                &self.machine.addrs.metrics.port().to_string(),
+            ])
+            .env("GERANIUMSPRING_SETTINGS", &self.settings);
+        // Counted first: whoever hears the new process must not take it for
+        // the one before.
+        self.lives.fetch_add(1, Ordering::Release);
+        let process = ChildProcess::spawn(&self.machine.name(), command, &self.directory)?;
+        self.process = Some(process);
+        self.note(NodeEventKind::Started);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&mut self, signal: ProcessSignal) {
+        let Some(process) = &mut self.process else {
+            return;
+        };
+        process.signal(signal);
+        match signal {
+            ProcessSignal::Kill => self.note(NodeEventKind::Killed),
+            ProcessSignal::Terminate => self.note(NodeEventKind::Terminated),
+            ProcessSignal::Hangup | ProcessSignal::Continue | ProcessSignal::Stop => {}
+        }
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        self.signal(ProcessSignal::Kill);
+        self.process = None;
+    }
+
+    /// Whether the process runs; notes when it ended by itself.
+    pub fn is_running(&mut self) -> bool {
+        let Some(process) = &mut self.process else {
+            return false;
+        };
+        if process.is_running() {
+            return true;
+        }
+        self.process = None;
+        let asked = self.events.last().is_some_and(|event| {
+            matches!(
+                event.kind,
+                NodeEventKind::Terminated | NodeEventKind::Killed
+            )
+        });
+        if !asked {
+            self.note(NodeEventKind::Ended);
+        }
+        false
+    }
+
+    /// Whether it says that it takes callers.
+    pub async fn is_ready(&self) -> bool {
+        let asked = http_get(self.machine.addrs.readiness, "/ready");
+        let status = tokio::time::timeout(Duration::from_secs(1), asked).await;
+        status == Ok(Some(200))
+    }
+
+    fn note(&mut self, kind: NodeEventKind) {
+        let at = Instant::now();
+        self.events.push(NodeEvent { at, kind });
+    }
+}
--- /dev/null
+++ b/crates/rig/src/soak/fault_kind.rs
@@ -0,0 +1,107 @@
+//! What fails.
+
+use serde::Serialize;
+use strum::{Display, VariantArray};
+
+/// Kind of a fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, VariantArray, Serialize)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum FaultKind {
+    /// Node processes are killed and come back.
+    NodeKill,
+    /// Node processes are asked to end, and come back.
+    NodeTerminate,
+    /// Node processes stand still.
+    NodePause,
+    /// Nodes are told that their settings have changed.
+    NodeHangup,
+    /// Every node process is killed at once.
+    HerdKill,
+    /// Links between nodes are slow.
+    HopDelay,
+    /// Links between nodes are reset.
+    HopReset,
+    /// Links between nodes lose everything.
+    HopCut,
+    /// Links to nodes lose what goes there.
+    HopCutTowards,
+    /// Links to nodes lose what comes from there.
+    HopCutFrom,
+    /// Open connections between nodes go silent for good.
+    HopMute,
+    /// Connections between node and backend server are reset.
+    EndpointReset,
+    /// Open connections between node and backend server go silent for good.
+    EndpointMute,
+    /// Nodes are cut off from the store.
+    StoreCut,
+    /// Open connections to the store go silent for good.
+    StoreMute,
+    /// The store turns every node away.
+    StoreBusy,
+    /// The store turns some nodes away.
+    StoreTurnsAway,
+    /// The store doesn't answer, and its leases run out.
+    StoreSilent,
+    /// The store does writes without answering.
+    StoreLost,
+    /// The store does writes a second later, without answering.
+    StoreLate,
+    /// The store is slow.
+    StoreSlow,
+    /// Watches hear nothing, then the history is gone.
+    StoreForgets,
+    /// The store answers with bytes that mean nothing.
+    StoreGarbles,
+    /// The store drops announcements without a word.
+    StoreRevokes,
+    /// Backend servers crash and come back as other starts.
+    EndpointCrash,
+    /// Backend servers leave in order and are replaced.
+    EndpointLeave,
+    /// Backend servers are slow.
+    EndpointSlow,
+    /// Backend servers refuse everything.
+    EndpointSheds,
+    /// Backend servers fail everything.
+    EndpointFails,
+    /// Backend servers run requests and lose the answers.
+    EndpointLosesAnswers,
+    /// Backend servers answer to other requests.
+    EndpointCrossesAnswers,
+    /// The configuration changes several times a second.
+    ConfigStorm,
+}
+
+impl FaultKind {
+    /// Whether it concerns single instances, not the whole fleet.
+    pub const fn has_targets(self) -> bool {
+        !matches!(
+            self,
+            Self::HerdKill
+                | Self::StoreBusy
+                | Self::StoreSilent
+                | Self::StoreLost
+                | Self::StoreLate
+                | Self::StoreSlow
+                | Self::StoreForgets
+                | Self::StoreGarbles
+                | Self::ConfigStorm
+        )
+    }
+
+    /// Whether a caller's leaving may go unheard while it lasts.
+    pub const fn hides_leaving(self) -> bool {
+        matches!(
+            self,
+            Self::NodePause
+                | Self::HopDelay
+                | Self::HopCut
+                | Self::HopCutTowards
+                | Self::HopCutFrom
+                | Self::HopMute
+                | Self::EndpointMute
+        )
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/all/promises.rs
@@ -0,0 +1,175 @@
+//! Evidence that breaks promises, and evidence that doesn't.
+
+use std::time::{Duration, Instant};
+
+use geranium_rig::{
+    AckedLeaving, CallKind, CallOutcome, CallRecord, NodeEvent, NodeEventKind,
+    soak::{FaultKind, FaultSpan, Promise, SoakEvidence, check_promises},
+};
+use geranium_standins::{CallerAnswer, RunRecord};
+use http::StatusCode;
+
+const MILLIS: Duration = Duration::from_millis(1);
+
+struct Story {
+    begun: Instant,
+    evidence: SoakEvidence,
+}
+
+impl Story {
+    fn new() -> Self {
+        let evidence = SoakEvidence {
+            events: vec![Vec::new()],
+            ..SoakEvidence::default()
+        };
+        // Far enough from the clock's start to look back from.
+        let begun = Instant::now() + Duration::from_secs(60);
+        Self { begun, evidence }
+    }
+
+    fn at(&self, millis: u32) -> Instant {
+        self.begun + MILLIS * millis
+    }
+
+    fn call(mut self, kind: CallKind, outcome: CallOutcome) -> Self {
+        let call = CallRecord {
+            id: "call-1".to_owned(),
+            node: 0,
+            kind,
+            path: "/o/1".to_owned(),
+            kept: false,
+            sent: self.at(0),
+            ended: self.at(50),
+            outcome,
+        };
+        self.evidence.calls.push(call);
+        self
+    }
+
+    fn run(mut self, millis: u32, cancelled: bool) -> Self {
+        let run = RunRecord {
+            request: "call-1".to_owned(),
+            instance: "i-1".to_owned(),
+            path: "/o/1".to_owned(),
+            caller_service: "till".to_owned(),
+            deadline_ms: 1_000,
+            began: self.at(millis),
+            cancelled,
+        };
+        self.evidence.runs.push(run);
+        self
+    }
+
+    fn event(mut self, millis: u32, kind: NodeEventKind) -> Self {
+        let at = self.at(millis);
+        self.evidence.events[0].push(NodeEvent { at, kind });
+        self
+    }
+
+    fn fault(mut self, kind: FaultKind, from: u32, to: u32) -> Self {
+        let span = FaultSpan {
+            kind,
+            targets: vec![0],
+            from: self.at(from),
+            to: self.at(to),
+        };
+        self.evidence.faults.push(span);
+        self
+    }
+
+    fn left(mut self, millis: u32) -> Self {
+        let leaving = AckedLeaving {
+            instance: "i-1".to_owned(),
+            at: self.at(millis),
+        };
+        self.evidence.leavings.push(leaving);
+        self
+    }
+
+    fn broken(&self) -> Vec<Promise> {
+        let breaches = check_promises(&self.evidence, true);
+        breaches.into_iter().map(|breach| breach.promise).collect()
+    }
+}
+
+fn answered(status: u16, own: bool) -> CallOutcome {
+    let answer = CallerAnswer {
+        status: StatusCode::from_u16(status).unwrap(),
+        id: Some("call-1".to_owned()),
+        signed: own,
+        retry_after: None,
+    };
+    CallOutcome::Answered { answer, own }
+}
+
+#[test]
+fn a_good_order_breaks_nothing() {
+    let story = Story::new().call(CallKind::Order, answered(200, true));
+    assert_eq!(story.run(5, false).broken(), []);
+}
+
+#[test]
+fn an_answer_of_another_request_is_found() {
+    let story = Story::new().call(CallKind::Order, answered(200, false));
+    assert_eq!(story.run(5, false).broken(), [Promise::OwnAnswer]);
+}
+
+#[test]
+fn an_order_that_runs_twice_is_found() {
+    let story = Story::new().call(CallKind::Order, answered(200, true));
+    let story = story.run(5, false).run(20, false);
+    assert_eq!(story.broken(), [Promise::OnceAtMost]);
+}
+
+#[test]
+fn a_refusal_of_what_ran_is_found() {
+    let story = Story::new().call(CallKind::Order, answered(503, true));
+    assert_eq!(story.run(5, false).broken(), [Promise::TrueRefusal]);
+    let lookup = Story::new().call(CallKind::Lookup, answered(503, true));
+    assert_eq!(lookup.run(5, false).broken(), []);
+}
+
+#[test]
+fn a_run_that_nobody_asked_for_is_found() {
+    assert_eq!(Story::new().run(5, false).broken(), [Promise::AskedFor]);
+}
+
+/// A connection ends without an answer. The process is at fault unless it was
+/// killed or stood still; being asked to end is no excuse.
+#[test]
+fn a_request_that_gets_no_answer_is_found() {
+    let lost = || {
+        let story = Story::new().call(CallKind::Lookup, CallOutcome::Closed);
+        story.run(5, false)
+    };
+    assert_eq!(lost().broken(), [Promise::Answered]);
+    let asked = lost().event(10, NodeEventKind::Terminated);
+    assert_eq!(asked.broken(), [Promise::Answered]);
+    assert_eq!(lost().event(10, NodeEventKind::Killed).broken(), []);
+    assert_eq!(lost().fault(FaultKind::NodePause, 10, 20).broken(), []);
+}
+
+#[test]
+fn work_after_a_leaving_is_found() {
+    let late = |millis| {
+        let story = Story::new().call(CallKind::Order, answered(200, true));
+        story.left(0).run(millis, false).broken()
+    };
+    assert_eq!(late(1_900), []);
+    assert_eq!(late(2_900), [Promise::Drained]);
+}
+
+#[test]
+fn a_run_that_goes_on_for_nobody_is_found() {
+    let left = || Story::new().call(CallKind::Abandoned, CallOutcome::Left);
+    assert_eq!(left().run(5, true).broken(), []);
+    assert_eq!(left().run(5, false).broken(), [Promise::Cancelled]);
+    let unheard = left().run(5, false).fault(FaultKind::HopCut, 20, 90);
+    assert_eq!(unheard.broken(), []);
+}
+
+#[test]
+fn a_process_that_ends_by_itself_is_found() {
+    let story = Story::new().event(10, NodeEventKind::Ended);
+    assert_eq!(story.broken(), [Promise::KeepsRunning]);
+}
--- /dev/null
+++ b/crates/standins/src/heartbeat.rs
@@ -0,0 +1,55 @@
+//! Heartbeats and farewells of backend servers.
+
+use std::net::SocketAddr;
+
+/// State that a backend server reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BeatState {
+    /// Takes work.
+    Ready,
+    /// Is about to leave.
+    Draining,
+}
+
+/// A heartbeat.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Heartbeat {
+    /// Start of the backend server.
+    pub instance: String,
+    /// Service.
+    pub service: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: String,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// State.
+    pub state: BeatState,
+    /// Number of the heartbeat.
+    pub sequence: u64,
+}
+
+impl Heartbeat {
+    /// Returns the path to which it is posted.
+    pub fn path(&self) -> String {
+        format!("/instances/{}/heartbeat", self.instance)
+    }
+
+    /// Returns the body.
+    pub fn body(&self) -> String {
+        let state = match self.state {
+            BeatState::Ready => "ready",
+            BeatState::Draining => "draining",
+        };
+        format!(
+            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":{},"State":"{state}","ColdRemainingS":0.5,"Seq":{},"New":1}}"#,
+            self.service, self.address, self.data_centre, self.slots, self.sequence
+        )
+    }
+}
+
+/// Returns the path to which a backend server posts its farewell.
+pub fn farewell_path(instance: &str) -> String {
+    format!("/instances/{instance}/deregister")
+}
--- /dev/null
+++ b/crates/standins/src/route_document.rs
@@ -0,0 +1,85 @@
+//! Configurations as the operators' platform writes them.
+
+use serde_json::{Value, json};
+
+/// Key of the configuration in force.
+pub const CONFIG_KEY: &str = "op/config";
+
+/// A route of a document.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteEntry {
+    prefix: String,
+    kind: &'static str,
+    target: Value,
+    timeout_s: f64,
+}
+
+impl RouteEntry {
+    /// Makes a route to one service; `kind` is the platform's word.
+    pub fn new(prefix: impl Into<String>, kind: &'static str, service: &str) -> Self {
+        Self {
+            prefix: prefix.into(),
+            kind,
+            target: json!({ "Service": service }),
+            timeout_s: 4.0,
+        }
+    }
+
+    /// Makes a route to several services with weights.
+    pub fn shared(prefix: impl Into<String>, kind: &'static str, shares: &[(&str, u32)]) -> Self {
+        let share = |(service, weight): &(&str, u32)| json!({"Service": service, "Weight": weight});
+        let shares: Vec<Value> = shares.iter().map(share).collect();
+        Self {
+            target: json!({ "WeightedClusters": shares }),
+            ..Self::new(prefix, kind, "")
+        }
+    }
+
+    /// Sets the time after which a caller gets its final answer.
+    #[must_use]
+    pub const fn with_timeout(mut self, seconds: f64) -> Self {
+        self.timeout_s = seconds;
+        self
+    }
+
+    fn value(&self) -> Value {
+        let mut value = json!({
+            "Name": format!("r{}", self.prefix.replace('/', "-")),
+            "Host": crate::CALLER_HOST,
+            "Prefix": self.prefix,
+            "Type": self.kind,
+            "TimeoutS": self.timeout_s,
+            "TargetLatencyS": self.timeout_s / 2.0,
+            "Priority": 1,
+            "Attempts": 2,
+        });
+        let fields = value.as_object_mut().expect("it was made as an object");
+        fields.extend(self.target.as_object().cloned().unwrap_or_default());
+        value
+    }
+}
+
+/// Makes a configuration document.
+pub fn route_document(version: u64, services: &[&str], routes: &[RouteEntry]) -> String {
+    let mut names = services.to_vec();
+    names.sort_unstable();
+    names.dedup();
+    let services = names.iter().map(|name| {
+        json!({"Name": name, "HealthPath": "/health", "MaxConnections": 130, "Protocol": "h1", "Tls": false})
+    });
+    let services: Vec<Value> = services.collect();
+    let routes: Vec<Value> = routes.iter().map(RouteEntry::value).collect();
+    let document = json!({
+        "Version": format!("{version:08x}"),
+        "Routes": routes,
+        "Services": services,
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 100_000,
+            "HeaderTimeoutS": 3,
+            "IdleTimeoutS": 15,
+        },
+        "BaseVersion": "00000000",
+    });
+    document.to_string()
+}
--- a/crates/platform-standin/src/run_record.rs
+++ b/crates/standins/src/run_record.rs
@@ -1,5 +1,7 @@
 //! What a backend server ran.
 
+use std::time::Instant;
+
 /// A request that a backend server ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunRecord {
@@ -13,6 +15,8 @@
     pub caller_service: String,
     /// Milliseconds that the caller still waited.
     pub deadline_ms: u64,
+    /// When it began.
+    pub began: Instant,
     /// Whether the run was cut short by the end of its connection.
     pub cancelled: bool,
 }
--- a/crates/tests/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Nothing here yet.
