Let a stopping process wait for its ports, and read what lies in its connections

The machine was busy; the process got no processor for a moment, and woke with the end of its time. It then closed, counted no open connection, and ended before its ports had accepted what waited.

Ruled out: the pause of 3 ms for the last accept (the ports never came to it); idle connections closed with bytes in them (the callers' connections were new).

Now a port counts as a connection until it is shut, and connections are read once more before they are closed.

--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -67,9 +67,12 @@
 ///
 /// **Failure.** A process ends while a caller's connection waits to be
 /// accepted, or a request is on its way on an idle one: the caller's request
-/// is reset though the process could have told it to come back. **Guard.**
-/// Once the node closes, what waits is accepted, then the port is shut; idle
-/// connections are closed and the others end with their next answer.
+/// is reset though the process could have told it to come back. It shows most
+/// on a machine that gave the process no processor for a moment: what came
+/// meanwhile and the end of its time are seen at once. **Guard.** Once the node
+/// closes, what waits is accepted, then the port is shut; idle connections that
+/// bring nothing are closed and the others end with their next answer. The port
+/// counts as a connection until then, so the process waits for it.
 pub async fn serve_port<F>(
     core: Rc<NodeCore>,
     listener: TcpListener,
@@ -79,8 +82,10 @@
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     let mut closing = core.closing.subscribe();
+    let _port_mark = core.connection_mark();
     loop {
         let accepted = select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = closing.wait_for(|closing| *closing) => {
                 match timeout(LAST_ACCEPT, listener.accept()).await {
@@ -129,6 +134,7 @@
     // means for a request shows where the request is dropped.
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     select! {
+        biased;
         ended = &mut connection => return drop(ended),
         _ = closing.wait_for(|closing| *closing) => {}
     }
--- a/crates/node/src/node_core/connection_mark.rs
+++ b/crates/node/src/node_core/connection_mark.rs
@@ -1,10 +1,10 @@
-//! Connections that are open.
+//! Connections and ports that are open.
 
 use std::rc::Rc;
 
 use super::NodeCore;
 
-/// Counts a connection as open until dropped.
+/// Counts a connection or a port as open until dropped.
 #[derive(Debug)]
 pub struct ConnectionMark(pub(super) Rc<NodeCore>);
 
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -107,7 +107,7 @@
     pub history: RefCell<ConfigHistory>,
     /// Requests of callers that are open.
     pub open: Cell<u32>,
-    /// Connections of others that are open.
+    /// Connections of others, and ports, that are open.
     pub connections: Cell<u32>,
     /// Whether ports are being shut and connections closed.
     pub closing: watch::Sender<bool>,
@@ -178,7 +178,7 @@
         OpenMark(Rc::clone(self))
     }
 
-    /// Counts a connection as open until the mark is dropped.
+    /// Counts a connection or a port as open until the mark is dropped.
     pub fn connection_mark(self: &Rc<Self>) -> ConnectionMark {
         self.connections.set(self.connections.get() + 1);
         ConnectionMark(Rc::clone(self))
