Leave a restarted node no time in which a leaving server takes work

The nodes had been told to stop at the same time. The next process found the leaving in its announcement, or heard it first from a heartbeat, and counted the 0.8 s in which work on its way is still taken from then.

Ruled out: load (both logs show the second process take the requests); heartbeats out of order.

Now that time is only left where this process knew the server before it was leaving. The test failed before.

--- a/crates/node/src/door/endpoint_gate.rs
+++ b/crates/node/src/door/endpoint_gate.rs
@@ -33,6 +33,8 @@
     pub cold: Duration,
     /// Since when it has been leaving.
     pub leaving_since: Option<Duration>,
+    /// Whether it has been ready in the time of this process.
+    pub was_ready: bool,
     /// Whether it has said its farewell.
     pub deregistered: bool,
 }
@@ -125,7 +127,8 @@
     /// Says whether a request that expects `instance` may go in.
     ///
     /// One that is leaving takes work for `grace` longer, in which the news
-    /// reaches the other nodes.
+    /// reaches the other nodes. Where this process has only known it as leaving
+    /// that time is over: another process acknowledged it, long ago maybe.
     ///
     /// # Errors
     ///
@@ -141,7 +144,9 @@
             return Err(RefusalReason::OtherInstance);
         }
         match current.leaving_since {
-            Some(since) if now >= since + grace => Err(RefusalReason::Leaving),
+            Some(since) if !current.was_ready || now >= since + grace => {
+                Err(RefusalReason::Leaving)
+            }
             _ => Ok(current),
         }
     }
@@ -153,6 +158,7 @@
             cold: report.cold,
             report,
             leaving_since: leaving.then_some(now),
+            was_ready: !leaving,
             deregistered: false,
         };
         if let Some(ended) = self.current.replace(next) {
@@ -182,6 +188,7 @@
         ReportState::Ready if current.deregistered => current.leaving_since,
         ReportState::Ready => None,
     };
+    current.was_ready |= current.leaving_since.is_none();
     current.report = report;
     if changed {
         current.changed_by = current.report.sequence;
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -141,9 +141,23 @@
     gate.restore(at(0), &record(MemberState::Ready));
     assert_eq!(refusal(&gate, at(0), "i-1"), Some(RefusalReason::Shut));
     gate.restore(at(0), &record(MemberState::Leaving));
+    // Since when it has been leaving isn't known: no time is left.
+    assert_eq!(refusal(&gate, at(5), "i-1"), Some(RefusalReason::Leaving));
     gate.report(at(10), report("i-1", 5, ReportState::Ready));
     assert_eq!(
         refusal(&gate, at(2_000), "i-1"),
         Some(RefusalReason::Leaving)
     );
 }
+
+/// A node acknowledges a leaving and is restarted; other nodes tell it old news,
+/// in which its backend server was ready. The next heartbeat says leaving. Since
+/// when isn't known, so no time is left in which work would still be taken.
+#[test]
+fn one_first_heard_of_as_leaving_takes_no_work() {
+    let mut gate = EndpointGate::default();
+    gate.report(at(200), report("i-1", 16, ReportState::Leaving));
+    assert_eq!(refusal(&gate, at(200), "i-1"), Some(RefusalReason::Leaving));
+    gate.report(at(300), report("i-1", 17, ReportState::Ready));
+    assert_eq!(refusal(&gate, at(300), "i-1"), None);
+}
