Accept what the kernel holds in the last moment before a port is shut

Between the look that found nobody waiting and the closing of the port lies a turn of the event loop.

Ruled out: a connection that was accepted and not read (those are counted, and the process waits for them).

Now the kernel is asked once more by the call before the closing itself. What is left is the time between two system calls.

--- a/crates/node/src/http_port.rs
+++ b/crates/node/src/http_port.rs
@@ -83,6 +83,16 @@
 {
     let mut closing = core.closing.subscribe();
     let _port_mark = core.connection_mark();
+    let serve = |stream: TcpStream| {
+        tune_socket(&stream);
+        let closing = core.closing.subscribe();
+        let mark = core.connection_mark();
+        let connection = serve_connection(stream, limits(), answer.clone(), closing);
+        tokio::task::spawn_local(async move {
+            connection.await;
+            drop(mark);
+        });
+    };
     loop {
         let accepted = select! {
             biased;
@@ -90,27 +100,32 @@
             _ = closing.wait_for(|closing| *closing) => {
                 match timeout(LAST_ACCEPT, listener.accept()).await {
                     Ok(accepted) => accepted,
-                    Err(_nobody_waits) => return,
+                    Err(_nobody_waits) => break,
                 }
             }
         };
         match accepted {
-            Ok((stream, _)) => {
-                tune_socket(&stream);
-                let closing = core.closing.subscribe();
-                let mark = core.connection_mark();
-                let connection = serve_connection(stream, limits(), answer.clone(), closing);
-                tokio::task::spawn_local(async move {
-                    connection.await;
-                    drop(mark);
-                });
-            }
+            Ok((stream, _)) => serve(stream),
             Err(cause) => {
                 warn!(core.log.logger(), "connection not accepted"; "cause" => %cause);
                 sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    last_connections(listener).for_each(serve);
+}
+
+/// Yields what the kernel has taken for a port since it was last asked, and
+/// shuts the port: what comes between the two is reset, so nothing else is done
+/// there.
+fn last_connections(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
+    let listener = listener.into_std().ok();
+    let accept = move || {
+        let (stream, _) = listener.as_ref()?.accept().ok()?;
+        stream.set_nonblocking(true).ok()?;
+        TcpStream::from_std(stream).ok()
+    };
+    std::iter::from_fn(accept)
 }
 
 async fn serve_connection<F>(
