Look for a lost store with one cheap call at a time, and read old answers at a first start

Now a failed call stops all parts of a node until a look, at a tenth of the price, has been answered; only who waits for news makes a node watch; a fleet's first start reads old answers for three seconds.

--- a/crates/ctl/src/commands/status_command.rs
+++ b/crates/ctl/src/commands/status_command.rs
@@ -5,7 +5,7 @@
 use geranium_node::{
     config::ConfigVersion,
     follow::MEMBER_PREFIX,
-    store::{MetaStore, StoreItem},
+    store::{MetaStore, ReadAge, StoreItem},
 };
 use snafu::ResultExt;
 
@@ -41,7 +41,10 @@
 async fn look(session: &Session<impl MetaStore>) -> Result<StoreView, CtlError> {
     let store = session.store()?;
     let source = session.codec.source;
-    let read = store.read(source.key).await.context(StoreSnafu)?;
+    let read = store
+        .read(source.key, ReadAge::Current)
+        .await
+        .context(StoreSnafu)?;
     let version = match read.item {
         Some(item) => {
             let input = (source.parse)(&item.value);
@@ -51,7 +54,10 @@
         }
         None => ConfigVersion(0),
     };
-    let members = store.list(MEMBER_PREFIX).await.context(StoreSnafu)?;
+    let members = store
+        .list(MEMBER_PREFIX, ReadAge::Current)
+        .await
+        .context(StoreSnafu)?;
     Ok(StoreView {
         version,
         hops: members.items.iter().filter_map(hop_of).collect(),
--- a/crates/ctl/src/presets/activation.rs
+++ b/crates/ctl/src/presets/activation.rs
@@ -2,7 +2,7 @@
 
 use geranium_node::{
     config::ConfigVersion,
-    store::{MetaStore, Revision, StoreWrite},
+    store::{MetaStore, ReadAge, Revision, StoreWrite},
 };
 use snafu::ResultExt;
 
@@ -126,7 +126,10 @@
     store: &impl MetaStore,
     codec: ConfigCodec,
 ) -> Result<(Revision, ConfigVersion), CtlError> {
-    let read = store.read(codec.source.key).await.context(StoreSnafu)?;
+    let read = store
+        .read(codec.source.key, ReadAge::Current)
+        .await
+        .context(StoreSnafu)?;
     let Some(item) = read.item else {
         return Ok((Revision(0), ConfigVersion(0)));
     };
--- a/crates/ctl/src/presets/activation_history.rs
+++ b/crates/ctl/src/presets/activation_history.rs
@@ -2,7 +2,7 @@
 
 use geranium_node::{
     config::ConfigVersion,
-    store::{MetaStore, Revision},
+    store::{MetaStore, ReadAge, Revision},
 };
 use snafu::ResultExt;
 
@@ -24,7 +24,10 @@
     store: &impl MetaStore,
     count: usize,
 ) -> Result<Vec<ActivationRecord>, CtlError> {
-    let list = store.list(HISTORY_PREFIX).await.context(StoreSnafu)?;
+    let list = store
+        .list(HISTORY_PREFIX, ReadAge::Current)
+        .await
+        .context(StoreSnafu)?;
     let items = list.items.iter();
     let records: Result<Vec<ActivationRecord>, CtlError> = items
         .map(|item| record::parse(&item.key, &item.value))
--- a/crates/ctl/src/presets/preset_catalogue.rs
+++ b/crates/ctl/src/presets/preset_catalogue.rs
@@ -1,6 +1,6 @@
 //! The operators' named presets.
 
-use geranium_node::store::{MetaStore, StoreWrite};
+use geranium_node::store::{MetaStore, ReadAge, StoreWrite};
 use snafu::{OptionExt, ResultExt};
 
 use super::{PresetDocument, PresetName, PresetRecord, record};
@@ -32,7 +32,11 @@
     ///
     /// [`CtlError::Store`] or [`CtlError::BadRecord`].
     pub async fn list(&self) -> Result<Vec<PresetRecord>, CtlError> {
-        let list = self.store.list(PRESET_PREFIX).await.context(StoreSnafu)?;
+        let list = self
+            .store
+            .list(PRESET_PREFIX, ReadAge::Current)
+            .await
+            .context(StoreSnafu)?;
         let items = list.items.iter();
         items
             .map(|item| record::parse(&item.key, &item.value))
@@ -65,7 +69,11 @@
         stamp: WriteStamp,
     ) -> Result<PresetRecord, CtlError> {
         let key = key_of(name);
-        let read = self.store.read(&key).await.context(StoreSnafu)?;
+        let read = self
+            .store
+            .read(&key, ReadAge::Current)
+            .await
+            .context(StoreSnafu)?;
         let revision = read.item.map(|item| item.revision).unwrap_or_default();
         let own = PresetRecord {
             name: name.clone(),
--- a/crates/ctl/src/presets/record.rs
+++ b/crates/ctl/src/presets/record.rs
@@ -1,6 +1,6 @@
 //! Records that this client keeps in the store.
 
-use geranium_node::store::{MetaStore, Revision};
+use geranium_node::store::{MetaStore, ReadAge, Revision};
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::ResultExt;
 
@@ -11,7 +11,10 @@
     store: &impl MetaStore,
     key: &str,
 ) -> Result<(Revision, Option<T>), CtlError> {
-    let read = store.read(key).await.context(StoreSnafu)?;
+    let read = store
+        .read(key, ReadAge::Current)
+        .await
+        .context(StoreSnafu)?;
     let Some(item) = read.item else {
         return Ok((Revision(0), None));
     };
--- a/crates/node/src/follow/announcer.rs
+++ b/crates/node/src/follow/announcer.rs
@@ -2,13 +2,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use slog::{info, warn};
+use slog::info;
 use tokio::{
     select,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep_until},
 };
 
-use super::{MEMBER_PREFIX, StorePause};
+use super::own_key;
 use crate::{
     door::LocalEndpoint,
     member::{MemberRecord, MemberState},
@@ -44,29 +44,19 @@
 /// that it replaces, so that a late one finds another revision and fails.
 pub async fn keep_announced(core: Rc<NodeCore>, store: Rc<impl MetaStore>) {
     let mut announcement = Announcement::default();
-    let mut pause = StorePause::default();
     let mut renew_at = Instant::now();
     loop {
+        core.until_store_back().await;
         let step = announcement.step(&core, &*store, &mut renew_at).await;
         match step {
             Ok(()) => {
                 announcement.settle(&core);
-                if pause.is_failing() {
-                    info!(core.log.logger(), "store regained"; "for" => "announcement");
-                }
-                pause.succeeded();
                 select! {
                     () = core.announce.notified() => {}
                     () = sleep_until(renew_at) => {}
                 }
             }
-            Err(failure) => {
-                if !pause.is_failing() {
-                    warn!(core.log.logger(), "store lost";
-                        "for" => "announcement", "cause" => %failure);
-                }
-                sleep(pause.failed(&mut rand::rng())).await;
-            }
+            Err(failure) => core.store_failed("announcement", &failure),
         }
     }
 }
@@ -79,7 +69,7 @@
         store: &impl MetaStore,
         renew_at: &mut Instant,
     ) -> Result<(), StoreError> {
-        let key = key_of(core);
+        let key = own_key(core);
         let wanted = wanted(core);
         self.see(core);
         let Some(wanted) = wanted else {
@@ -233,10 +223,6 @@
     }
 }
 
-fn key_of(core: &NodeCore) -> String {
-    format!("{MEMBER_PREFIX}{}", core.settings.hop)
-}
-
 /// Returns what should stand in the store.
 fn wanted(core: &NodeCore) -> Option<MemberRecord> {
     let gate = core.door.gate().borrow();
--- a/crates/node/src/follow/config_watcher.rs
+++ b/crates/node/src/follow/config_watcher.rs
@@ -2,13 +2,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use slog::{error, info, warn};
+use slog::error;
 use tokio::{
     select,
     time::{sleep, timeout},
 };
 
-use super::{ConfigSource, StorePause};
+use super::ConfigSource;
 use crate::{
     config::MeshConfig,
     node_core::NodeCore,
@@ -17,7 +17,7 @@
 
 /// Longest wait of a watch; the store allows 30 s. A connection gone silent
 /// for good is noticed after this and a second at most.
-const WATCH_WAIT: Duration = Duration::from_secs(12);
+const WATCH_WAIT: Duration = Duration::from_secs(6);
 /// Pause after a change, in which further ones gather. Changes come in bursts
 /// of several a second, each watch costs a call, and a change has to be in
 /// force within two seconds.
@@ -27,7 +27,6 @@
 
 /// Watches the configuration in the store while this node has to.
 pub async fn watch_config(core: Rc<NodeCore>, store: Rc<impl MetaStore>, source: ConfigSource) {
-    let mut pause = StorePause::default();
     let mut after: Option<Revision> = None;
     loop {
         if !core.watches_store() {
@@ -35,30 +34,21 @@
             let _idle = timeout(IDLE_LOOK, core.duty_changed.notified()).await;
             continue;
         }
+        core.until_store_back().await;
         let step = match after {
-            None => read_config(&core, &*store, source).await,
-            Some(revision) => watch_step(&core, &*store, source, revision).await,
+            Some(revision) if !core.is_settling() => {
+                watch_step(&core, &*store, source, revision).await
+            }
+            _ => read_config(&core, &*store, source).await,
         };
         match step {
             Ok(revision) => {
                 core.store_answered();
-                if pause.is_failing() {
-                    info!(core.log.logger(), "store regained"; "for" => "configuration");
-                }
-                pause.succeeded();
                 after = Some(revision);
                 sleep(GATHER).await;
             }
             Err(StoreError::HistoryGone) => after = None,
-            Err(failure) => {
-                if !pause.is_failing() {
-                    warn!(core.log.logger(), "store lost";
-                        "for" => "configuration",
-                        "version" => core.version().0,
-                        "cause" => %failure);
-                }
-                sleep(pause.failed(&mut rand::rng())).await;
-            }
+            Err(failure) => core.store_failed("configuration", &failure),
         }
     }
 }
@@ -69,7 +59,7 @@
     source: ConfigSource,
 ) -> Result<Revision, StoreError> {
     core.metrics.store_call("read-config");
-    let read = store.read(source.key).await?;
+    let read = store.read(source.key, core.first_read_age()).await?;
     if let Some(item) = &read.item {
         take(core, source, item);
     }
--- a/crates/node/src/follow/follow_port.rs
+++ b/crates/node/src/follow/follow_port.rs
@@ -25,11 +25,14 @@
 
     /// Answers a question.
     pub async fn answer(&self, uri: &Uri) -> Response<AnswerBody> {
-        let question = uri.query().unwrap_or_default().parse();
+        let question = uri.query().unwrap_or_default().parse::<FollowQuestion>();
         let Ok(question) = question else {
             return status(StatusCode::BAD_REQUEST);
         };
-        self.core.asked();
+        // Whoever waits follows this node; who doesn't asks in passing.
+        if !question.wait.is_zero() {
+            self.core.asked();
+        }
         let answer = self.wait_for_news(question).await;
         match serde_json::to_vec(&answer) {
             Ok(text) => Response::new(AnswerBody::whole(text)),
--- a/crates/node/src/follow/guide.rs
+++ b/crates/node/src/follow/guide.rs
@@ -11,7 +11,8 @@
 /// Time for which a node that failed as a guide isn't asked again.
 const GUIDE_OUT: Duration = Duration::from_secs(5);
 /// Time after a question for which a node watches the store because of it.
-const ASKED_TIME: Duration = Duration::from_secs(10);
+/// Whoever follows asks again every two seconds.
+const ASKED_TIME: Duration = Duration::from_secs(5);
 
 /// Where a node gets its news.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/node/src/follow/member_watcher.rs
+++ b/crates/node/src/follow/member_watcher.rs
@@ -3,14 +3,14 @@
 use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use crate::crash::CrashRow;
-use slog::{error, info, warn};
+use slog::error;
 use tokio::{
     select,
     time::{sleep, timeout},
 };
 
 use super::{
-    MEMBER_PREFIX, NODE_PREFIX, StorePause,
+    MEMBER_PREFIX, NODE_PREFIX,
     news_intake::{take_crash, take_lapse, take_record},
 };
 use crate::{
@@ -21,23 +21,27 @@
 
 /// Longest wait of a watch; the store allows 30 s. A connection gone silent
 /// for good is noticed after this and a second at most.
-const WATCH_WAIT: Duration = Duration::from_secs(13);
+const WATCH_WAIT: Duration = Duration::from_secs(6);
 /// Pause after a change, in which further ones gather: each watch costs a
 /// call, and until the news is here the doors refuse what comes too late.
 const GATHER: Duration = Duration::from_millis(250);
+/// Time between lists while a new fleet announces itself: heartbeats come each
+/// second and a half.
+const SETTLE_LOOK: Duration = Duration::from_millis(500);
 /// Time between looks at whether this node has to watch.
 const IDLE_LOOK: Duration = Duration::from_millis(500);
 
 /// Watches the announcements in the store while this node has to.
 pub async fn watch_members(core: Rc<NodeCore>, store: Rc<impl MetaStore>) {
-    let mut pause = StorePause::default();
     loop {
         if !core.watches_store() {
             let _idle = timeout(IDLE_LOOK, core.duty_changed.notified()).await;
             continue;
         }
+        core.until_store_back().await;
         let after = core.fleet.borrow().revision();
-        let step = if after == Revision(0) {
+        let settling = core.is_settling();
+        let step = if settling || after == Revision(0) {
             list_members(&core, &*store).await
         } else {
             watch_step(&core, &*store, after).await
@@ -45,29 +49,17 @@
         match step {
             Ok(()) => {
                 core.store_answered();
-                if pause.is_failing() {
-                    info!(core.log.logger(), "store regained"; "for" => "members");
-                }
-                pause.succeeded();
                 core.news.notify_waiters();
-                sleep(GATHER).await;
-            }
-            Err(failure) => {
-                if !pause.is_failing() {
-                    warn!(core.log.logger(), "store lost";
-                        "for" => "members",
-                        "members" => core.fleet.borrow().len(),
-                        "cause" => %failure);
-                }
-                sleep(pause.failed(&mut rand::rng())).await;
+                sleep(if settling { SETTLE_LOOK } else { GATHER }).await;
             }
+            Err(failure) => core.store_failed("members", &failure),
         }
     }
 }
 
 async fn list_members(core: &NodeCore, store: &impl MetaStore) -> Result<(), StoreError> {
     core.metrics.store_call("list-members");
-    let list = store.list(NODE_PREFIX).await?;
+    let list = store.list(NODE_PREFIX, core.first_read_age()).await?;
     let hops = list.items.iter().filter_map(|item| hop_of(&item.key));
     let present: HashSet<SocketAddr> = hops.collect();
     for item in &list.items {
--- a/crates/node/src/follow/mod.rs
+++ b/crates/node/src/follow/mod.rs
@@ -7,7 +7,8 @@
 //! [`FollowPort`]). Whoever hears on the way of a request that another node
 //! holds a later configuration, asks that one ([`catch_up`]).
 //! [`keep_announced`] keeps the own announcement under a lease. While the
-//! store is away everyone keeps what they have.
+//! store is away everyone keeps what they have, and only [`look_for_store`]
+//! calls it ([`StoreAccess`]).
 
 mod announcer;
 mod config_history;
@@ -19,7 +20,10 @@
 mod guide;
 mod member_watcher;
 mod news_intake;
-mod store_pause;
+mod store_access;
+mod store_look;
+
+use crate::node_core::NodeCore;
 
 pub use announcer::keep_announced;
 pub use config_history::ConfigHistory;
@@ -30,7 +34,13 @@
 pub use follow_port::{FOLLOW_PATH, FollowPort};
 pub use guide::{Guide, GuideChoice};
 pub use member_watcher::watch_members;
-pub use store_pause::StorePause;
+pub use store_access::StoreAccess;
+pub use store_look::look_for_store;
+
+/// Returns the key of a node's own announcement.
+pub(crate) fn own_key(core: &NodeCore) -> String {
+    format!("{MEMBER_PREFIX}{}", core.settings.hop)
+}
 
 /// Prefix of the announcements in the store.
 pub const MEMBER_PREFIX: &str = "geranium/member/";
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,10 @@
     answer_body::AnswerBody,
     crash::watch_crashes,
     door::confirm_endpoint,
-    follow::{ConfigSource, catch_up, follow_guide, keep_announced, watch_config, watch_members},
+    follow::{
+        ConfigSource, catch_up, follow_guide, keep_announced, look_for_store, watch_config,
+        watch_members,
+    },
     front::FrontFlow,
     hop_port::HopPort,
     http_port::{PortError, PortLimits, open_port, serve_port},
@@ -126,6 +129,7 @@
     spawn_local(watch_members(Rc::clone(core), Rc::clone(&store)));
     spawn_local(follow_guide(Rc::clone(core)));
     spawn_local(confirm_endpoint(Rc::clone(core)));
+    spawn_local(look_for_store(Rc::clone(core), Rc::clone(&store)));
     spawn_local(watch_crashes(Rc::clone(core), Rc::clone(&store)));
     spawn_local(keep_announced(Rc::clone(core), store));
     spawn_local(catch_up(Rc::clone(core)));
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -12,7 +12,7 @@
 };
 
 use http::HeaderValue;
-use slog::info;
+use slog::{info, warn};
 use tokio::{
     sync::{Notify, watch},
     time::timeout,
@@ -26,7 +26,7 @@
     crash::CrashBook,
     door::{DoorFlow, DoorSettings, EndpointReport, ReportVerdict},
     event_log::EventLog,
-    follow::{ConfigHistory, Guide, GuideChoice},
+    follow::{ConfigHistory, Guide, GuideChoice, StoreAccess},
     front::DeadlineBook,
     header_set::HeaderSet,
     hop::{ConnectionPool, PoolSettings},
@@ -36,7 +36,7 @@
     node_metrics::NodeMetrics,
     node_settings::NodeSettings,
     retry::RetryBudget,
-    store::Revision,
+    store::{ReadAge, Revision, StoreError},
 };
 
 /// Slots assumed until the backend server tells: the usual size of one.
@@ -52,6 +52,10 @@
 /// Time between looks at whether this node still has to watch the store.
 const DUTY_LOOK: Duration = Duration::from_secs(1);
 
+/// Time in which the nodes of a new fleet have announced themselves: two
+/// heartbeats.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
 /// Longest wait of an acknowledgment for the store.
 const ACK_WAIT: Duration = Duration::from_millis(400);
 
@@ -102,6 +106,12 @@
     pub news: Notify,
     /// Wakes whoever depends on whether this node watches the store.
     pub duty_changed: Notify,
+    /// Whether the store is called.
+    pub store_access: RefCell<StoreAccess>,
+    /// Wakes who looks for the store.
+    pub store_lost: Notify,
+    /// Wakes who waits for the store.
+    pub store_back: Notify,
     /// Which node watches the store for whom.
     pub guide: RefCell<Guide>,
     /// Configurations that other nodes may still hold.
@@ -161,6 +171,9 @@
             ahead_heard: Notify::new(),
             news: Notify::new(),
             duty_changed: Notify::new(),
+            store_access: RefCell::default(),
+            store_lost: Notify::new(),
+            store_back: Notify::new(),
             guide: RefCell::new(Guide::new(settings.hop)),
             history: RefCell::default(),
             open: Cell::new(0),
@@ -274,6 +287,50 @@
     /// Notes that the store answered.
     pub fn store_answered(&self) {
         self.guide.borrow_mut().store_answered(self.clock.now());
+        if self.store_access.borrow_mut().succeeded() {
+            info!(self.log.logger(), "store regained");
+        }
+    }
+
+    /// Notes that a call to the store failed.
+    pub fn store_failed(&self, call: &'static str, cause: &StoreError) {
+        let age = self.guide.borrow().store_age(self.clock.now());
+        if self.store_access.borrow_mut().failed() {
+            warn!(self.log.logger(), "store lost";
+                "for" => call,
+                "cause" => %cause,
+                "answered_ms_ago" => age.as_millis() as u64,
+                "version" => self.version().0,
+                "members" => self.fleet.borrow().len());
+        }
+        self.store_lost.notify_one();
+    }
+
+    /// Waits until the store may be called.
+    pub async fn until_store_back(&self) {
+        while !self.store_access.borrow().is_open() {
+            self.store_back.notified().await;
+        }
+    }
+
+    /// Whether the whole fleet has just started for the first time and its nodes
+    /// are announcing themselves: the store is read now and then, not watched.
+    pub fn is_settling(&self) -> bool {
+        self.settings.first_start && self.clock.now() < SETTLE_TIME
+    }
+
+    /// Returns how old the first reads of this process may be.
+    ///
+    /// **Load pattern.** A whole fleet starts within a third of a second, with
+    /// nothing in the store to be behind of. **Without it** each node pays the
+    /// whole price for reading twice and then watches, as it knows no other
+    /// node yet: 330 calls of a quiet day's 1,110 at 88 nodes.
+    pub fn first_read_age(&self) -> ReadAge {
+        if self.is_settling() {
+            ReadAge::Recent
+        } else {
+            ReadAge::Current
+        }
     }
 
     /// Notes that another node asked for news.
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -30,6 +30,8 @@
     pub service: String,
     /// Address of that backend server.
     pub endpoint: SocketAddr,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
     /// Address at which other nodes reach this one.
     pub hop: SocketAddr,
     /// Addresses to listen on.
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -41,6 +41,8 @@
     pub store: SocketAddr,
     /// Megabits a second of its link.
     pub link_mbps: f64,
+    /// Whether the whole fleet starts for the first time.
+    pub first_start: bool,
 }
 
 impl Machine {
@@ -61,6 +63,7 @@
         let (name, ip) = (self.name(), hop.ip());
         let (zone, service, store) = (&self.data_centre, &self.service, self.store);
         let (app, link_mbps) = (self.endpoint_seen, self.link_mbps);
+        let first_start = self.first_start;
         format!(
             r#"[LocalNode]
 Node = "{name}"
@@ -69,6 +72,7 @@
 Zone = "{zone}"
 AppAddr = "{app}"
 Service = "{service}"
+Bootstrap = {first_start}
 [LocalNode.Limits]
 LinkMbps = {link_mbps:?}
 [Network.Listen]
