Tell what became of each long answer, and what the link carried

Each promised long answer leaves a line when it ends; each second in which long answers are asked for a line says what the link carried, for what, and what became of them; both are counters as well.

--- a/crates/ctl/src/explain/story_event.rs
+++ b/crates/ctl/src/explain/story_event.rs
@@ -100,6 +100,17 @@
             show("took_ms"),
             show("tries")
         ),
+        "long answer ended" => format!(
+            "the door's long answer ended {}: {} bytes sent of {}, {} expected; made after {} ms, put off after {} ms, last sent after {} ms of {} ms until its target",
+            show("end"),
+            show("sent"),
+            show("bytes"),
+            show("bytes_promised"),
+            show("made_ms"),
+            show("postponed_ms"),
+            show("sent_ms"),
+            show("target_ms")
+        ),
         "member announced" => format!(
             "member {} ({}, {}) announced as {} at revision {}",
             show("at"),
--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -10,7 +10,12 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use serde::Serialize;
 
-use crate::{door::RunSlot, front::SentMark, link::LinkPromise, node_core::OpenMark};
+use crate::{
+    door::RunSlot,
+    front::SentMark,
+    link::{LinkPromise, LinkUse},
+    node_core::OpenMark,
+};
 
 #[derive(Debug)]
 enum BodySource {
@@ -117,10 +122,11 @@
     /// Sends what is long as the link's promise says.
     #[must_use]
     pub fn with_promise(mut self, promise: Option<LinkPromise>) -> Self {
-        if let (Some(promise), Some(bytes)) = (&promise, self.size_hint().exact()) {
-            promise.resize(bytes);
-        }
         self.promise = promise;
+        let bytes = self.size_hint().exact();
+        if let Some(promise) = &mut self.promise {
+            promise.made(bytes);
+        }
         self
     }
 
@@ -142,14 +148,26 @@
     }
 
     /// Counts bytes that go out.
-    fn count(&self, bytes: usize) {
-        match (&self.promise, &self.open) {
-            (Some(promise), _) => promise.sent(bytes as u64),
-            (None, Some(open)) => open.sent(bytes as u64),
+    fn count(&mut self, bytes: usize) {
+        let purpose = self.purpose();
+        match (&mut self.promise, &self.open) {
+            (Some(promise), _) => promise.sent(purpose, bytes as u64),
+            (None, Some(open)) => open.sent(purpose, bytes as u64),
             (None, None) => {}
         }
     }
 
+    fn purpose(&self) -> LinkUse {
+        let from_caller = self.open.as_ref().is_some_and(OpenMark::is_from_caller);
+        let streams = matches!(self.source, BodySource::Stream { .. });
+        match (&self.promise, from_caller) {
+            (Some(_), true) => LinkUse::LongHome,
+            (Some(_), false) => LinkUse::LongAway,
+            (None, true) if streams => LinkUse::Forwarded,
+            (None, _) => LinkUse::Short,
+        }
+    }
+
     /// Hands on what comes in, a piece at a time where the link's turns are
     /// waited for.
     fn poll_stream(
@@ -184,8 +202,10 @@
         if let Some(mark) = self.mark.take() {
             mark.complete();
         }
+        if let Some(promise) = self.promise.take() {
+            promise.complete();
+        }
         self.open = None;
-        self.promise = None;
     }
 }
 
--- a/crates/node/src/door/door_flow.rs
+++ b/crates/node/src/door/door_flow.rs
@@ -27,7 +27,7 @@
     crash::BrokenRuns,
     header_set::{HeaderSet, header_text},
     hop::{ConnectionPool, PoolSettings},
-    link::{LinkLine, LinkOffer, LinkPromise, LinkVerdict},
+    link::{AnswerCourse, LinkLine, LinkOffer, LinkPromise, LinkVerdict},
     member::{AnswerSizes, EndpointStart, LoadReport},
     node_clock::NodeClock,
 };
@@ -275,14 +275,15 @@
         // The backend server may have begun to leave meanwhile.
         self.admit(&request)?;
         let ends_at = request.ends_at + OVERTIME;
-        let (class, due, caller_end) = (request.class, request.useful_until, request.ends_at);
+        let class = request.class;
+        let (id, due, caller_end) = (self.id_of(&request), request.useful_until, request.ends_at);
         let answer = timeout_at(ends_at, self.call(request, idempotent, slot, start)).await;
         let answer = answer.unwrap_or_else(|_elapsed| broke("no answer in time"))?;
         let bytes = answer.body().size_hint().exact();
         if let Some(bytes) = bytes {
             self.inner.sizes.borrow_mut().observe(class, bytes);
         }
-        let promise = promise.or_else(|| self.take_link(bytes?, due, caller_end));
+        let promise = promise.or_else(|| self.take_link(id, bytes?, due, caller_end));
         Ok(answer.map(|body| body.with_promise(promise)))
     }
 
@@ -292,14 +293,34 @@
     /// ones are made all at once and fill the link for more than half a second:
     /// the node seems dead to the others, and calls behind them come too late.
     /// **Guard.** They wait for turns like those that were promised the link.
-    fn take_link(&self, bytes: u64, due: Instant, caller_end: Instant) -> Option<LinkPromise> {
+    fn take_link(
+        &self,
+        id: Rc<str>,
+        bytes: u64,
+        due: Instant,
+        caller_end: Instant,
+    ) -> Option<LinkPromise> {
         if bytes <= SHORT_MAX {
             return None;
         }
         let (clock, link) = (self.inner.clock, &self.inner.link);
-        let (due, caller_end) = (clock.at(due), clock.at(caller_end));
-        let key = link.schedule().take(bytes, due, caller_end);
-        Some(LinkPromise::new(link, clock, key))
+        let offer = LinkOffer {
+            bytes,
+            made_in: Duration::ZERO,
+            useful_until: clock.at(due),
+            ends_at: clock.at(caller_end),
+        };
+        let key = link
+            .schedule()
+            .take(bytes, offer.useful_until, offer.ends_at);
+        let course = AnswerCourse::new(id, clock.now(), offer);
+        Some(LinkPromise::new(link, clock, key, course))
+    }
+
+    /// Returns the identifier of a request, for the log.
+    fn id_of(&self, request: &DoorRequest) -> Rc<str> {
+        let id = header_text(&request.headers, &self.headers.request_id);
+        id.unwrap_or_default().into()
     }
 
     fn admit(&self, request: &DoorRequest) -> Result<EndpointStart, DoorError> {
@@ -326,9 +347,12 @@
             useful_until: clock.at(request.useful_until),
             ends_at: clock.at(request.ends_at),
         };
-        let verdict = link.schedule().offer(clock.now(), offer);
-        match verdict {
-            LinkVerdict::Promised(key) => Ok(Some(LinkPromise::new(link, clock, key))),
+        let now = clock.now();
+        match link.offer(now, offer) {
+            LinkVerdict::Promised(key) => {
+                let course = AnswerCourse::new(self.id_of(request), now, offer);
+                Ok(Some(LinkPromise::new(link, clock, key, course)))
+            }
             LinkVerdict::Refused { retry_after } => refused(RefusalReason::LinkFull, retry_after),
         }
     }
--- a/crates/node/src/link/link_line.rs
+++ b/crates/node/src/link/link_line.rs
@@ -7,21 +7,30 @@
     time::Duration,
 };
 
-use super::{LinkSchedule, LoadKey};
+use super::{
+    AnswerCourse, LinkLoad, LinkNotes, LinkOffer, LinkSchedule, LinkUse, LinkVerdict, LoadKey,
+};
+
+/// Time over which is told what the link carried.
+const TOLD_EACH: Duration = Duration::from_secs(1);
 
 /// The schedule of the link, and who waits for a turn.
 #[derive(Debug)]
 pub struct LinkLine {
     schedule: RefCell<LinkSchedule>,
     wakers: RefCell<HashMap<LoadKey, Waker>>,
+    load: RefCell<LinkLoad>,
+    notes: LinkNotes,
 }
 
 impl LinkLine {
     /// Makes the line of an idle link.
-    pub fn new(link_mbps: f64) -> Self {
+    pub fn new(link_mbps: f64, notes: LinkNotes) -> Self {
         Self {
             schedule: RefCell::new(LinkSchedule::new(link_mbps)),
             wakers: RefCell::default(),
+            load: RefCell::default(),
+            notes,
         }
     }
 
@@ -30,9 +39,44 @@
         self.schedule.borrow_mut()
     }
 
+    /// Offers a long answer to the schedule.
+    pub fn offer(&self, now: Duration, offer: LinkOffer) -> LinkVerdict {
+        let verdict = self.schedule().offer(now, offer);
+        let mut load = self.load.borrow_mut();
+        match verdict {
+            LinkVerdict::Promised(_) => load.promised += 1,
+            LinkVerdict::Refused { .. } => load.refused += 1,
+        }
+        verdict
+    }
+
     /// Notes bytes that were handed over at once.
-    pub fn sent(&self, now: Duration, bytes: u64) {
+    pub fn sent(&self, now: Duration, purpose: LinkUse, bytes: u64) {
         self.schedule().sent(now, bytes);
+        self.load.borrow_mut().sent(purpose, bytes);
+    }
+
+    /// Notes bytes of a promised answer that were handed over.
+    pub(super) fn sent_of(&self, now: Duration, key: LoadKey, purpose: LinkUse, bytes: u64) {
+        self.schedule().sent_of(now, key, bytes);
+        self.load.borrow_mut().sent(purpose, bytes);
+    }
+
+    /// Notes what became of a promised answer.
+    pub(super) fn ended(&self, now: Duration, course: &AnswerCourse) {
+        self.load.borrow_mut().ended(course.end());
+        self.notes.ended(now, course);
+    }
+
+    /// Tells what the link carried, once a second.
+    pub fn tell_load(&self, now: Duration) {
+        let taken = self.load.borrow_mut().take_after(now, TOLD_EACH);
+        if let Some((load, time)) = taken {
+            let schedule = self.schedule();
+            let (rate, backlog) = (schedule.bytes_per_s(), schedule.backlog(now));
+            drop(schedule);
+            self.notes.carried(&load, time, rate, backlog);
+        }
     }
 
     /// Keeps whom to wake for a turn.
--- /dev/null
+++ b/crates/node/src/link/link_load.rs
@@ -0,0 +1,77 @@
+//! What a link carried in a while, and what became of the long answers.
+
+use std::time::Duration;
+
+use strum::{EnumCount, VariantArray};
+
+use super::{AnswerEnd, LinkUse};
+
+/// What a link carried since the last look, and what became of the long answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LinkLoad {
+    since: Duration,
+    bytes: [u64; LinkUse::COUNT],
+    ends: [u32; AnswerEnd::COUNT],
+    /// Long answers that were promised the link.
+    pub promised: u32,
+    /// Long answers that were refused it.
+    pub refused: u32,
+}
+
+impl LinkLoad {
+    /// Counts bytes that were handed over.
+    pub fn sent(&mut self, purpose: LinkUse, bytes: u64) {
+        self.bytes[purpose as usize] += bytes;
+    }
+
+    /// Counts a long answer that ended.
+    pub fn ended(&mut self, end: AnswerEnd) {
+        self.ends[end as usize] += 1;
+    }
+
+    /// Returns the bytes for one purpose.
+    pub const fn bytes(&self, purpose: LinkUse) -> u64 {
+        self.bytes[purpose as usize]
+    }
+
+    /// Returns the bytes for all purposes.
+    pub fn all_bytes(&self) -> u64 {
+        LinkUse::VARIANTS
+            .iter()
+            .map(|&purpose| self.bytes(purpose))
+            .sum()
+    }
+
+    /// Returns how many long answers ended so.
+    pub const fn ends(&self, end: AnswerEnd) -> u32 {
+        self.ends[end as usize]
+    }
+
+    /// Takes what was counted for `length` or longer, and begins anew.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use geranium_node::link::{LinkLoad, LinkUse};
+    ///
+    /// let mut load = LinkLoad::default();
+    /// load.sent(LinkUse::Short, 500);
+    /// let second = Duration::from_secs(1);
+    /// assert!(load.take_after(Duration::from_millis(900), second).is_none());
+    /// let (taken, time) = load.take_after(Duration::from_millis(1_100), second).unwrap();
+    /// assert_eq!((taken.all_bytes(), time), (500, Duration::from_millis(1_100)));
+    /// assert_eq!(load.all_bytes(), 0);
+    /// ```
+    pub fn take_after(&mut self, now: Duration, length: Duration) -> Option<(Self, Duration)> {
+        let time = now.saturating_sub(self.since);
+        if time < length {
+            return None;
+        }
+        let next = Self {
+            since: now,
+            ..Self::default()
+        };
+        Some((std::mem::replace(self, next), time))
+    }
+}
--- /dev/null
+++ b/crates/node/src/link/link_notes.rs
@@ -0,0 +1,104 @@
+//! What is logged and counted of the link.
+
+use std::time::Duration;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Meter},
+};
+use slog::info;
+use strum::VariantArray;
+
+use super::{AnswerCourse, AnswerEnd, LinkLoad, LinkUse};
+use crate::event_log::EventLog;
+
+/// Counters of the link.
+#[derive(Debug, Clone)]
+pub struct LinkCounters {
+    bytes: Counter<u64>,
+    answers: Counter<u64>,
+}
+
+impl LinkCounters {
+    /// Registers them.
+    pub fn new(meter: &Meter) -> Self {
+        Self {
+            bytes: meter.u64_counter("geranium_link_bytes").build(),
+            answers: meter.u64_counter("geranium_long_answers").build(),
+        }
+    }
+
+    fn answer(&self, end: &'static str, count: u32) {
+        self.answers.add(count.into(), &[KeyValue::new("end", end)]);
+    }
+}
+
+/// Logs and counts what the link carries.
+#[derive(Debug, Clone)]
+pub struct LinkNotes {
+    log: EventLog,
+    counters: LinkCounters,
+}
+
+impl LinkNotes {
+    /// Makes the notes of a node's link.
+    pub const fn new(log: EventLog, counters: LinkCounters) -> Self {
+        Self { log, counters }
+    }
+
+    /// Records what became of a long answer.
+    pub fn ended(&self, now: Duration, course: &AnswerCourse) {
+        let end = course.end();
+        if let Some(log) = self.log.for_request(now, "long answer") {
+            info!(log, "long answer ended";
+                "request" => &*course.request,
+                "end" => <&'static str>::from(end),
+                "bytes" => course.bytes,
+                "bytes_promised" => course.offer.bytes,
+                "sent" => course.sent,
+                "target_ms" => course.millis(Some(course.offer.useful_until)),
+                "deadline_ms" => course.millis(Some(course.offer.ends_at)),
+                "made_ms" => course.millis(course.made_at),
+                "postponed_ms" => course.millis(course.postponed_at),
+                "begun_ms" => course.millis(course.begun_at),
+                "sent_ms" => course.millis(course.sent_at),
+                "took_ms" => course.millis(Some(now)));
+        }
+    }
+
+    /// Counts what the link carried, and logs it when it was asked for long answers.
+    pub fn carried(&self, load: &LinkLoad, time: Duration, rate: f64, backlog: Duration) {
+        for &purpose in LinkUse::VARIANTS {
+            let label = KeyValue::new("use", <&'static str>::from(purpose));
+            self.counters.bytes.add(load.bytes(purpose), &[label]);
+        }
+        let ends = [
+            AnswerEnd::InTime,
+            AnswerEnd::Late,
+            AnswerEnd::Cut,
+            AnswerEnd::Unmade,
+        ];
+        for end in ends {
+            self.counters.answer(end.into(), load.ends(end));
+        }
+        self.counters.answer("refused", load.refused);
+        if load.promised + load.refused == 0 {
+            return;
+        }
+        let full = rate * time.as_secs_f64();
+        info!(self.log.logger(), "link carried";
+            "time_ms" => time.as_millis() as u64,
+            "used_percent" => (load.all_bytes() as f64 / full * 100.0).round() as u64,
+            "long_away" => load.bytes(LinkUse::LongAway),
+            "long_home" => load.bytes(LinkUse::LongHome),
+            "forwarded" => load.bytes(LinkUse::Forwarded),
+            "short" => load.bytes(LinkUse::Short),
+            "promised" => load.promised,
+            "refused" => load.refused,
+            "in_time" => load.ends(AnswerEnd::InTime),
+            "late" => load.ends(AnswerEnd::Late),
+            "cut" => load.ends(AnswerEnd::Cut),
+            "unmade" => load.ends(AnswerEnd::Unmade),
+            "backlog_ms" => backlog.as_millis() as u64);
+    }
+}
--- a/crates/node/src/link/link_promise.rs
+++ b/crates/node/src/link/link_promise.rs
@@ -8,7 +8,7 @@
 
 use tokio::time::{Sleep, sleep};
 
-use super::{LinkLine, LinkTurn, LoadKey};
+use super::{AnswerCourse, LinkLine, LinkTurn, LinkUse, LoadKey};
 use crate::node_clock::NodeClock;
 
 /// The promise of the link to one long answer; taken back when dropped.
@@ -17,23 +17,33 @@
     line: Rc<LinkLine>,
     clock: NodeClock,
     key: LoadKey,
+    course: AnswerCourse,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl LinkPromise {
     /// Holds a promise that the schedule made.
-    pub fn new(line: &Rc<LinkLine>, clock: NodeClock, key: LoadKey) -> Self {
+    pub fn new(line: &Rc<LinkLine>, clock: NodeClock, key: LoadKey, course: AnswerCourse) -> Self {
         Self {
             line: Rc::clone(line),
             clock,
             key,
+            course,
             timer: None,
         }
     }
 
-    /// Takes in how many bytes the answer really has.
-    pub fn resize(&self, bytes: u64) {
-        self.line.schedule().resize(self.key, bytes);
+    /// Takes in that the answer is made, and its bytes if its head told them.
+    pub fn made(&mut self, bytes: Option<u64>) {
+        self.course.made(self.clock.now(), bytes);
+        if let Some(bytes) = bytes {
+            self.line.schedule().resize(self.key, bytes);
+        }
+    }
+
+    /// Ends the promise after the last byte.
+    pub fn complete(mut self) {
+        self.course.is_whole = true;
     }
 
     /// Waits for the next turn and returns how many bytes it has.
@@ -49,6 +59,7 @@
                 LinkTurn::Postponed(key) => {
                     self.line.leave(self.key);
                     self.key = key;
+                    self.course.postponed_at = Some(self.clock.now());
                     // Whoever waited behind it may be first now.
                     self.line.wake_next();
                 }
@@ -70,9 +81,10 @@
 
     /// Notes bytes of the answer that were handed over, and lets the next one
     /// have its turn.
-    pub fn sent(&self, bytes: u64) {
+    pub fn sent(&mut self, purpose: LinkUse, bytes: u64) {
         let now = self.clock.now();
-        self.line.schedule().sent_of(now, self.key, bytes);
+        self.course.sent(now, bytes);
+        self.line.sent_of(now, self.key, purpose, bytes);
         self.line.wake_next();
     }
 }
@@ -81,6 +93,7 @@
     fn drop(&mut self) {
         self.line.schedule().withdraw(self.key);
         self.line.leave(self.key);
+        self.line.ended(self.clock.now(), &self.course);
         self.line.wake_next();
     }
 }
--- a/crates/node/src/link/link_schedule.rs
+++ b/crates/node/src/link/link_schedule.rs
@@ -246,6 +246,11 @@
         self.waiting.remove(&key);
     }
 
+    /// Returns the bytes a second that are planned with.
+    pub const fn bytes_per_s(&self) -> f64 {
+        self.bytes_per_s
+    }
+
     /// Returns how long everything that is promised or under way will take.
     pub fn backlog(&self, now: Duration) -> Duration {
         self.time_of(self.level_at(now) + self.loads.values().map(|load| load.bytes).sum::<f64>())
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -30,7 +30,7 @@
     front::DeadlineBook,
     header_set::HeaderSet,
     hop::{ConnectionPool, PoolSettings},
-    link::LinkLine,
+    link::{LinkLine, LinkNotes},
     member::{AnswerSizes, FleetView, LoadReport, MemberKey, MemberRecord},
     node_clock::NodeClock,
     node_metrics::NodeMetrics,
@@ -141,10 +141,12 @@
             connect_time: settings.hop_connect,
             idle_time: settings.hop_idle,
         });
-        let link = Rc::new(LinkLine::new(settings.link_mbps));
+        let metrics = NodeMetrics::new(&settings)?;
+        let notes = LinkNotes::new(log.clone(), metrics.link());
+        let link = Rc::new(LinkLine::new(settings.link_mbps, notes));
         let caller_service = endpoint_reports::service_value(&settings.service);
         Ok(Rc::new(Self {
-            metrics: NodeMetrics::new(&settings)?,
+            metrics,
             door: DoorFlow::new(door_settings, headers.clone(), clock, Rc::clone(&link)),
             link,
             config: RefCell::default(),
@@ -181,10 +183,22 @@
         }))
     }
 
-    /// Counts a request as open until the mark is dropped.
-    pub fn open_mark(self: &Rc<Self>) -> OpenMark {
+    /// Counts a request of a caller as open until the mark is dropped.
+    pub fn caller_mark(self: &Rc<Self>) -> OpenMark {
+        self.open_mark(true)
+    }
+
+    /// Counts a request of another node as open until the mark is dropped.
+    pub fn hop_mark(self: &Rc<Self>) -> OpenMark {
+        self.open_mark(false)
+    }
+
+    fn open_mark(self: &Rc<Self>, from_caller: bool) -> OpenMark {
         self.open.set(self.open.get() + 1);
-        OpenMark(Rc::clone(self))
+        OpenMark {
+            core: Rc::clone(self),
+            from_caller,
+        }
     }
 
     /// Counts a connection or a port as open until the mark is dropped.
@@ -270,11 +284,12 @@
         self.config.borrow().is_some() && !self.fleet.borrow().is_empty() && !self.is_stopping()
     }
 
-    /// Does what is due now and then: closes idle connections and forgets
-    /// members that vanished.
+    /// Does what is due now and then: closes idle connections forgets
+    /// members that vanished, and tells what the link carried.
     pub fn sweep(&self, now: Duration) {
         self.hops.sweep();
         self.door.sweep();
+        self.link.tell_load(now);
         let gone = self.fleet.borrow_mut().sweep(now);
         for record in gone {
             info!(self.log.logger(), "member gone";
--- a/crates/node/src/node_core/open_mark.rs
+++ b/crates/node/src/node_core/open_mark.rs
@@ -3,21 +3,32 @@
 use std::rc::Rc;
 
 use super::NodeCore;
+use crate::link::LinkUse;
 
 /// Counts a request as open until dropped.
 #[derive(Debug)]
-pub struct OpenMark(pub(super) Rc<NodeCore>);
+pub struct OpenMark {
+    pub(super) core: Rc<NodeCore>,
+    /// Whether a caller on this machine asked, and no other node.
+    pub(super) from_caller: bool,
+}
 
 impl OpenMark {
+    /// Whether a caller on this machine asked, and no other node.
+    pub const fn is_from_caller(&self) -> bool {
+        self.from_caller
+    }
+
     /// Notes bytes of the answer that were sent.
-    pub fn sent(&self, bytes: u64) {
-        let core = &self.0;
-        core.link.sent(core.clock.now(), bytes);
+    pub fn sent(&self, purpose: LinkUse, bytes: u64) {
+        let core = &self.core;
+        core.link.sent(core.clock.now(), purpose, bytes);
     }
 }
 
 impl Drop for OpenMark {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get().saturating_sub(1));
+        let open = &self.core.open;
+        open.set(open.get().saturating_sub(1));
     }
 }
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -11,7 +11,7 @@
 use strum::{Display, EnumString, IntoStaticStr};
 
 use crate::{
-    config::RequestKind, node_clock::NodeClock, node_settings::NodeSettings,
+    config::RequestKind, link::LinkCounters, node_clock::NodeClock, node_settings::NodeSettings,
     result_code::ResultCode,
 };
 
@@ -63,6 +63,7 @@
     config_version: Gauge<u64>,
     members: Gauge<u64>,
     queue: Gauge<u64>,
+    link: LinkCounters,
 }
 
 impl NodeMetrics {
@@ -106,6 +107,7 @@
             config_version: meter.u64_gauge("geranium_config_version").build(),
             members: meter.u64_gauge("geranium_members").build(),
             queue: meter.u64_gauge("geranium_queue").build(),
+            link: LinkCounters::new(&meter),
             _provider: provider,
         })
     }
@@ -155,6 +157,11 @@
         self.queue.record(value.into(), &labels);
     }
 
+    /// Returns the counters of the link.
+    pub fn link(&self) -> LinkCounters {
+        self.link.clone()
+    }
+
     /// Writes every metric in the Prometheus text format.
     ///
     /// # Errors
