Hold by a failing test that promised files are sent

A link that is asked for four times the files that it carries: 17 of the 626 that it promises end unsent.

--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod gate;
 mod guide;
 mod link;
+mod link_load;
 mod poison;
 mod queue;
 mod queue_load;
