Count heads and requests to other nodes on the link

Cause: the schedule plans the link full with the bodies of answers. Heads of answers and refusals, and the requests of the machine's own callers, come on top and were counted nowhere.

Ruled out: slots of the file service (door refusals for want of a slot rise only after the calls are slow), and the files' own runs, which were no more.

--- a/crates/node/src/front/attempt.rs
+++ b/crates/node/src/front/attempt.rs
@@ -14,10 +14,11 @@
     config::ConfigVersion,
     door::{DoorError, DoorRefusal, DoorRequest},
     header_set::{
-        HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, header_text, set_header,
-        strip_connection, strip_hop,
+        HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, head_bytes, header_text,
+        set_header, strip_connection, strip_hop,
     },
     hop::{ExchangeError, HopNote},
+    link::LinkUse,
     member::{LoadReport, MemberKey, MemberRecord},
     node_core::NodeCore,
 };
@@ -97,6 +98,9 @@
         record: &MemberRecord,
     ) -> TryResult {
         let outgoing = self.outgoing(record);
+        let bytes = head_bytes(outgoing.headers()) + self.request.body.len() as u64;
+        let link = &self.core.link;
+        link.sent(self.core.clock.now(), LinkUse::Overhead, bytes);
         let idle_time = self.core.settings.hop_idle;
         let exchange = self
             .core
--- a/crates/node/src/header_set.rs
+++ b/crates/node/src/header_set.rs
@@ -50,6 +50,30 @@
 /// Headers by which nodes speak to one another.
 const HOP_HEADERS: [HeaderName; 5] = [HOP_NOTE, HOP_LOAD, HOP_REFUSAL, HOP_BROKE, HOP_VERSION];
 
+/// Bytes of a head beside the headers that are told: the first line, and what the
+/// library adds (date, length, connection).
+const HEAD_REST: u64 = 120;
+
+/// Returns about how many bytes a head takes.
+///
+/// # Examples
+///
+/// ```
+/// use geranium_node::header_set::head_bytes;
+/// use http::{HeaderMap, HeaderValue, header};
+///
+/// let mut headers = HeaderMap::new();
+/// let bare = head_bytes(&headers);
+/// headers.insert(header::HOST, HeaderValue::from_static("till.example"));
+/// assert_eq!(head_bytes(&headers), bare + 20);
+/// ```
+pub fn head_bytes(headers: &HeaderMap) -> u64 {
+    let lines = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    HEAD_REST + lines.sum::<usize>() as u64
+}
+
 /// Removes the headers that concern one connection only, those that
 /// `Connection` names among them.
 pub fn strip_connection(headers: &mut HeaderMap) {
--- a/crates/node/src/link/link_notes.rs
+++ b/crates/node/src/link/link_notes.rs
@@ -93,6 +93,7 @@
             "long_home" => load.bytes(LinkUse::LongHome),
             "forwarded" => load.bytes(LinkUse::Forwarded),
             "short" => load.bytes(LinkUse::Short),
+            "overhead" => load.bytes(LinkUse::Overhead),
             "promised" => load.promised,
             "refused" => load.refused,
             "in_time" => load.ends(AnswerEnd::InTime),
--- a/crates/node/src/link/link_use.rs
+++ b/crates/node/src/link/link_use.rs
@@ -15,6 +15,8 @@
     /// A long answer of another backend server, to a caller on this machine: it has
     /// taken that one's link before.
     Forwarded,
-    /// Anything short.
+    /// The body of any short answer.
     Short,
+    /// Heads of answers, and whole requests to other nodes.
+    Overhead,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,7 +23,7 @@
     front::FrontFlow,
     hop_port::HopPort,
     http_port::{PortError, PortLimits, open_port, serve_port},
-    node_core::{CALLERS_LEAVE, NodeCore},
+    node_core::{CALLERS_LEAVE, NodeCore, OpenMark},
     node_settings::ListenAddrs,
     operators::OperatorsPort,
     store::MetaStore,
@@ -110,7 +110,7 @@
         let core = Rc::clone(core);
         move |request| {
             let (port, open) = (port.clone(), core.hop_mark());
-            async move { port.answer(request).await.map(|body| body.with_open(open)) }
+            async move { opened(port.answer(request).await, open) }
         }
     });
     let readiness = platform.clone();
@@ -163,12 +163,18 @@
         "took_ms" => begun.elapsed().as_millis() as u64);
 }
 
+/// Counts an answer as open, and on the link, until its end.
+fn opened(answer: Response<AnswerBody>, open: OpenMark) -> Response<AnswerBody> {
+    open.sent_head(answer.headers());
+    answer.map(|body| body.with_open(open))
+}
+
 fn serve_callers(core: &Rc<NodeCore>, listener: TcpListener) {
     let flow = FrontFlow::new(Rc::clone(core));
     let (counted, limited) = (Rc::clone(core), Rc::clone(core));
     let answer = move |request| {
         let (flow, open) = (flow.clone(), counted.caller_mark());
-        async move { flow.answer(request).await.map(|body| body.with_open(open)) }
+        async move { opened(flow.answer(request).await, open) }
     };
     let limits = move || match &*limited.config.borrow() {
         Some(config) => PortLimits {
--- a/crates/node/src/node_core/open_mark.rs
+++ b/crates/node/src/node_core/open_mark.rs
@@ -2,8 +2,10 @@
 
 use std::rc::Rc;
 
+use http::HeaderMap;
+
 use super::NodeCore;
-use crate::link::LinkUse;
+use crate::{header_set::head_bytes, link::LinkUse};
 
 /// Counts a request as open until dropped.
 #[derive(Debug)]
@@ -19,6 +21,11 @@
         self.from_caller
     }
 
+    /// Notes the head of the answer, which goes out with its first bytes.
+    pub fn sent_head(&self, headers: &HeaderMap) {
+        self.sent(LinkUse::Overhead, head_bytes(headers));
+    }
+
     /// Notes bytes of the answer that were sent.
     pub fn sent(&self, purpose: LinkUse, bytes: u64) {
         let core = &self.core;
