Know callers that come again by what they were refused

Cause: what came again after a refusal was taken for new, and got the whole target anew. Earlier attempts were told from later ones by what is left of their time, which works where callers wait equally long. These wait for 3.4 to 4.0 s each (first attempts in a log of the first seconds), so nothing told them apart. Links then carried files that were late for their callers in place of others that could have been in time.

A front now remembers what it refused until its caller's end: the same request with the same end is the same caller. Where nothing is remembered the old way stands.

--- a/crates/node/src/front/front_flow.rs
+++ b/crates/node/src/front/front_flow.rs
@@ -100,7 +100,9 @@
         let print = request_print(&head.method, &head.uri, &head.headers, &body);
         self.check_print(print)?;
         let service = route.shares.draw();
-        let useful_until = self.useful_until(arrived, &route, deadline);
+        let caller_end = deadline.map(|deadline| arrived + deadline);
+        let first_asked = self.first_asked(arrived, &route, print, deadline);
+        let useful_until = first_asked + route.target;
         let begun = self.core.door.calls().borrow().is_call(route.class);
         Ok(FrontRequest {
             id: id.into(),
@@ -109,6 +111,8 @@
             headers: head.headers,
             body,
             print,
+            first_asked,
+            caller_end,
             useful_until,
             begun,
             route,
@@ -128,18 +132,37 @@
         })
     }
 
-    /// Returns the time by which an answer is of full use, reckoned from the
-    /// caller's first attempt.
-    fn useful_until(
+    /// Returns when the caller first asked: by what it was refused here or, where it
+    /// wasn't, by what is left of its time.
+    fn first_asked(
         &self,
         arrived: Instant,
         route: &RouteRule,
+        print: u64,
         deadline: Option<Duration>,
     ) -> Instant {
+        let Some(deadline) = deadline else {
+            return arrived;
+        };
+        let clock = self.core.clock;
+        let returns = self.core.returns.borrow();
+        if let Some(first) = returns.first_asked(print, clock.at(arrived + deadline)) {
+            return clock.instant(first);
+        }
         let mut deadlines = self.core.deadlines.borrow_mut();
-        let spent = deadline.map(|deadline| deadlines.spent(route.class, deadline));
-        let first = arrived.checked_sub(spent.unwrap_or_default());
-        first.unwrap_or(arrived) + route.target
+        let spent = deadlines.spent(route.class, deadline);
+        arrived.checked_sub(spent).unwrap_or(arrived)
+    }
+
+    /// Remembers a request that gets no answer: its caller may come again.
+    fn note_refused(&self, request: &FrontRequest) {
+        let Some(caller_end) = request.caller_end else {
+            return;
+        };
+        let clock = self.core.clock;
+        let (first, end) = (clock.at(request.first_asked), clock.at(caller_end));
+        let mut returns = self.core.returns.borrow_mut();
+        returns.refused(request.print, first, end);
     }
 
     async fn serve(&self, request: &FrontRequest) -> Response<AnswerBody> {
@@ -173,6 +196,7 @@
                 if let Some(class) = learned {
                     self.core.note_calls(class);
                 }
+                self.note_refused(request);
                 let cause = tries.broke.as_deref();
                 self.core
                     .note_failed(request, &answer, tries.count(), cause);
--- a/crates/node/src/front/front_request.rs
+++ b/crates/node/src/front/front_request.rs
@@ -34,6 +34,10 @@
     pub begun: bool,
     /// Arrival.
     pub arrived: Instant,
+    /// When its caller first asked, as far as is known.
+    pub first_asked: Instant,
+    /// When its caller stops waiting, if it says so.
+    pub caller_end: Option<Instant>,
     /// Time by which the answer is of full use.
     pub useful_until: Instant,
     /// Time at which the caller gets a final answer.
--- /dev/null
+++ b/crates/node/src/front/return_book.rs
@@ -0,0 +1,93 @@
+//! When callers that come again first asked.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+/// Refused requests that are remembered: three seconds' worth of a node that refuses
+/// everything that its machine's callers ask for at ten times today's rate.
+const KEPT: usize = 1_024;
+/// Difference of two attempts' ends that may be one caller's: the way to the node
+/// takes up to ten milliseconds, a caller on a busy machine some more.
+const SAME_END: Duration = Duration::from_millis(25);
+
+/// A request that was refused, and may come again.
+#[derive(Debug, Clone, Copy)]
+struct RefusedRequest {
+    first_asked: Duration,
+    /// When its caller stops waiting.
+    caller_end: Duration,
+}
+
+/// When callers that come again first asked, by what they were refused here.
+///
+/// **Load pattern.** Callers that were refused come again with what is left of
+/// their time, and how long they wait differs from one to the next.
+///
+/// **Without it.** What came again couldn't be told from what is new: on full links
+/// half of the files that left their door in time had been asked for long before, and
+/// came late for callers, in the place of others that could have been in time.
+///
+/// **How.** The same request whose caller stops waiting at the same moment is the same
+/// caller's. It is remembered until then.
+#[derive(Debug, Default)]
+pub struct ReturnBook {
+    refused: HashMap<u64, RefusedRequest>,
+    /// The same in the order in which they were refused.
+    order: VecDeque<(u64, Duration)>,
+}
+
+impl ReturnBook {
+    /// Notes that the request with this hash got no answer.
+    pub fn refused(&mut self, print: u64, first_asked: Duration, caller_end: Duration) {
+        while self.order.len() >= KEPT {
+            self.forget_oldest();
+        }
+        let request = RefusedRequest {
+            first_asked,
+            caller_end,
+        };
+        self.refused.insert(print, request);
+        self.order.push_back((print, caller_end));
+    }
+
+    /// Returns when the caller of the request with this hash first asked, if it was
+    /// refused here before.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use geranium_node::front::ReturnBook;
+    ///
+    /// let mut book = ReturnBook::default();
+    /// let (asked, end) = (Duration::from_millis(100), Duration::from_millis(1_100));
+    /// book.refused(7, asked, end);
+    /// assert_eq!(book.first_asked(7, end + Duration::from_millis(3)), Some(asked));
+    /// // Another caller asks for the same.
+    /// assert_eq!(book.first_asked(7, end + Duration::from_millis(400)), None);
+    /// ```
+    pub fn first_asked(&self, print: u64, caller_end: Duration) -> Option<Duration> {
+        let request = self.refused.get(&print)?;
+        let same = request.caller_end.abs_diff(caller_end) <= SAME_END;
+        same.then_some(request.first_asked)
+    }
+
+    /// Forgets callers that have stopped waiting.
+    pub fn sweep(&mut self, now: Duration) {
+        while self.order.front().is_some_and(|(_, end)| *end < now) {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((print, end)) = self.order.pop_front() else {
+            return;
+        };
+        let is_latest = |request: &RefusedRequest| request.caller_end == end;
+        if self.refused.get(&print).is_some_and(is_latest) {
+            self.refused.remove(&print);
+        }
+    }
+}
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -27,7 +27,7 @@
     errand::ErrandDesk,
     event_log::EventLog,
     follow::{ConfigHistory, Guide, StoreAccess},
-    front::DeadlineBook,
+    front::{DeadlineBook, ReturnBook},
     header_set::HeaderSet,
     hop::{ConnectionPool, PoolSettings},
     link::{LinkLine, LinkNotes},
@@ -113,6 +113,8 @@
     pub connections: Cell<u32>,
     /// Whether ports are being shut and connections closed.
     pub closing: watch::Sender<bool>,
+    /// When callers that come again first asked.
+    pub returns: RefCell<ReturnBook>,
     /// How long ago callers first asked.
     pub deadlines: RefCell<DeadlineBook>,
     sizes: RefCell<AnswerSizes>,
@@ -173,6 +175,7 @@
             open: Cell::new(0),
             connections: Cell::new(0),
             closing: watch::Sender::new(false),
+            returns: RefCell::default(),
             deadlines: RefCell::default(),
             sizes: RefCell::default(),
             caller_service: RefCell::new(caller_service),
@@ -289,6 +292,7 @@
     pub fn sweep(&self, now: Duration) {
         self.hops.sweep();
         self.door.sweep();
+        self.returns.borrow_mut().sweep(now);
         self.link.tell_load(now);
         let gone = self.fleet.borrow_mut().sweep(now);
         for record in gone {
--- a/crates/node/tests/all/link_load.rs
+++ b/crates/node/tests/all/link_load.rs
@@ -2,34 +2,82 @@
 
 use std::time::Duration;
 
-use geranium_node::link::{LinkOffer, LinkSchedule, LinkTurn, LinkVerdict, LoadKey};
+use geranium_node::{
+    front::ReturnBook,
+    link::{LinkOffer, LinkSchedule, LinkTurn, LinkVerdict, LoadKey},
+};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 const LINK_MBPS: f64 = 25.5;
+/// Bytes a second that the link carries, headers of packets among them.
+const LINK_RATE: f64 = LINK_MBPS * 125_000.0;
+/// Bytes on the link for each byte that is sent: headers of packets.
+const PACKET_FACTOR: f64 = 1.03;
 /// Files of this mean, most of them shorter: nine to twelve a second fill the link.
 const FILE_BYTES: f64 = 280_000.0;
 const FILE_SPREAD: f64 = 0.6;
 const RUN: Duration = Duration::from_millis(110);
 const TARGET: Duration = Duration::from_millis(600);
-const PATIENCE: Duration = Duration::from_millis(3_500);
+/// How long callers wait: no two alike.
+const PATIENCE: std::ops::Range<u64> = 3_400..4_000;
+/// Attempts that a caller makes when it is refused.
+const ATTEMPTS: u32 = 3;
+/// Least time until a refused caller asks again: the front refuses by itself for as
+/// long as the last refusal of a door says, and callers take their time.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Bytes of a refusal, of an answer's head, and of a request to another node.
+const HEAD_BYTES: u64 = 300;
+/// Short answers and requests of the machine's own callers, and calls, a second.
+const SHORT_PER_S: f64 = 400.0;
 const STEP: Duration = Duration::from_millis(1);
 const LENGTH: Duration = Duration::from_secs(60);
 
+/// What the node goes by.
+#[derive(Debug, Clone, Copy)]
+struct NodeSight {
+    /// Whether heads and requests count on the link.
+    heads: bool,
+    /// Whether a caller that comes again is known.
+    returns: bool,
+}
+
+const ALL: NodeSight = NodeSight {
+    heads: true,
+    returns: true,
+};
+
 /// What callers got.
 #[derive(Debug, Clone, Copy, Default)]
 struct LoadResult {
     offered: u32,
     refused: u32,
+    /// There by the target, from the caller's first attempt on.
     in_time: u32,
     late: u32,
     /// Promised, and not whole when their callers left.
     cut: u32,
+    /// Longest time for which bytes waited at the real link.
+    longest_queue: Duration,
 }
 
 impl LoadResult {
     fn promised(self) -> f64 {
         f64::from(self.offered - self.refused)
     }
+
+    fn served(self) -> f64 {
+        f64::from(self.in_time + self.late)
+    }
+}
+
+/// A caller that wants one file.
+#[derive(Debug, Clone, Copy)]
+struct Caller {
+    print: u64,
+    first_asked: Duration,
+    end: Duration,
+    attempts: u32,
+    asks_at: Duration,
 }
 
 /// A file that is promised the link.
@@ -39,25 +87,33 @@
     left: u64,
     made_at: Duration,
     is_made: bool,
-    useful_until: Duration,
-    ends_at: Duration,
+    caller: Caller,
 }
 
 /// A link that is asked for files.
 struct LinkLoadPlay {
+    sight: NodeSight,
     link: LinkSchedule,
+    /// Bytes that wait at the real link.
+    queue: f64,
+    returns: ReturnBook,
     per_second: f64,
     rng: StdRng,
+    callers: Vec<Caller>,
     files: Vec<File>,
     result: LoadResult,
 }
 
 impl LinkLoadPlay {
-    fn new(per_second: f64) -> Self {
+    fn new(per_second: f64, sight: NodeSight) -> Self {
         Self {
+            sight,
             link: LinkSchedule::new(LINK_MBPS),
+            queue: 0.0,
+            returns: ReturnBook::default(),
             per_second,
             rng: StdRng::seed_from_u64(23),
+            callers: Vec::new(),
             files: Vec::new(),
             result: LoadResult::default(),
         }
@@ -66,39 +122,77 @@
     fn play(mut self) -> LoadResult {
         let mut now = Duration::ZERO;
         while now < LENGTH {
-            if self.rng.random::<f64>() < self.per_second * STEP.as_secs_f64() {
-                self.ask(now);
-            }
+            self.arrive(now);
+            self.ask(now);
             self.leave(now);
             self.make(now);
             self.send(now);
+            self.carry();
             now += STEP;
         }
         self.result
     }
 
+    fn arrive(&mut self, now: Duration) {
+        if self.rng.random::<f64>() < self.per_second * STEP.as_secs_f64() {
+            let patience = Duration::from_millis(self.rng.random_range(PATIENCE));
+            self.callers.push(Caller {
+                print: self.rng.random(),
+                first_asked: now,
+                end: now + patience,
+                attempts: 0,
+                asks_at: now,
+            });
+        }
+        if self.rng.random::<f64>() < SHORT_PER_S * STEP.as_secs_f64() {
+            self.send_head(now);
+        }
+    }
+
     fn ask(&mut self, now: Duration) {
+        let due: Vec<Caller> = self
+            .callers
+            .extract_if(.., |caller| caller.asks_at <= now)
+            .collect();
+        for caller in due {
+            self.offer(now, caller);
+        }
+    }
+
+    fn offer(&mut self, now: Duration, mut caller: Caller) {
         self.result.offered += 1;
-        let (useful_until, ends_at) = (now + TARGET, now + PATIENCE);
+        let known = self.returns.first_asked(caller.print, caller.end);
+        let first_asked = known.filter(|_| self.sight.returns).unwrap_or(now);
         let offer = LinkOffer {
             bytes: FILE_BYTES as u64,
             made_in: RUN,
-            useful_until,
-            ends_at,
-        };
-        let LinkVerdict::Promised(key) = self.link.offer(now, offer) else {
-            self.result.refused += 1;
-            return;
+            useful_until: first_asked + TARGET,
+            ends_at: caller.end,
         };
-        let left = self.length();
+        match self.link.offer(now, offer) {
+            LinkVerdict::Promised(key) => self.begin(now, key, caller),
+            LinkVerdict::Refused { retry_after } => {
+                self.result.refused += 1;
+                self.send_head(now);
+                self.returns.refused(caller.print, first_asked, caller.end);
+                caller.attempts += 1;
+                caller.asks_at = now + retry_after.max(PAUSE);
+                if caller.attempts < ATTEMPTS && caller.asks_at < caller.end {
+                    self.callers.push(caller);
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, now: Duration, key: LoadKey, caller: Caller) {
         let run = RUN.mul_f64(0.4 + 1.2 * self.rng.random::<f64>());
+        let left = self.length();
         self.files.push(File {
             key,
             left,
             made_at: now + run,
             is_made: false,
-            useful_until,
-            ends_at,
+            caller,
         });
     }
 
@@ -109,11 +203,19 @@
         (median * (normal * FILE_SPREAD).exp()) as u64
     }
 
+    /// Sends a head, whether the schedule knows of it or not.
+    fn send_head(&mut self, now: Duration) {
+        self.queue += HEAD_BYTES as f64 * PACKET_FACTOR;
+        if self.sight.heads {
+            self.link.sent(now, HEAD_BYTES);
+        }
+    }
+
     fn leave(&mut self, now: Duration) {
         let link = &mut self.link;
         let before = self.files.len();
         self.files.retain(|file| {
-            let stays = file.ends_at > now;
+            let stays = file.caller.end > now;
             if !stays {
                 link.withdraw(file.key);
             }
@@ -141,6 +243,7 @@
                     LinkTurn::Now => {
                         let piece = file.left.min(self.link.piece() as u64);
                         self.link.sent_of(now, file.key, piece);
+                        self.queue += piece as f64 * PACKET_FACTOR;
                         file.left -= piece;
                         handed_on = true;
                     }
@@ -158,15 +261,23 @@
         }
     }
 
+    /// Ends the files that were handed over: what waits at the link goes before them.
     fn end(&mut self, now: Duration) {
+        let there = now + Duration::from_secs_f64(self.queue / LINK_RATE);
         for file in self.files.extract_if(.., |file| file.left == 0) {
-            if now <= file.useful_until {
+            if there <= file.caller.first_asked + TARGET {
                 self.result.in_time += 1;
             } else {
                 self.result.late += 1;
             }
         }
     }
+
+    fn carry(&mut self) {
+        let waits = Duration::from_secs_f64(self.queue / LINK_RATE);
+        self.result.longest_queue = self.result.longest_queue.max(waits);
+        self.queue = (self.queue - LINK_RATE * STEP.as_secs_f64()).max(0.0);
+    }
 }
 
 /// Users saw that too few files were served, and half of those late. Files are asked
@@ -176,8 +287,53 @@
 /// answer ready until its caller leaves.
 #[test]
 fn promised_files_are_sent() {
-    let result = LinkLoadPlay::new(40.0).play();
+    let result = LinkLoadPlay::new(40.0, ALL).play();
     let promised = result.promised();
     assert!(f64::from(result.cut) <= promised * 0.01, "{result:?}");
     assert!(f64::from(result.in_time) >= promised * 0.9, "{result:?}");
 }
+
+/// Payments were refused, as their calls to a service of files came late: nodes there
+/// took no new connection for a quarter of a second. Their links were planned full with
+/// the bodies of answers; heads, refusals and requests came on top, and what the links
+/// couldn't carry waited in front of them, longer and longer.
+#[test]
+fn heads_and_refusals_find_room_on_a_full_link() {
+    let node = LinkLoadPlay::new(40.0, ALL).play();
+    let naive = LinkLoadPlay::new(
+        40.0,
+        NodeSight {
+            heads: false,
+            ..ALL
+        },
+    )
+    .play();
+    let connect_time = Duration::from_millis(250);
+    assert!(node.longest_queue < connect_time / 4, "{node:?} {naive:?}");
+    assert!(naive.longest_queue > connect_time, "{node:?} {naive:?}");
+}
+
+/// Half of the files that left their door in time came late for their callers: these had
+/// been refused before and come again, and how long each waits differs, so that what is
+/// left of it tells nothing. Taken for new ones they got the place of others that could
+/// have been in time.
+#[test]
+fn files_go_to_callers_that_can_have_them_in_time() {
+    let node = LinkLoadPlay::new(40.0, ALL).play();
+    let naive = LinkLoadPlay::new(
+        40.0,
+        NodeSight {
+            returns: false,
+            ..ALL
+        },
+    )
+    .play();
+    assert!(
+        f64::from(node.in_time) >= node.served() * 0.9,
+        "{node:?} {naive:?}"
+    );
+    assert!(
+        f64::from(naive.in_time) < naive.served() * 0.75,
+        "{node:?} {naive:?}"
+    );
+}
