Let what is handed on for others take turns on the link

What callers saw: files that a door had promised came late on the instances of that service whose own callers asked for files of the others.

Before a long answer is asked for the link here is looked at: without room for it the caller is told at once when to come back, and no other node is asked. What comes takes turns.

--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -130,6 +130,15 @@
         self
     }
 
+    /// Notes that a caller on this machine gets it, and no other node.
+    #[must_use]
+    pub fn at_home(mut self) -> Self {
+        if let Some(promise) = &mut self.promise {
+            promise.set_purpose(LinkUse::LongHome);
+        }
+        self
+    }
+
     /// Counts the request as open until the end.
     #[must_use]
     pub fn with_open(mut self, open: OpenMark) -> Self {
@@ -149,25 +158,13 @@
 
     /// Counts bytes that go out.
     fn count(&mut self, bytes: usize) {
-        let purpose = self.purpose();
         match (&mut self.promise, &self.open) {
-            (Some(promise), _) => promise.sent(purpose, bytes as u64),
-            (None, Some(open)) => open.sent(purpose, bytes as u64),
+            (Some(promise), _) => promise.sent(bytes as u64),
+            (None, Some(open)) => open.sent(LinkUse::Short, bytes as u64),
             (None, None) => {}
         }
     }
 
-    fn purpose(&self) -> LinkUse {
-        let from_caller = self.open.as_ref().is_some_and(OpenMark::is_from_caller);
-        let streams = matches!(self.source, BodySource::Stream { .. });
-        match (&self.promise, from_caller) {
-            (Some(_), true) => LinkUse::LongHome,
-            (Some(_), false) => LinkUse::LongAway,
-            (None, true) if streams => LinkUse::Forwarded,
-            (None, _) => LinkUse::Short,
-        }
-    }
-
     /// Hands on what comes in, a piece at a time where the link's turns are
     /// waited for.
     fn poll_stream(
--- a/crates/node/src/door/door_flow.rs
+++ b/crates/node/src/door/door_flow.rs
@@ -27,7 +27,7 @@
     crash::BrokenRuns,
     header_set::{HeaderSet, header_text},
     hop::{ConnectionPool, PoolSettings},
-    link::{AnswerCourse, LinkLine, LinkOffer, LinkPromise, LinkVerdict},
+    link::{AnswerCourse, LinkLine, LinkOffer, LinkPromise, LinkUse, LinkVerdict},
     member::{AnswerSizes, EndpointStart, LoadReport},
     node_clock::NodeClock,
 };
@@ -310,11 +310,7 @@
             useful_until: clock.at(due),
             ends_at: clock.at(caller_end),
         };
-        let key = link
-            .schedule()
-            .take(bytes, offer.useful_until, offer.ends_at);
-        let course = AnswerCourse::new(id, clock.now(), offer);
-        Some(LinkPromise::new(link, clock, key, course))
+        Some(link.take(clock, id, LinkUse::LongAway, offer))
     }
 
     /// Returns the identifier of a request, for the log.
@@ -350,7 +346,7 @@
         let now = clock.now();
         match link.offer(now, offer) {
             LinkVerdict::Promised(key) => {
-                let course = AnswerCourse::new(self.id_of(request), now, offer);
+                let course = AnswerCourse::new(self.id_of(request), LinkUse::LongAway, now, offer);
                 Ok(Some(LinkPromise::new(link, clock, key, course)))
             }
             LinkVerdict::Refused { retry_after } => refused(RefusalReason::LinkFull, retry_after),
--- a/crates/node/src/front/attempt.rs
+++ b/crates/node/src/front/attempt.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
 use super::{FrontRequest, SentMark};
@@ -18,7 +18,7 @@
         set_header, strip_connection, strip_hop,
     },
     hop::{ExchangeError, HopNote},
-    link::LinkUse,
+    link::{LinkPromise, LinkUse},
     member::{LoadReport, MemberKey, MemberRecord},
     node_core::NodeCore,
 };
@@ -85,7 +85,9 @@
         let load = self.core.door.load(class);
         self.core.loaded(mark.key(), class, load);
         match answer {
-            Ok(response) => Ok(Box::new(response.map(|body| body.with_mark(mark)))),
+            Ok(response) => Ok(Box::new(
+                response.map(|body| body.with_mark(mark).at_home()),
+            )),
             Err(DoorError::Refused { refusal }) => Err(TryFailure::Refused(refusal)),
             Err(DoorError::Broke { reason }) => Err(TryFailure::Broke(reason)),
         }
@@ -120,7 +122,9 @@
         strip_connection(&mut head.headers);
         strip_hop(&mut head.headers);
         if !is_short(&body) {
+            let promise = self.forward(body.size_hint().exact());
             let body = AnswerBody::stream(body).with_mark(mark);
+            let body = body.with_promise(Some(promise));
             return Ok(Box::new(Response::from_parts(head, body)));
         }
         let whole = match whole(body, mark).await {
@@ -137,6 +141,18 @@
         }
     }
 
+    /// Gives another backend server's long answer its turns on the link here.
+    ///
+    /// **Failure.** On an instance whose own long answers fill the link, those of others
+    /// that are handed on to callers here took it as they came: what was promised came
+    /// late, and short answers waited behind. **Guard.** They wait for turns as well.
+    fn forward(self, bytes: Option<u64>) -> LinkPromise {
+        let (core, request) = (self.core, self.request);
+        let offer = request.link_offer(core, bytes);
+        let id = Rc::clone(&request.id);
+        core.link.take(core.clock, id, LinkUse::Forwarded, offer)
+    }
+
     fn outgoing(self, record: &MemberRecord) -> Request<Full<Bytes>> {
         let request = self.request;
         let names = &self.core.headers;
--- a/crates/node/src/front/try_flow.rs
+++ b/crates/node/src/front/try_flow.rs
@@ -1,6 +1,6 @@
 //! The tries of one request at members.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use http::Response;
 use hyper::body::Body;
@@ -252,9 +252,13 @@
         let now = self.core.clock.now();
         let query = self.query(tries);
         let fleet = self.core.fleet.borrow();
-        if let Some(retry_after) = fleet.link_wait(now, &query) {
-            // Every link is spoken for, as the doors told a moment ago: asking
-            // them again would cost each of them a request and change nothing.
+        // Every link is spoken for, as the doors told a moment ago, or the one here
+        // that the answer has to take as well: asking the doors would cost each of
+        // them a request and change nothing.
+        let wait = fleet
+            .link_wait(now, &query)
+            .or_else(|| self.own_link_wait(now, &query));
+        if let Some(retry_after) = wait {
             tries.refusal = Some(DoorRefusal {
                 reason: RefusalReason::LinkFull,
                 retry_after,
@@ -284,6 +288,16 @@
         Some(next)
     }
 
+    /// Returns when the link of this instance has room for a long answer, if it has
+    /// none now.
+    fn own_link_wait(self, now: Duration, query: &PickQuery<'_>) -> Option<Duration> {
+        if !query.is_long() {
+            return None;
+        }
+        let offer = self.request.link_offer(self.core, None);
+        self.core.link.schedule().refusal(now, offer)
+    }
+
     /// Takes a further arrival out of the budget, if it has one.
     fn may_arrive_again(self, tries: &TryRecord<'_>) -> bool {
         if tries.arrivals >= self.request.route.attempts {
--- a/crates/node/src/link/link_line.rs
+++ b/crates/node/src/link/link_line.rs
@@ -3,13 +3,16 @@
 use std::{
     cell::{RefCell, RefMut},
     collections::HashMap,
+    rc::Rc,
     task::Waker,
     time::Duration,
 };
 
 use super::{
-    AnswerCourse, LinkLoad, LinkNotes, LinkOffer, LinkSchedule, LinkUse, LinkVerdict, LoadKey,
+    AnswerCourse, LinkLoad, LinkNotes, LinkOffer, LinkPromise, LinkSchedule, LinkUse, LinkVerdict,
+    LoadKey,
 };
+use crate::node_clock::NodeClock;
 
 /// Time over which is told what the link carried.
 const TOLD_EACH: Duration = Duration::from_secs(1);
@@ -50,6 +53,21 @@
         verdict
     }
 
+    /// Gives a long answer that is there its turns without asking for room.
+    pub fn take(
+        self: &Rc<Self>,
+        clock: NodeClock,
+        request: Rc<str>,
+        purpose: LinkUse,
+        offer: LinkOffer,
+    ) -> LinkPromise {
+        let key = self
+            .schedule()
+            .take(offer.bytes, offer.useful_until, offer.ends_at);
+        let course = AnswerCourse::new(request, purpose, clock.now(), offer);
+        LinkPromise::new(self, clock, key, course)
+    }
+
     /// Notes bytes that were handed over at once.
     pub fn sent(&self, now: Duration, purpose: LinkUse, bytes: u64) {
         self.schedule().sent(now, bytes);
@@ -64,7 +82,9 @@
 
     /// Notes what became of a promised answer.
     pub(super) fn ended(&self, now: Duration, course: &AnswerCourse) {
-        self.load.borrow_mut().ended(course.end());
+        if course.purpose != LinkUse::Forwarded {
+            self.load.borrow_mut().ended(course.end());
+        }
         self.notes.ended(now, course);
     }
 
--- a/crates/node/src/link/link_notes.rs
+++ b/crates/node/src/link/link_notes.rs
@@ -52,6 +52,7 @@
         if let Some(log) = self.log.for_request(now, "long answer") {
             info!(log, "long answer ended";
                 "request" => &*course.request,
+                "use" => <&'static str>::from(course.purpose),
                 "end" => <&'static str>::from(end),
                 "bytes" => course.bytes,
                 "bytes_promised" => course.offer.bytes,
--- a/crates/node/src/link/link_promise.rs
+++ b/crates/node/src/link/link_promise.rs
@@ -46,6 +46,11 @@
         self.course.is_whole = true;
     }
 
+    /// Says what the link is taken for, once that is known.
+    pub fn set_purpose(&mut self, purpose: LinkUse) {
+        self.course.purpose = purpose;
+    }
+
     /// Waits for the next turn and returns how many bytes it has.
     pub fn poll_turn(&mut self, cx: &mut Context<'_>) -> Poll<usize> {
         loop {
@@ -81,10 +86,10 @@
 
     /// Notes bytes of the answer that were handed over, and lets the next one
     /// have its turn.
-    pub fn sent(&mut self, purpose: LinkUse, bytes: u64) {
+    pub fn sent(&mut self, bytes: u64) {
         let now = self.clock.now();
         self.course.sent(now, bytes);
-        self.line.sent_of(now, self.key, purpose, bytes);
+        self.line.sent_of(now, self.key, self.course.purpose, bytes);
         self.line.wake_next();
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -109,7 +109,7 @@
         let port = HopPort::new(Rc::clone(core));
         let core = Rc::clone(core);
         move |request| {
-            let (port, open) = (port.clone(), core.hop_mark());
+            let (port, open) = (port.clone(), core.open_mark());
             async move { opened(port.answer(request).await, open) }
         }
     });
@@ -173,7 +173,7 @@
     let flow = FrontFlow::new(Rc::clone(core));
     let (counted, limited) = (Rc::clone(core), Rc::clone(core));
     let answer = move |request| {
-        let (flow, open) = (flow.clone(), counted.caller_mark());
+        let (flow, open) = (flow.clone(), counted.open_mark());
         async move { opened(flow.answer(request).await, open) }
     };
     let limits = move || match &*limited.config.borrow() {
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -186,22 +186,10 @@
         }))
     }
 
-    /// Counts a request of a caller as open until the mark is dropped.
-    pub fn caller_mark(self: &Rc<Self>) -> OpenMark {
-        self.open_mark(true)
-    }
-
-    /// Counts a request of another node as open until the mark is dropped.
-    pub fn hop_mark(self: &Rc<Self>) -> OpenMark {
-        self.open_mark(false)
-    }
-
-    fn open_mark(self: &Rc<Self>, from_caller: bool) -> OpenMark {
+    /// Counts a request as open until the mark is dropped.
+    pub fn open_mark(self: &Rc<Self>) -> OpenMark {
         self.open.set(self.open.get() + 1);
-        OpenMark {
-            core: Rc::clone(self),
-            from_caller,
-        }
+        OpenMark(Rc::clone(self))
     }
 
     /// Counts a connection or a port as open until the mark is dropped.
--- a/crates/node/src/node_core/open_mark.rs
+++ b/crates/node/src/node_core/open_mark.rs
@@ -9,18 +9,9 @@
 
 /// Counts a request as open until dropped.
 #[derive(Debug)]
-pub struct OpenMark {
-    pub(super) core: Rc<NodeCore>,
-    /// Whether a caller on this machine asked, and no other node.
-    pub(super) from_caller: bool,
-}
+pub struct OpenMark(pub(super) Rc<NodeCore>);
 
 impl OpenMark {
-    /// Whether a caller on this machine asked, and no other node.
-    pub const fn is_from_caller(&self) -> bool {
-        self.from_caller
-    }
-
     /// Notes the head of the answer, which goes out with its first bytes.
     pub fn sent_head(&self, headers: &HeaderMap) {
         self.sent(LinkUse::Overhead, head_bytes(headers));
@@ -28,14 +19,14 @@
 
     /// Notes bytes of the answer that were sent.
     pub fn sent(&self, purpose: LinkUse, bytes: u64) {
-        let core = &self.core;
+        let core = &self.0;
         core.link.sent(core.clock.now(), purpose, bytes);
     }
 }
 
 impl Drop for OpenMark {
     fn drop(&mut self) {
-        let open = &self.core.open;
+        let open = &self.0.open;
         open.set(open.get().saturating_sub(1));
     }
 }
