Send nothing but trials to a backend server that breaks every run

Cause: a backend server takes connections, says that it is well and resets every run. It holds nothing and its link is free, so of five members it was the only one that had not refused: every front asked it again and again (1,772 arrivals turned away there, 1,777 answers 502). A failure rate made it dear, but nothing else was open; and whatever was sent may have run, so that its callers couldn't be told when to come back.

The door of such a server now has a circuit breaker: after eight breaks in a row it sends one trial a pause and refuses the rest, which then certainly hasn't run. Fronts leave it alone for a while, and one that is left alone is no longer a reason to ask for a long answer while all others have said when they will have room.

Eight, as a server that breaks nearly every second run comes to eight in a row once in some five hundred runs.

--- a/crates/node/src/crash/crash_watch.rs
+++ b/crates/node/src/crash/crash_watch.rs
@@ -69,7 +69,9 @@
         let runs = core.door.broken().runs.take();
         let look = look_at_endpoint(&core).await;
         info!(core.log.logger(), "backend server's connections broke";
-            "runs" => runs.len(), "look" => <&'static str>::from(look));
+            "runs" => runs.len(),
+            "look" => <&'static str>::from(look),
+            "only_trials" => core.door.is_broken());
         if look != EndpointLook::Gone {
             continue;
         }
--- a/crates/node/src/door/door_flow.rs
+++ b/crates/node/src/door/door_flow.rs
@@ -19,8 +19,8 @@
 };
 
 use super::{
-    CallBook, DoorQueue, DoorRefusal, DoorRequest, EndpointGate, JobKey, JobOffer, OfferVerdict,
-    RefusalReason, RunSlot,
+    CallBook, DoorQueue, DoorRefusal, DoorRequest, EndpointBreaker, EndpointGate, JobKey, JobOffer,
+    OfferVerdict, RefusalReason, RunSlot,
 };
 use crate::{
     answer_body::{AnswerBody, SHORT_MAX},
@@ -142,6 +142,7 @@
     pub(super) headers: HeaderSet,
     pub(super) gate: RefCell<EndpointGate>,
     pub(super) broken: BrokenRuns,
+    pub(super) breaker: RefCell<EndpointBreaker>,
     pub(super) calls: RefCell<CallBook>,
     stopping_since: Cell<Option<Duration>>,
 }
@@ -172,6 +173,7 @@
             headers,
             gate: RefCell::default(),
             broken: BrokenRuns::default(),
+            breaker: RefCell::default(),
             calls: RefCell::default(),
             stopping_since: Cell::new(None),
         }
@@ -187,6 +189,12 @@
         &self.calls
     }
 
+    /// Whether the backend server has broken so many runs in a row that nothing but
+    /// trials is sent to it.
+    pub fn is_broken(&self) -> bool {
+        self.breaker.borrow().is_open()
+    }
+
     /// Returns the runs whose connection broke.
     pub const fn broken(&self) -> &BrokenRuns {
         &self.broken
@@ -229,6 +237,7 @@
     /// start that has ended: what is sent on one is lost, and what must not
     /// repeat can't be sent again.
     pub fn forget_connections(&self) {
+        self.breaker.borrow_mut().answered();
         self.inner.endpoints.forget(self.settings.endpoint);
     }
 
@@ -274,10 +283,14 @@
         let slot = self.wait_for_slot(&request).await?;
         // The backend server may have begun to leave meanwhile.
         self.admit(&request)?;
+        self.admit_by_breaker()?;
         let ends_at = request.ends_at + OVERTIME;
         let class = request.class;
         let (id, due, caller_end) = (self.id_of(&request), request.useful_until, request.ends_at);
         let answer = timeout_at(ends_at, self.call(request, idempotent, slot, start)).await;
+        if let Ok(result) = &answer {
+            self.note_run(result);
+        }
         let answer = answer.unwrap_or_else(|_elapsed| broke("no answer in time"))?;
         let bytes = answer.body().size_hint().exact();
         if let Some(bytes) = bytes {
@@ -287,6 +300,21 @@
         Ok(answer.map(|body| body.with_promise(promise)))
     }
 
+    fn admit_by_breaker(&self) -> Result<(), DoorError> {
+        let admitted = self.breaker.borrow_mut().admit(self.inner.clock.now());
+        admitted.or_else(|wait| refused(RefusalReason::EndpointDown, wait))
+    }
+
+    /// Tells the breaker how a run ended. A refusal says nothing.
+    fn note_run(&self, result: &Result<Response<AnswerBody>, DoorError>) {
+        let mut breaker = self.breaker.borrow_mut();
+        match result {
+            Ok(_) => breaker.answered(),
+            Err(DoorError::Broke { .. }) => breaker.broke(self.inner.clock.now()),
+            Err(DoorError::Refused { .. }) => {}
+        }
+    }
+
     /// Gives an answer its turns on the link that turned out long.
     ///
     /// **Failure.** After a start nobody knows which answers are long. The first
--- /dev/null
+++ b/crates/node/src/door/endpoint_breaker.rs
@@ -0,0 +1,94 @@
+//! A circuit breaker in front of a backend server that breaks every run.
+
+use std::time::Duration;
+
+/// Runs in a row that break before the breaker opens. A backend server that breaks
+/// nearly every second run comes to it once in some five hundred.
+const BREAKS_MAX: u32 = 8;
+/// First time for which it is open: a process is restarted within about a second.
+const PAUSE_FIRST: Duration = Duration::from_millis(250);
+/// Longest time for which it is open; one trial in it costs hardly anything.
+const PAUSE_MAX: Duration = Duration::from_secs(2);
+
+/// A circuit breaker in front of a backend server that breaks every run.
+///
+/// **Load pattern.** A backend server takes connections, says that it is well, and
+/// resets or spoils each run at once. It holds nothing and fills no link.
+///
+/// **Without it.** It looks like the member with the most room, and draws what all
+/// others refuse: on a service of five whose links were full it broke 1,777 tries in
+/// five seconds, and each caller heard only that its request may have run.
+///
+/// **How.** After some breaks in a row nothing is sent to it, so that callers hear that
+/// their request has not run, and fronts go elsewhere. One trial each pause, which
+/// doubles, finds out whether it has recovered; any answer closes the breaker.
+#[derive(Debug, Default)]
+pub struct EndpointBreaker {
+    breaks: u32,
+    open_until: Duration,
+    pause: Duration,
+    /// Whether a trial is under way.
+    trial: bool,
+}
+
+impl EndpointBreaker {
+    /// Lets a run pass, as a trial when the pause of an open breaker has ended.
+    ///
+    /// # Errors
+    ///
+    /// The time until the next trial.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use geranium_node::door::EndpointBreaker;
+    ///
+    /// let mut breaker = EndpointBreaker::default();
+    /// let now = Duration::from_secs(1);
+    /// for _ in 0..8 {
+    ///     assert_eq!(breaker.admit(now), Ok(()));
+    ///     breaker.broke(now);
+    /// }
+    /// let wait = breaker.admit(now).unwrap_err();
+    /// assert_eq!(breaker.admit(now + wait), Ok(()));
+    /// assert!(breaker.admit(now + wait).is_err(), "one trial at a time");
+    /// breaker.answered();
+    /// assert_eq!(breaker.admit(now + wait), Ok(()));
+    /// ```
+    pub fn admit(&mut self, now: Duration) -> Result<(), Duration> {
+        if !self.is_open() {
+            return Ok(());
+        }
+        if now < self.open_until {
+            return Err(self.open_until.saturating_sub(now));
+        }
+        // A trial that ends without a result, as when its caller leaves, is followed by
+        // another after the same pause.
+        self.trial = true;
+        self.open_until = now + self.pause;
+        Ok(())
+    }
+
+    /// Whether nothing but trials passes.
+    pub const fn is_open(&self) -> bool {
+        self.breaks >= BREAKS_MAX
+    }
+
+    /// Takes in that a run ended with an answer.
+    pub fn answered(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Takes in that a run broke.
+    pub fn broke(&mut self, now: Duration) {
+        self.breaks = self.breaks.saturating_add(1);
+        if self.breaks == BREAKS_MAX {
+            self.pause = PAUSE_FIRST;
+            self.open_until = now + self.pause;
+        } else if std::mem::take(&mut self.trial) {
+            self.pause = (self.pause * 2).min(PAUSE_MAX);
+            self.open_until = now + self.pause;
+        }
+    }
+}
--- a/crates/node/src/door/mod.rs
+++ b/crates/node/src/door/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Whether it lives, which start of it, whether it is leaving and what it has
 //! room for are decided here with certainty, whatever other nodes still
-//! believe. [`EndpointGate`] holds the first three, [`DoorQueue`] the last;
-//! both do no I/O. [`DoorFlow`] joins them to the connections.
+//! believe. [`EndpointGate`] holds the first three, [`DoorQueue`] the last,
+//! and [`EndpointBreaker`] whether runs end at all; none does I/O. [`DoorFlow`] joins them to the connections.
 
 mod call_book;
 mod class_books;
@@ -11,6 +11,7 @@
 mod door_queue;
 mod door_refusal;
 mod door_request;
+mod endpoint_breaker;
 mod endpoint_call;
 mod endpoint_confirm;
 mod endpoint_gate;
@@ -22,6 +23,7 @@
 pub use door_queue::{DoorQueue, JobKey, JobOffer, OfferVerdict};
 pub use door_refusal::{DoorRefusal, RefusalReason};
 pub use door_request::DoorRequest;
+pub use endpoint_breaker::EndpointBreaker;
 pub use endpoint_confirm::confirm_endpoint;
 pub use endpoint_gate::{EndpointGate, LocalEndpoint, ReportVerdict};
 pub use endpoint_report::{EndpointReport, ReportState};
--- a/crates/node/src/member/member_choice.rs
+++ b/crates/node/src/member/member_choice.rs
@@ -154,13 +154,17 @@
 
     /// Returns when a long answer may next be asked for, if no member has room
     /// on its link for one now.
+    ///
+    /// One that can't be reached, or whose backend server breaks its runs, has no room
+    /// either: it would draw all that the others refuse. Where there are only such, they
+    /// are asked as a last resort.
     pub fn link_wait(&self, now: Duration, query: &PickQuery<'_>) -> Option<Duration> {
         if !query.is_long() {
             return None;
         }
         let pool = self.services.get(query.service)?;
         let views = pool.keys.iter().filter_map(|&key| self.get(key));
-        let waits = views.filter(|member| member.takes_work());
+        let waits = views.filter(|member| member.takes_work() && !member.is_out(now));
         let wait = waits.map(|member| member.link_wait(now)).min()?;
         (wait > Duration::ZERO).then_some(wait)
     }
--- a/crates/node/src/member/member_view.rs
+++ b/crates/node/src/member/member_view.rs
@@ -142,7 +142,13 @@
 
     /// Whether nothing speaks against giving it work now.
     pub(super) fn is_open(&self, now: Duration) -> bool {
-        now >= self.out_until && now >= self.refused_until
+        !self.is_out(now) && now >= self.refused_until
+    }
+
+    /// Whether it is left alone, as it couldn't be reached or had no backend server to
+    /// give work to.
+    pub(super) fn is_out(&self, now: Duration) -> bool {
+        now < self.out_until
     }
 
     /// Whether its instance's link has room for a long answer, as far as is
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -294,3 +294,28 @@
     assert!(!fleet.news_since(Revision(70)).whole);
     assert!(fleet.news_since(Revision(69)).whole);
 }
+
+/// A service of files has full links, and one member whose backend server breaks every
+/// run. Its link is free, so it drew all files that the others refused, and each of their
+/// callers heard that its request may have run. Left out for the moment, it is no reason
+/// to ask: the caller is told when the others have room.
+#[test]
+fn a_broken_member_draws_no_files_from_full_links() {
+    let now = at(1_000);
+    let mut fleet = view(3, 0);
+    let keys = [1, 2, 3].map(|number| fleet.key_of(hop(number)).expect("it is known"));
+    let query = PickQuery {
+        answer_bytes: 280_000,
+        ..QUERY
+    };
+    let retry_after = Duration::from_millis(120);
+    fleet.judged(now, keys[0], TryEnd::LinkRefused { retry_after });
+    fleet.judged(now, keys[1], TryEnd::LinkRefused { retry_after });
+    assert_eq!(
+        fleet.link_wait(now, &query),
+        None,
+        "the third may have room"
+    );
+    fleet.judged(now, keys[2], TryEnd::Shut);
+    assert_eq!(fleet.link_wait(now, &query), Some(retry_after));
+}
