Take no short answer without a length for a long one

They waited for turns, on full links behind the files. An answer without a length is long if its route's answers usually are.

--- a/crates/node/src/front/attempt.rs
+++ b/crates/node/src/front/attempt.rs
@@ -10,7 +10,7 @@
 
 use super::{FrontRequest, SentMark};
 use crate::{
-    answer_body::{AnswerBody, is_short},
+    answer_body::{AnswerBody, SHORT_MAX, is_short},
     config::ConfigVersion,
     door::{DoorError, DoorRefusal, DoorRequest},
     header_set::{
@@ -124,7 +124,7 @@
         if !is_short(&body) {
             let promise = self.forward(body.size_hint().exact());
             let body = AnswerBody::stream(body).with_mark(mark);
-            let body = body.with_promise(Some(promise));
+            let body = body.with_promise(promise);
             return Ok(Box::new(Response::from_parts(head, body)));
         }
         let whole = match whole(body, mark).await {
@@ -146,11 +146,14 @@
     /// **Failure.** On an instance whose own long answers fill the link, those of others
     /// that are handed on to callers here took it as they came: what was promised came
     /// late, and short answers waited behind. **Guard.** They wait for turns as well.
-    fn forward(self, bytes: Option<u64>) -> LinkPromise {
+    ///
+    /// An answer whose head tells no length is long if its route's answers usually are.
+    fn forward(self, bytes: Option<u64>) -> Option<LinkPromise> {
         let (core, request) = (self.core, self.request);
         let offer = request.link_offer(core, bytes);
         let id = Rc::clone(&request.id);
-        core.link.take(core.clock, id, LinkUse::Forwarded, offer)
+        let is_long = offer.bytes > SHORT_MAX;
+        is_long.then(|| core.link.take(core.clock, id, LinkUse::Forwarded, offer))
     }
 
     fn outgoing(self, record: &MemberRecord) -> Request<Full<Bytes>> {
--- a/crates/standins/src/endpoint_fault.rs
+++ b/crates/standins/src/endpoint_fault.rs
@@ -16,6 +16,8 @@
     Unsigned,
     /// Runs, and answers with an encoded body.
     Encoded,
+    /// Runs, and sends its answer in chunks, without telling a length.
+    Chunks,
     /// Runs, and fails.
     Fails,
     /// Crashes when it runs a request whose path holds `crash`.
--- a/crates/standins/src/endpoint_server.rs
+++ b/crates/standins/src/endpoint_server.rs
@@ -200,6 +200,11 @@
             &[signature, echo, ("content-encoding", "gzip")],
             answer,
         ),
+        EndpointFault::Chunks => reply(
+            StatusCode::OK,
+            &[signature, echo, ("transfer-encoding", "chunked")],
+            answer,
+        ),
         EndpointFault::Fails => reply(
             StatusCode::INTERNAL_SERVER_ERROR,
             &[signature, echo],
