--- a/crates/node/src/door/door_flow.rs
+++ b/crates/node/src/door/door_flow.rs
@@ -15,19 +15,19 @@
 use snafu::Snafu;
 use tokio::{
     sync::oneshot,
-    time::{Instant, timeout, timeout_at},
+    time::{timeout, timeout_at},
 };
 
 use super::{
-    CallBook, DoorQueue, DoorRefusal, DoorRequest, EndpointBreaker, EndpointGate, JobKey, JobOffer,
-    OfferVerdict, RefusalReason, RunSlot,
+    CallBook, DoorQueue, DoorRefusal, DoorRequest, EndpointBreaker, EndpointGate, JobKey,
+    RefusalReason,
 };
 use crate::{
-    answer_body::{AnswerBody, SHORT_MAX},
+    answer_body::AnswerBody,
     crash::BrokenRuns,
     header_set::{HeaderSet, header_text},
     hop::{ConnectionPool, PoolSettings},
-    link::{AnswerCourse, LinkLine, LinkOffer, LinkPromise, LinkUse, LinkVerdict},
+    link::LinkLine,
     member::{AnswerSizes, EndpointStart, LoadReport},
     node_clock::NodeClock,
 };
@@ -85,10 +85,10 @@
 pub(super) struct DoorInner {
     pub(super) endpoints: ConnectionPool,
     pub(super) clock: NodeClock,
-    link: Rc<LinkLine>,
-    sizes: RefCell<AnswerSizes>,
-    queue: RefCell<DoorQueue>,
-    waiters: RefCell<HashMap<JobKey, oneshot::Sender<()>>>,
+    pub(super) link: Rc<LinkLine>,
+    pub(super) sizes: RefCell<AnswerSizes>,
+    pub(super) queue: RefCell<DoorQueue>,
+    pub(super) waiters: RefCell<HashMap<JobKey, oneshot::Sender<()>>>,
 }
 
 impl DoorInner {
@@ -112,28 +112,6 @@
     }
 }
 
-/// A place in the queue; dropped early, it is given up.
-struct QueuePlace<'a> {
-    inner: &'a Rc<DoorInner>,
-    key: JobKey,
-    class: u64,
-    taken: bool,
-}
-
-impl Drop for QueuePlace<'_> {
-    fn drop(&mut self) {
-        self.inner.waiters.borrow_mut().remove(&self.key);
-        if self.taken {
-            return;
-        }
-        let waited = self.inner.queue.borrow_mut().withdraw(self.key);
-        if !waited {
-            // Granted in the moment in which the caller left.
-            self.inner.finish(self.class, None);
-        }
-    }
-}
-
 /// The only way in to the backend server beside this node.
 #[derive(Debug)]
 pub struct DoorFlow {
@@ -315,38 +293,6 @@
         }
     }
 
-    /// Gives an answer its turns on the link that turned out long.
-    ///
-    /// **Failure.** After a start nobody knows which answers are long. The first
-    /// ones are made all at once and fill the link for more than half a second:
-    /// the node seems dead to the others, and calls behind them come too late.
-    /// **Guard.** They wait for turns like those that were promised the link.
-    fn take_link(
-        &self,
-        id: Rc<str>,
-        bytes: u64,
-        due: Instant,
-        caller_end: Instant,
-    ) -> Option<LinkPromise> {
-        if bytes <= SHORT_MAX {
-            return None;
-        }
-        let (clock, link) = (self.inner.clock, &self.inner.link);
-        let offer = LinkOffer {
-            bytes,
-            made_in: Duration::ZERO,
-            useful_until: clock.at(due),
-            ends_at: clock.at(caller_end),
-        };
-        Some(link.take(clock, id, LinkUse::LongAway, offer))
-    }
-
-    /// Returns the identifier of a request, for the log.
-    fn id_of(&self, request: &DoorRequest) -> Rc<str> {
-        let id = header_text(&request.headers, &self.headers.request_id);
-        id.unwrap_or_default().into()
-    }
-
     fn admit(&self, request: &DoorRequest) -> Result<EndpointStart, DoorError> {
         let gate = self.gate.borrow();
         let grace = self.settings.leaving_grace;
@@ -356,70 +302,6 @@
             Err(reason) => refused(reason, RETRY_ELSEWHERE),
         }
     }
-
-    /// Promises the link to a long answer, or refuses it when that couldn't be
-    /// there in time.
-    fn promise_link(&self, request: &DoorRequest) -> Result<Option<LinkPromise>, DoorError> {
-        let bytes = self.inner.sizes.borrow().get(request.class);
-        if bytes <= SHORT_MAX {
-            return Ok(None);
-        }
-        let (clock, link) = (self.inner.clock, &self.inner.link);
-        let offer = LinkOffer {
-            bytes,
-            made_in: self.inner.queue.borrow().service_of(request.class),
-            useful_until: clock.at(request.useful_until),
-            ends_at: clock.at(request.ends_at),
-        };
-        let now = clock.now();
-        match link.offer(now, offer) {
-            LinkVerdict::Promised(key) => {
-                let course = AnswerCourse::new(self.id_of(request), LinkUse::LongAway, now, offer);
-                Ok(Some(LinkPromise::new(link, clock, key, course)))
-            }
-            LinkVerdict::Refused { retry_after } => refused(RefusalReason::LinkFull, retry_after),
-        }
-    }
-
-    async fn wait_for_slot(&self, request: &DoorRequest) -> Result<RunSlot, DoorError> {
-        let class = request.class;
-        let offer = JobOffer {
-            rank: request.rank,
-            class,
-            begun: request.begun,
-            may_wait: request.may_wait,
-            useful_until: self.inner.clock.at(request.useful_until),
-            ends_at: self.inner.clock.at(request.ends_at),
-        };
-        let now = self.inner.clock.now();
-        let verdict = self.inner.queue.borrow_mut().offer(now, offer);
-        let (key, latest) = match verdict {
-            OfferVerdict::Run => return Ok(RunSlot::new(Rc::clone(&self.inner), class)),
-            OfferVerdict::Busy => return refused(RefusalReason::Busy, RETRY_ELSEWHERE),
-            OfferVerdict::Refuse { retry_after } => {
-                return refused(RefusalReason::Full, retry_after);
-            }
-            OfferVerdict::Wait { key, latest } => (key, latest),
-        };
-        let (grant, granted) = oneshot::channel();
-        self.inner.waiters.borrow_mut().insert(key, grant);
-        let mut place = QueuePlace {
-            inner: &self.inner,
-            key,
-            class,
-            taken: false,
-        };
-        let latest = self.inner.clock.instant(latest);
-        if timeout_at(latest, granted).await.is_ok() {
-            place.taken = true;
-            return Ok(RunSlot::new(Rc::clone(&self.inner), class));
-        }
-        // When it was granted in this very moment, the place frees the slot.
-        place.taken = self.inner.queue.borrow_mut().expire(key);
-        drop(place);
-        let retry_after = self.inner.queue.borrow().wait();
-        refused(RefusalReason::Full, retry_after.max(RETRY_ELSEWHERE))
-    }
 }
 
 pub(super) fn refused<T>(reason: RefusalReason, retry_after: Duration) -> Result<T, DoorError> {
--- a/crates/node/src/door/mod.rs
+++ b/crates/node/src/door/mod.rs
@@ -16,7 +16,9 @@
 mod endpoint_confirm;
 mod endpoint_gate;
 mod endpoint_report;
+mod link_admission;
 mod run_slot;
+mod slot_wait;
 
 pub use call_book::CallBook;
 pub use door_flow::{DoorError, DoorFlow, DoorSettings};
