--- a/crates/node/src/door/door_flow.rs
+++ b/crates/node/src/door/door_flow.rs
@@ -215,6 +215,7 @@
     /// start that has ended: what is sent on one is lost, and what must not
     /// repeat can't be sent again.
     pub fn forget_connections(&self) {
+        // Breaks of the start that has ended say nothing of the next.
         self.breaker.borrow_mut().answered();
         self.inner.endpoints.forget(self.settings.endpoint);
     }
--- a/crates/node/src/door/endpoint_breaker.rs
+++ b/crates/node/src/door/endpoint_breaker.rs
@@ -16,8 +16,7 @@
 /// resets or spoils each run at once. It holds nothing and fills no link.
 ///
 /// **Without it.** It looks like the member with the most room, and draws what all
-/// others refuse: on a service of five whose links were full it broke 1,777 tries in
-/// five seconds, and each caller heard only that its request may have run.
+/// others refuse, and each caller hears only that its request may have run.
 ///
 /// **How.** After some breaks in a row nothing is sent to it, so that callers hear that
 /// their request has not run, and fronts go elsewhere. One trial each pause, which
--- a/crates/node/src/door/mod.rs
+++ b/crates/node/src/door/mod.rs
@@ -3,7 +3,8 @@
 //! Whether it lives, which start of it, whether it is leaving and what it has
 //! room for are decided here with certainty, whatever other nodes still
 //! believe. [`EndpointGate`] holds the first three, [`DoorQueue`] the last,
-//! and [`EndpointBreaker`] whether runs end at all; none does I/O. [`DoorFlow`] joins them to the connections.
+//! and [`EndpointBreaker`] whether runs end at all; none does I/O. [`DoorFlow`] joins
+//! them to the connections.
 
 mod call_book;
 mod class_books;
--- a/crates/node/src/front/return_book.rs
+++ b/crates/node/src/front/return_book.rs
@@ -26,8 +26,8 @@
 /// their time, and how long they wait differs from one to the next.
 ///
 /// **Without it.** What came again couldn't be told from what is new: on full links
-/// half of the files that left their door in time had been asked for long before, and
-/// came late for callers, in the place of others that could have been in time.
+/// files go to callers who asked long before and get them late, in the place of others
+/// that could have been in time.
 ///
 /// **How.** The same request whose caller stops waiting at the same moment is the same
 /// caller's. It is remembered until then.
