Start nodes again that were told to stop near a soak's end

Cause, the soak's own: after the last fault it looked whether every process runs, which those three, told to stop 0.9 s before, still did; they ended 2.6 to 3.8 s later (their logs end with stopped), and nothing started them again. The soak now waits for those that are ending.

--- a/crates/rig/src/soak/fault_actor.rs
+++ b/crates/rig/src/soak/fault_actor.rs
@@ -112,6 +112,11 @@
         Ok(())
     }
 
+    /// Whether a process that was told to stop has yet to end and to be started again.
+    pub(super) fn is_ending(&self) -> bool {
+        !self.ending.is_empty()
+    }
+
     /// Waits for backend servers that are leaving.
     pub(super) async fn finish(&mut self) {
         for leaving in self.leaving.drain(..) {
--- a/crates/rig/src/soak/soak_run.rs
+++ b/crates/rig/src/soak/soak_run.rs
@@ -179,7 +179,9 @@
         sleep(LOOK).await;
     }
     actor.finish().await;
-    while fleet.nodes.iter_mut().any(|node| !node.is_running()) {
+    // A node takes some seconds to stop: one that was told to shortly before the last
+    // fault's end still runs then, and has to be started again afterwards.
+    while actor.is_ending() || fleet.nodes.iter_mut().any(|node| !node.is_running()) {
         actor.tend(fleet)?;
         sleep(LOOK).await;
     }
--- a/crates/rig/tests/all/soaks.rs
+++ b/crates/rig/tests/all/soaks.rs
@@ -67,3 +67,18 @@
 async fn a_drop_that_nobody_saw_is_noticed() {
     still_holds(135).await;
 }
+
+/// Three nodes were told to stop just before the last fault ended. They still ran when
+/// the soak looked whether every node does, stopped seconds later, and were never started
+/// again: the fleet didn't recover. Cause: the soak's own; their logs end with `stopped`,
+/// and an earlier version of the node does the same.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_told_to_stop_near_the_end_are_started_again() {
+    let options = SoakOptions {
+        seconds: 15,
+        nodes: 8,
+        ..options(505)
+    };
+    let held = run_soak(&options).await;
+    assert!(held.expect("the fleet starts"), "seed 505");
+}
