Keep requests in their data centre while a free slot is likely there

Cause: three members are drawn of all of a service, and the cheapest is taken. Of 99 members four in five are far ones, and the price of a kilobyte from afar (15 ms for a lookup) is less than what a slot's difference in load or the noise makes.

Change: members at home are drawn first. The cheapest of them is taken if it costs no more than the last free slot of a fast enough backend server: no queue, a run well within the target, no failures beyond the usual few. Else all are compared as before, so that a crowded data centre, slow or failing servers let requests spill over. No number of members is set by hand.

The first test fails without the change.

--- a/crates/node/src/member/member_choice.rs
+++ b/crates/node/src/member/member_choice.rs
@@ -59,6 +59,9 @@
         let candidates = self.candidates(pool, query).filter(|(key, _)| fresh(key));
         let (open, closed): (Vec<_>, Vec<_>) =
             candidates.partition(|(_, member)| cost.is_open(member));
+        if let Some(home) = cost.home(&open, rng) {
+            return Some(home);
+        }
         let compared = if open.is_empty() {
             closed
         } else {
@@ -115,6 +118,9 @@
         let (open, closed): (Vec<_>, Vec<_>) = others
             .into_iter()
             .partition(|(_, member)| cost.is_open(member));
+        if let Some(home) = cost.home(&open, rng) {
+            return Some(home);
+        }
         let mut compared = cost.draw(open, rng);
         compared.extend(known);
         if compared.is_empty() {
--- a/crates/node/src/member/member_outlook.rs
+++ b/crates/node/src/member/member_outlook.rs
@@ -33,6 +33,12 @@
         self.queue_s + self.run_s
     }
 
+    /// Whether a request sent now should run at once and be answered in time: it costs no
+    /// more than the last free slot of a backend server that is fast enough.
+    pub(super) fn is_prompt(&self, target: Duration) -> bool {
+        self.cost_s(target) <= FULLNESS_COST * self.run_s
+    }
+
     /// Cost in seconds of waiting: the queue, a nearly full backend server, the
     /// risk of a failure, and the part of a run that uses up more than half of
     /// its target time.
--- a/crates/node/src/member/pick_cost.rs
+++ b/crates/node/src/member/pick_cost.rs
@@ -66,6 +66,21 @@
         open
     }
 
+    /// Picks a member of this data centre that is likely to answer from a free slot in
+    /// time, if there is one.
+    ///
+    /// Answers from another data centre are paid for by the byte. With dozens of members
+    /// most of those drawn are far ones, and small differences in load would send the
+    /// request there. A queue, a slow run or failures at home let it spill over.
+    pub(super) fn home(self, open: &[Candidate<'_>], rng: &mut impl Rng) -> Option<MemberKey> {
+        let near = open.iter().copied().filter(|(_, member)| member.near);
+        let compared = self.draw(near.collect(), rng);
+        let key = self.cheapest(compared.clone(), rng)?;
+        let (_, member) = compared.into_iter().find(|(other, _)| *other == key)?;
+        let outlook = member.outlook(self.now, self.query.class, self.usual);
+        outlook.is_prompt(self.query.target).then_some(key)
+    }
+
     /// Returns the member that costs least.
     pub(super) fn cheapest(
         self,
--- a/crates/node/tests/all/fleet_load.rs
+++ b/crates/node/tests/all/fleet_load.rs
@@ -42,6 +42,8 @@
     refused: u32,
     /// Members asked, probes among them.
     asked: u32,
+    /// Runs in another data centre than the caller's.
+    far: u32,
 }
 
 impl LoadResult {
@@ -52,6 +54,10 @@
     fn asked_each(self) -> f64 {
         f64::from(self.asked) / f64::from(self.offered)
     }
+
+    fn share_far(self) -> f64 {
+        f64::from(self.far) / f64::from(self.offered)
+    }
 }
 
 /// A request of one front.
@@ -96,12 +102,17 @@
     SocketAddr::from(([10, 1, 0, door as u8 + 1], 7600))
 }
 
-fn record(door: usize) -> MemberRecord {
+/// Returns the data centre of a front or door.
+fn place(number: usize, data_centres: usize) -> String {
+    format!("dc-{}", number % data_centres)
+}
+
+fn record(door: usize, data_centres: usize) -> MemberRecord {
     MemberRecord {
         hop: hop(door),
         start: start(format!("i-{door}")),
         service: "orders".to_owned(),
-        data_centre: "hofdi".to_owned(),
+        data_centre: place(door, data_centres),
         slots: SLOTS,
         state: MemberState::Ready,
         link_mbps: 100,
@@ -114,6 +125,10 @@
     picker: Picker,
     /// Part of the capacity of all servers that is asked for.
     load: f64,
+    data_centres: usize,
+    /// Share of the requests that callers of the first data centre send beyond their
+    /// even part.
+    crowd: f64,
     /// What fronts take a refusal of a node without a backend server for.
     shut_end: TryEnd,
     rng: StdRng,
@@ -126,11 +141,17 @@
 
 impl Fleet {
     fn new(picker: Picker, load: f64) -> Self {
+        Self::spread(picker, load, 1)
+    }
+
+    /// Makes a fleet whose fronts and doors are spread over data centres evenly.
+    fn spread(picker: Picker, load: f64, data_centres: usize) -> Self {
         let mut rng = StdRng::seed_from_u64(23);
-        let fronts = (0..FRONTS).map(|_| {
-            let mut view = FleetView::new("hofdi");
+        let fronts = (0..FRONTS).map(|front| {
+            let mut view = FleetView::new(place(front, data_centres));
             for door in 0..DOORS {
-                view.announce(Duration::ZERO, record(door), Revision(door as u64 + 1));
+                let record = record(door, data_centres);
+                view.announce(Duration::ZERO, record, Revision(door as u64 + 1));
             }
             view
         });
@@ -146,6 +167,8 @@
         Self {
             picker,
             load,
+            data_centres,
+            crowd: 0.0,
             shut_end: TryEnd::Shut,
             fronts,
             heard: vec![HashMap::new(); FRONTS],
@@ -164,6 +187,21 @@
         self
     }
 
+    /// Sends a part of the requests from the first data centre instead of evenly.
+    fn crowded(mut self, crowd: f64) -> Self {
+        self.crowd = crowd;
+        self
+    }
+
+    fn draw_front(&mut self) -> usize {
+        let front = self.rng.random_range(0..FRONTS);
+        if self.crowd > 0.0 && self.rng.random_bool(self.crowd) {
+            front - front % self.data_centres
+        } else {
+            front
+        }
+    }
+
     fn per_second(&self) -> f64 {
         let rates = self.doors.iter().map(|door| 1.0 / door.work.as_secs_f64());
         rates.sum::<f64>() * f64::from(SLOTS) * self.load
@@ -226,6 +264,8 @@
     }
 
     fn begin(&mut self, now: Duration, request: Request) {
+        let far = request.front % self.data_centres != request.door % self.data_centres;
+        self.result.far += u32::from(far);
         let spread = 0.5 + self.rng.random::<f64>();
         let door = &mut self.doors[request.door];
         door.running.push(Run {
@@ -245,7 +285,7 @@
     /// may be free, then a place in a queue.
     fn ask(&mut self, now: Duration) {
         self.result.offered += 1;
-        let front = self.rng.random_range(0..FRONTS);
+        let front = self.draw_front();
         let (mut tried, mut probed) = (Vec::new(), Vec::new());
         while tried.len() + probed.len() < TRIES {
             let may_wait = self.picker == Picker::BestKnown
@@ -398,3 +438,18 @@
         "{node:?} {naive:?}"
     );
 }
+
+/// Guards against answers that cross data centres while servers at home are free.
+#[test]
+fn requests_stay_at_home_while_it_has_room() {
+    let node = Fleet::spread(Picker::Node, 0.6, 5).play();
+    assert!(node.share_far() < 0.2, "{node:?}");
+    assert!(node.share_in_time() > 0.97, "{node:?}");
+}
+
+/// Guards against a crowded data centre that keeps its callers in its queues.
+#[test]
+fn callers_of_a_crowded_data_centre_spill_over() {
+    let node = Fleet::spread(Picker::Node, 0.6, 5).crowded(0.3).play();
+    assert!(node.share_in_time() > 0.95, "{node:?}");
+}
