Let the nodes that others follow look for a store that is away

Followers that aren't cut off themselves also go from one guide that has lost the store to the next, and each that they ask begins to call it.

Change: a node that another one tells looks seldom, and its guide answers it at once when the store is back. A node whose guides have lost the store one after the other checks its own contact with one look. While two or more have lost it and this node has as well, all stay with the first of them.

Test, on the decision modules: an outage of 8 s costs each node fewer than six calls, with 30 and with 240 nodes of a data centre.

--- a/crates/node/src/follow/fleet_follower.rs
+++ b/crates/node/src/follow/fleet_follower.rs
@@ -86,7 +86,12 @@
                     "at" => %hop, "version" => core.version().0,
                     "answered_ms_ago" => answer.store_age_ms);
             }
-            core.guide.borrow_mut().told(now, hop, contact);
+            if lost_known && !contact.lost {
+                core.store_found(hop);
+            }
+            if core.guide.borrow_mut().told(now, hop, contact) {
+                core.doubt_store();
+            }
             take_answer(core, hop, answer);
             contact.lost
         }
--- a/crates/node/src/follow/follow_port.rs
+++ b/crates/node/src/follow/follow_port.rs
@@ -50,8 +50,8 @@
             let answer = self.news_for(question);
             let empty =
                 answer.config.is_none() && answer.members.is_empty() && answer.crashes.is_empty();
-            let lost = answer.store_lost && !question.lost_known;
-            if !empty || lost || Instant::now() >= until {
+            let changed = answer.store_lost != question.lost_known;
+            if !empty || changed || Instant::now() >= until {
                 return answer;
             }
             // The end of the wait is answered, too: it tells how old the
--- a/crates/node/src/follow/guide.rs
+++ b/crates/node/src/follow/guide.rs
@@ -10,6 +10,8 @@
 const STORE_STALE: Duration = Duration::from_millis(3_500);
 /// Time for which a node that failed as a guide isn't asked again.
 const GUIDE_OUT: Duration = Duration::from_secs(5);
+/// Nodes that say they have lost the store from which on it is taken to be away for all.
+const LOST_FOR_ALL: usize = 2;
 /// Time after a question for which a node watches the store because of it.
 /// Whoever follows asks again every two seconds.
 const ASKED_TIME: Duration = Duration::from_secs(5);
@@ -47,6 +49,8 @@
 pub struct Guide {
     own: SocketAddr,
     out_until: HashMap<SocketAddr, Duration>,
+    /// Nodes that answer but are cut off from the store.
+    cut_until: HashMap<SocketAddr, Duration>,
     asked_until: Duration,
     store_seen: Duration,
     store_lost: bool,
@@ -58,16 +62,17 @@
         Self {
             own,
             out_until: HashMap::new(),
+            cut_until: HashMap::new(),
             asked_until: Duration::ZERO,
             store_seen: Duration::ZERO,
             store_lost: false,
         }
     }
 
-    /// Notes that the store answered.
-    pub fn store_answered(&mut self, now: Duration) {
+    /// Notes that the store answered, and returns whether it was lost before.
+    pub fn store_answered(&mut self, now: Duration) -> bool {
         self.store_seen = now;
-        self.store_lost = false;
+        std::mem::take(&mut self.store_lost)
     }
 
     /// Notes that the store doesn't answer this node, and returns whether that is
@@ -96,13 +101,17 @@
         self.out_until.insert(hop, now + GUIDE_OUT);
     }
 
-    /// Takes in what the node at `hop` told of its contact with the store. One that
-    /// is cut off from it is passed over, unless this node is as well.
-    pub fn told(&mut self, now: Duration, hop: SocketAddr, contact: StoreContact) {
+    /// Takes in what the node at `hop` told of its contact with the store, and returns
+    /// whether this node should check its own. A node that is cut off from the store is
+    /// passed over, unless this one is as well.
+    #[must_use]
+    pub fn told(&mut self, now: Duration, hop: SocketAddr, contact: StoreContact) -> bool {
         let cut_off = contact.lost || contact.age > STORE_STALE;
-        if cut_off && !self.is_cut_off(now) {
-            self.failed(now, hop);
+        if !cut_off || self.is_cut_off(now) {
+            return false;
         }
+        self.cut_until.insert(hop, now + GUIDE_OUT);
+        self.cut_nodes(now) >= LOST_FOR_ALL
     }
 
     fn is_cut_off(&self, now: Duration) -> bool {
@@ -114,9 +123,26 @@
         now < self.asked_until
     }
 
+    /// Whether the store seems to be away for everybody, not for single nodes.
+    fn is_lost_for_all(&self, now: Duration) -> bool {
+        self.is_cut_off(now) && self.cut_nodes(now) >= LOST_FOR_ALL
+    }
+
+    fn cut_nodes(&self, now: Duration) -> usize {
+        let cut = self.cut_until.values().filter(|&&until| now < until);
+        cut.count()
+    }
+
     /// Chooses among the members of the data centre, best first.
+    ///
+    /// While the store is away for all, nodes that have lost it are followed as well:
+    /// the first of them looks for it, and tells the others when it is back.
     pub fn choose(&self, now: Duration, carriers: &[&MemberRecord]) -> GuideChoice {
         let cut_off = self.is_cut_off(now);
+        let skips_cut = !self.is_lost_for_all(now);
+        let holds = |marks: &HashMap<SocketAddr, Duration>, hop| {
+            marks.get(hop).is_some_and(|&until| now < until)
+        };
         for record in carriers {
             if record.hop == self.own {
                 if cut_off {
@@ -124,8 +150,9 @@
                 }
                 return GuideChoice::Store;
             }
-            let out = self.out_until.get(&record.hop);
-            if out.is_none_or(|&until| now >= until) {
+            let out = holds(&self.out_until, &record.hop);
+            let cut = skips_cut && holds(&self.cut_until, &record.hop);
+            if !out && !cut {
                 return GuideChoice::Node(record.hop);
             }
         }
--- a/crates/node/src/follow/mod.rs
+++ b/crates/node/src/follow/mod.rs
@@ -8,7 +8,8 @@
 //! holds a later configuration, asks that one ([`catch_up`]).
 //! [`keep_announced`] keeps the own announcement under a lease. While the
 //! store is away everyone keeps what they have, and only [`look_for_store`]
-//! calls it ([`StoreAccess`]).
+//! calls it ([`StoreAccess`]): often at the nodes that others follow, which tell
+//! them when it is back.
 
 mod announcer;
 mod config_history;
@@ -34,7 +35,7 @@
 pub use follow_port::{FOLLOW_PATH, FollowPort};
 pub use guide::{Guide, GuideChoice, StoreContact};
 pub use member_watcher::watch_members;
-pub use store_access::StoreAccess;
+pub use store_access::{LookDuty, StoreAccess};
 pub use store_look::look_for_store;
 
 /// Returns the key of a node's own announcement.
--- a/crates/node/src/follow/store_access.rs
+++ b/crates/node/src/follow/store_access.rs
@@ -2,22 +2,31 @@
 
 use std::time::Duration;
 
-use rand::{Rng, RngExt};
-
 /// First pause: a dropped connection is opened again nearly at once.
 const PAUSE_FIRST: Duration = Duration::from_millis(100);
 /// Longest pause. A node has to be back two seconds after the store is, with
 /// a look that may hang for one and a call or two to make by then.
 const PAUSE_MAX: Duration = Duration::from_millis(700);
+/// Pause from the second look on at a node that another one tells when the store is
+/// back. It finds out by itself when only this node was turned away.
+const PAUSE_TOLD: Duration = Duration::from_secs(4);
+
+/// Who looks for a store that has been lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LookDuty {
+    /// This node, for itself and for those that follow it.
+    Own,
+    /// Another node, which tells this one when the store is back.
+    Told,
+}
 
 /// Whether the store is called, for all parts of a node that do.
 ///
-/// **Failures.** The store is away, or turns this node away, for seconds: each
-/// part that needs it would try by itself, and every try is paid for. When it
-/// returns, every node calls it in the same moment. **Guard.** After a failure no
-/// part calls until a cheap look has found the store answering. The pauses
-/// before looks double with each failure in a row, and are drawn from half to the
-/// whole of their length, so that nodes spread over a third of a second and more.
+/// The store may be away, or turn this node away, for seconds, and each call is paid
+/// for. After a failure no part of the node calls until a cheap look has found the
+/// store answering. Pauses between looks grow, and are spread so that nodes don't look
+/// in the same moment. A node that follows another looks seldom: otherwise the looks
+/// of a fleet grow with its size times the length of the outage.
 #[derive(Debug, Default)]
 pub struct StoreAccess {
     failures: u32,
@@ -45,31 +54,45 @@
         first
     }
 
+    /// Lets the next look decide whether the store is there, as other nodes have lost
+    /// it; returns whether that is news.
+    pub fn doubt(&mut self) -> bool {
+        if self.shut {
+            return false;
+        }
+        self.shut = true;
+        self.failures = 1;
+        true
+    }
+
     /// Notes that a look was answered. Calls may still fail: some ways of being
     /// away spare reads.
     pub fn looked(&mut self) {
         self.shut = false;
     }
 
-    /// Returns the pause before the next look.
+    /// Returns the pause before the next look; `share` from 0 to 1 spreads it.
     ///
     /// # Examples
     ///
     /// ```
     /// use std::time::Duration;
-    /// use geranium_node::follow::StoreAccess;
+    /// use geranium_node::follow::{LookDuty, StoreAccess};
     ///
     /// let mut access = StoreAccess::default();
     /// assert!(access.failed());
     /// assert!(!access.is_open());
-    /// let pause = access.pause(&mut rand::rng());
-    /// assert!(pause <= Duration::from_millis(100));
+    /// assert!(access.pause(LookDuty::Own, 1.0) <= Duration::from_millis(100));
+    /// assert!(!access.failed());
+    /// let told = access.pause(LookDuty::Told, 0.0);
+    /// assert!(told > access.pause(LookDuty::Own, 1.0));
     /// ```
-    pub fn pause(&self, rng: &mut impl Rng) -> Duration {
+    pub fn pause(&self, duty: LookDuty, share: f64) -> Duration {
         let doublings = self.failures.saturating_sub(1).min(3);
-        let pause = PAUSE_FIRST * (1 << doublings);
-        pause
-            .min(PAUSE_MAX)
-            .mul_f64(0.5 + 0.5 * rng.random::<f64>())
+        let pause = match duty {
+            LookDuty::Told if doublings > 0 => PAUSE_TOLD,
+            _ => (PAUSE_FIRST * (1 << doublings)).min(PAUSE_MAX),
+        };
+        pause.mul_f64(0.5 + 0.5 * share)
     }
 }
--- a/crates/node/src/follow/store_look.rs
+++ b/crates/node/src/follow/store_look.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
-use tokio::time::sleep;
+use rand::RngExt;
+use tokio::time::{Instant, timeout_at};
 
-use super::own_key;
+use super::{LookDuty, own_key};
 use crate::{
     node_core::NodeCore,
     store::{MetaStore, ReadAge},
@@ -16,9 +17,7 @@
     let key = own_key(&core);
     loop {
         core.store_lost.notified().await;
-        while !core.store_access.borrow().is_open() {
-            let pause = core.store_access.borrow().pause(&mut rand::rng());
-            sleep(pause).await;
+        while until_look_due(&core).await {
             core.metrics.store_call("look");
             let looked = store.read(&key, ReadAge::Recent).await;
             let mut access = core.store_access.borrow_mut();
@@ -34,3 +33,26 @@
         core.store_back.notify_waiters();
     }
 }
+
+/// Waits until the next look is due; false when the store is back meanwhile.
+///
+/// The pause is chosen anew whenever the node's duty changes: a follower that loses its
+/// guide must look by itself soon.
+async fn until_look_due(core: &NodeCore) -> bool {
+    let since = Instant::now();
+    let share: f64 = rand::rng().random();
+    loop {
+        if core.store_access.borrow().is_open() {
+            return false;
+        }
+        let duty = if core.watches_store() {
+            LookDuty::Own
+        } else {
+            LookDuty::Told
+        };
+        let due = since + core.store_access.borrow().pause(duty, share);
+        if timeout_at(due, core.duty_changed.notified()).await.is_err() {
+            return true;
+        }
+    }
+}
--- a/crates/node/src/node_core/store_contact.rs
+++ b/crates/node/src/node_core/store_contact.rs
@@ -1,6 +1,6 @@
 //! What a node knows of its contact with the store, and who watches it.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use slog::{info, warn};
 use tokio::time::timeout;
@@ -21,7 +21,11 @@
 impl NodeCore {
     /// Notes that the store answered.
     pub fn store_answered(&self) {
-        self.guide.borrow_mut().store_answered(self.clock.now());
+        let now = self.clock.now();
+        if self.guide.borrow_mut().store_answered(now) {
+            // Followers that wait to hear of the return.
+            self.news.notify_waiters();
+        }
         if self.store_access.borrow_mut().succeeded() {
             info!(self.log.logger(), "store regained");
         }
@@ -50,6 +54,25 @@
         }
     }
 
+    /// Checks the own contact with the store, as nodes that this one followed lost it.
+    pub fn doubt_store(&self) {
+        if self.store_access.borrow_mut().doubt() {
+            info!(self.log.logger(), "store doubted"; "cause" => "other nodes lost it");
+            self.store_lost.notify_one();
+        }
+    }
+
+    /// Takes in that the node at `hop`, which had lost the store, reaches it again.
+    pub fn store_found(&self, hop: SocketAddr) {
+        if self.store_access.borrow().is_open() {
+            return;
+        }
+        info!(self.log.logger(), "store heard of"; "from" => %hop);
+        self.store_access.borrow_mut().looked();
+        self.store_back.notify_waiters();
+        self.duty_changed.notify_waiters();
+    }
+
     /// Waits until the store may be called.
     pub async fn until_store_back(&self) {
         while !self.store_access.borrow().is_open() {
--- a/crates/node/tests/all/guide.rs
+++ b/crates/node/tests/all/guide.rs
@@ -52,11 +52,11 @@
     let order: Vec<&MemberRecord> = records.iter().collect();
     let mut guide = Guide::new(hop(3));
     guide.store_answered(at(10_000));
-    guide.told(at(10_100), hop(1), contact(6_000, false));
+    assert!(!guide.told(at(10_100), hop(1), contact(6_000, false)));
     assert_eq!(guide.choose(at(10_100), &order), GuideChoice::Node(hop(2)));
     let mut away = Guide::new(hop(3));
     away.store_answered(at(1_000));
-    away.told(at(10_100), hop(1), contact(6_000, false));
+    assert!(!away.told(at(10_100), hop(1), contact(6_000, false)));
     assert_eq!(away.choose(at(10_100), &order), GuideChoice::Node(hop(1)));
 }
 
@@ -91,7 +91,7 @@
     let order: Vec<&MemberRecord> = records.iter().collect();
     let mut follower = Guide::new(hop(3));
     follower.store_answered(at(10_000));
-    follower.told(at(10_100), hop(1), contact(200, true));
+    assert!(!follower.told(at(10_100), hop(1), contact(200, true)));
     assert_eq!(
         follower.choose(at(10_100), &order),
         GuideChoice::Node(hop(2))
@@ -104,3 +104,17 @@
     itself.store_answered(at(10_200));
     assert_eq!(itself.choose(at(10_200), &order), GuideChoice::Store);
 }
+
+/// Guards against followers that go from guide to guide while the store is away for all.
+#[test]
+fn one_guide_looks_for_a_store_that_is_away_for_all() {
+    let records: Vec<MemberRecord> = (1..6).map(record).collect();
+    let order: Vec<&MemberRecord> = records.iter().collect();
+    let mut guide = Guide::new(hop(5));
+    guide.store_answered(at(10_000));
+    assert!(!guide.told(at(10_100), hop(1), contact(200, true)));
+    assert!(guide.told(at(10_200), hop(2), contact(200, true)));
+    assert_eq!(guide.choose(at(10_300), &order), GuideChoice::Node(hop(3)));
+    guide.store_lost();
+    assert_eq!(guide.choose(at(10_300), &order), GuideChoice::Node(hop(1)));
+}
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod guide;
 mod link;
 mod link_load;
+mod outage_cost;
 mod poison;
 mod queue;
 mod queue_load;
--- /dev/null
+++ b/crates/node/tests/all/outage_cost.rs
@@ -0,0 +1,109 @@
+//! What an outage of the store costs a fleet in calls.
+
+use std::time::Duration;
+
+use geranium_node::{
+    follow::{Guide, GuideChoice, LookDuty, StoreAccess, StoreContact},
+    member::MemberRecord,
+};
+use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
+
+use crate::support::{at, hop, record};
+
+const STEP: Duration = Duration::from_millis(20);
+const RENEWAL: Duration = Duration::from_secs(2);
+const OUTAGE: Duration = Duration::from_secs(8);
+
+/// One node of a data centre while the store is away.
+struct Node {
+    guide: Guide,
+    access: StoreAccess,
+    renewal_at: Duration,
+    /// When its pause began, and how much of it is drawn.
+    pause: (Duration, f64),
+    calls: u32,
+}
+
+impl Node {
+    fn new(number: u8, rng: &mut impl Rng) -> Self {
+        let mut guide = Guide::new(hop(number));
+        let seen = RENEWAL.mul_f64(rng.random());
+        guide.store_answered(at(10_000).saturating_sub(seen));
+        Self {
+            guide,
+            access: StoreAccess::default(),
+            renewal_at: at(10_000) + RENEWAL.saturating_sub(seen),
+            pause: (Duration::ZERO, 0.0),
+            calls: 0,
+        }
+    }
+
+    fn fail(&mut self, now: Duration, rng: &mut impl Rng) {
+        self.calls += 1;
+        self.access.failed();
+        self.pause = (now, rng.random());
+    }
+
+    fn step(&mut self, now: Duration, duty: LookDuty, rng: &mut impl Rng) {
+        if self.access.is_open() {
+            if now >= self.renewal_at || duty == LookDuty::Own {
+                self.fail(now, rng);
+            }
+            return;
+        }
+        let (since, share) = self.pause;
+        if now >= since + self.access.pause(duty, share) {
+            self.fail(now, rng);
+            self.guide.store_lost();
+        }
+    }
+}
+
+/// Plays an outage for one data centre, and returns the calls of all its nodes.
+fn calls_of_outage(nodes: u8) -> u32 {
+    let mut rng = StdRng::seed_from_u64(7);
+    let records: Vec<MemberRecord> = (0..nodes).map(record).collect();
+    let order: Vec<&MemberRecord> = records.iter().collect();
+    let mut fleet: Vec<Node> = (0..nodes).map(|own| Node::new(own, &mut rng)).collect();
+    let mut now = at(10_000);
+    while now < at(10_000) + OUTAGE {
+        for own in 0..fleet.len() {
+            let choice = fleet[own].guide.choose(now, &order);
+            if let GuideChoice::Node(guide) = choice {
+                let guide = order.iter().position(|record| record.hop == guide);
+                let guide = &mut fleet[guide.expect("it is one of them")].guide;
+                guide.asked(now);
+                let contact = StoreContact {
+                    age: guide.store_age(now),
+                    lost: guide.has_lost_store(),
+                };
+                let GuideChoice::Node(at) = choice else {
+                    unreachable!("it is a node");
+                };
+                let doubted = fleet[own].guide.told(now, at, contact);
+                if doubted && fleet[own].access.doubt() {
+                    fleet[own].pause = (now, rng.random());
+                }
+            }
+            let own_duty = choice == GuideChoice::Store || fleet[own].guide.is_asked(now);
+            let duty = if own_duty {
+                LookDuty::Own
+            } else {
+                LookDuty::Told
+            };
+            fleet[own].step(now, duty, &mut rng);
+        }
+        now += STEP;
+    }
+    fleet.iter().map(|node| node.calls).sum()
+}
+
+/// Guards against an outage in which every node looks for the store by itself.
+#[test]
+fn an_outage_costs_each_node_a_few_calls() {
+    for nodes in [30, 240] {
+        let calls = calls_of_outage(nodes);
+        let each = f64::from(calls) / f64::from(nodes);
+        assert!(each < 6.0, "{calls} calls of {nodes} nodes");
+    }
+}
