Write the log in pieces that a pipe takes whole

Cause: batches of lines go out in one write, and a pipe that several processes share splits writes of more than 4,096 bytes.

Whole lines are gathered up to that size for each write.

--- a/crates/node/src/event_log.rs
+++ b/crates/node/src/event_log.rs
@@ -18,6 +18,9 @@
 /// Lines a second about single requests. Beyond it they are only counted: a
 /// node under overload refuses hundreds a second for one and the same reason.
 const LINES_MAX: u32 = 200;
+/// Most bytes of one write. A pipe that several processes share takes as many in one
+/// piece; of longer writes the lines of others cut a part off.
+const WRITE_MAX: usize = 4_096;
 /// Longest wait for the log at the end of the process.
 const FLUSH_TIME: Duration = Duration::from_millis(500);
 /// Pause of the writing thread, in which lines gather to one write.
@@ -119,25 +122,38 @@
 
 fn write_lines(lines: &Receiver<LogItem>, mut output: impl Write) {
     while let Ok(first) = lines.recv() {
-        let mut batch = Vec::new();
+        let mut batch = Vec::with_capacity(WRITE_MAX);
         let mut asked = Vec::new();
         if matches!(first, LogItem::Line(_)) {
             thread::sleep(WRITE_PAUSE);
         }
         for item in std::iter::once(first).chain(lines.try_iter()) {
             match item {
-                LogItem::Line(line) => batch.extend_from_slice(&line),
+                LogItem::Line(line) => {
+                    if batch.len() + line.len() > WRITE_MAX {
+                        write_batch(&mut output, &mut batch);
+                    }
+                    batch.extend_from_slice(&line);
+                }
                 LogItem::Flush(done) => asked.push(done),
             }
         }
-        // There is no better place to report that the log can't be written.
-        drop(output.write_all(&batch).and_then(|()| output.flush()));
+        write_batch(&mut output, &mut batch);
         for done in asked {
             let _gone = done.send(());
         }
     }
 }
 
+/// Writes whole lines in one piece.
+fn write_batch(output: &mut impl Write, batch: &mut Vec<u8>) {
+    if !batch.is_empty() {
+        // There is no better place to report that the log can't be written.
+        drop(output.write_all(batch).and_then(|()| output.flush()));
+        batch.clear();
+    }
+}
+
 /// Bounds the lines about single requests.
 #[derive(Debug, Clone)]
 pub struct EventLog {
