Tell of announcements that came together in one line

What a node believes keeps its trace: `geranium-ctl explain` finds a member's last announcement in such lines, too.

--- a/crates/ctl/src/explain/log_scan.rs
+++ b/crates/ctl/src/explain/log_scan.rs
@@ -74,6 +74,10 @@
             let count = fields.get("lines").or_else(|| fields.get("count"));
             self.dropped += count.and_then(Value::as_u64).unwrap_or(0);
         }
+        if message == "members announced" {
+            self.take_members(&fields);
+            return;
+        }
         let (node, at) = (text("node").to_owned(), text("at").to_owned());
         let concerned = text("request") == self.request;
         let event = StoryEvent::new(message, &fields);
@@ -84,4 +88,22 @@
             self.events.push(event.because(belief));
         }
     }
+
+    /// Takes in a line that tells of many announcements.
+    fn take_members(&mut self, line: &Map<String, Value>) {
+        let text = |name: &str| line.get(name).and_then(Value::as_str).unwrap_or_default();
+        for row in text("members").split("; ") {
+            let names = ["at", "revision", "state", "service", "instance"];
+            let values = row.splitn(names.len(), ' ').map(Value::from);
+            let mut fields: Map<String, Value> =
+                names.into_iter().map(str::to_owned).zip(values).collect();
+            for name in ["ts", "node"] {
+                fields.insert(name.to_owned(), text(name).into());
+            }
+            let at = fields.get("at").and_then(Value::as_str).unwrap_or_default();
+            let member = (text("node").to_owned(), at.to_owned());
+            let event = StoryEvent::new("member announced".to_owned(), &fields);
+            self.beliefs.insert(member, event);
+        }
+    }
 }
--- a/crates/ctl/tests/all/explain.rs
+++ b/crates/ctl/tests/all/explain.rs
@@ -45,6 +45,21 @@
     );
 }
 
+/// Guards against a story without its belief where many announcements share a line.
+#[test]
+fn a_belief_is_found_among_many_in_one_line() {
+    let text = r#"{"msg":"members announced","ts":"1","node":"n1","count":2,"members":"a 4 ready s i; b 5 leaving t j"}
+{"msg":"door refused","ts":"2","node":"n1","request":"q","at":"b","instance":"j","reason":"leaving","retry_after_ms":9}"#;
+    let mut scan = LogScan::new("q");
+    scan.read(text.as_bytes()).expect("bytes can be read");
+    let story = scan.finish();
+    let belief = story.events[0].belief.as_deref();
+    assert_eq!(
+        belief,
+        Some("1: member b (t, j) announced as leaving at revision 5")
+    );
+}
+
 #[test]
 fn an_unknown_request_has_no_events_and_tells_of_missing_lines() {
     let story = story("nobody");
--- a/crates/node/src/follow/member_watcher.rs
+++ b/crates/node/src/follow/member_watcher.rs
@@ -11,6 +11,7 @@
 
 use super::{
     MEMBER_PREFIX, NODE_PREFIX,
+    member_notes::MemberNotes,
     news_intake::{take_crash, take_lapse, take_record},
 };
 use crate::{
@@ -61,8 +62,11 @@
 async fn list_members(core: &NodeCore, store: &impl MetaStore) -> Result<(), StoreError> {
     core.metrics.store_call("list-members");
     let list = store.list(NODE_PREFIX, core.first_read_age()).await?;
+    let mut notes = MemberNotes::default();
     let items = list.items.iter();
-    let present: HashSet<SocketAddr> = items.filter_map(|item| take_item(core, item)).collect();
+    let taken = items.filter_map(|item| take_item(core, item, &mut notes));
+    let present: HashSet<SocketAddr> = taken.collect();
+    notes.write(core.log.logger());
     let now = core.clock.now();
     let mut fleet = core.fleet.borrow_mut();
     fleet.listed(now, list.revision, |hop| present.contains(hop));
@@ -89,9 +93,10 @@
         Err(StoreError::HistoryGone) => return list_members(core, store).await,
         batch => batch?,
     };
+    let mut notes = MemberNotes::default();
     for event in &batch.events {
         match event {
-            StoreEvent::Written(item) => drop(take_item(core, item)),
+            StoreEvent::Written(item) => drop(take_item(core, item, &mut notes)),
             StoreEvent::Deleted { key, revision } => {
                 if let Some(hop) = hop_of(key) {
                     take_lapse(core, hop, *revision);
@@ -99,6 +104,7 @@
             }
         }
     }
+    notes.write(core.log.logger());
     core.fleet.borrow_mut().advance(batch.revision);
     Ok(())
 }
@@ -110,7 +116,7 @@
 /// member's was. **Guard.** It names nobody; a member whose place it took has
 /// no announcement any more, as if that had been removed, and its own node
 /// writes it again. What else was listed or heard is taken in all the same.
-fn take_item(core: &NodeCore, item: &StoreItem) -> Option<SocketAddr> {
+fn take_item(core: &NodeCore, item: &StoreItem, notes: &mut MemberNotes) -> Option<SocketAddr> {
     if item.key.starts_with(CRASH_PREFIX) {
         take_crashes(core, item);
         return None;
@@ -118,7 +124,7 @@
     let hop = hop_of(&item.key);
     let cause = match parse_record(item) {
         Ok(record) if Some(record.hop) == hop => {
-            take_record(core, record, item.revision);
+            take_record(core, record, item.revision, notes);
             return hop;
         }
         Ok(record) => format!("it is of {}", record.hop),
--- a/crates/node/src/follow/mod.rs
+++ b/crates/node/src/follow/mod.rs
@@ -19,6 +19,7 @@
 mod follow_message;
 mod follow_port;
 mod guide;
+mod member_notes;
 mod member_watcher;
 mod news_intake;
 mod store_access;
--- a/crates/node/src/follow/news_intake.rs
+++ b/crates/node/src/follow/news_intake.rs
@@ -5,7 +5,10 @@
 use crate::crash::CrashRow;
 use slog::{info, warn};
 
-use super::{ConfigNews, FollowAnswer};
+use super::{
+    ConfigNews, FollowAnswer,
+    member_notes::{MemberNotes, MemberRow},
+};
 use crate::{
     config::MeshConfig,
     member::{MemberNews, MemberRecord},
@@ -56,9 +59,11 @@
             core.announce.notify_one();
         }
     }
+    let mut notes = MemberNotes::default();
     for (record, revision) in news.written {
-        take_record(core, record, Revision(revision));
+        take_record(core, record, Revision(revision), &mut notes);
     }
+    notes.write(core.log.logger());
     for (hop, revision) in news.lapsed {
         take_lapse(core, hop, Revision(revision));
     }
@@ -66,8 +71,13 @@
     core.news.notify_waiters();
 }
 
-/// Takes in an announcement.
-pub(super) fn take_record(core: &NodeCore, record: MemberRecord, revision: Revision) {
+/// Takes in an announcement, and notes it if it changes anything.
+pub(super) fn take_record(
+    core: &NodeCore,
+    record: MemberRecord,
+    revision: Revision,
+    notes: &mut MemberNotes,
+) {
     let now = core.clock.now();
     if record.hop == core.settings.hop {
         core.door.gate().borrow_mut().restore(now, &record);
@@ -77,16 +87,9 @@
         }
         core.announce.notify_one();
     }
-    let (hop, start) = (record.hop, record.start.clone());
-    let state: &'static str = record.state.into();
-    let service = record.service.clone();
+    let row = MemberRow::new(&record, revision);
     if core.fleet.borrow_mut().announce(now, record, revision) {
-        info!(core.log.logger(), "member announced";
-            "at" => %hop,
-            "instance" => %start,
-            "service" => service,
-            "state" => state,
-            "revision" => revision.0);
+        notes.push(row);
     }
 }
 
