Let a node that starts ask its neighbour, not the store

Cause: each start read all announcements and the whole configuration from the store.

Change: announcements are grouped by data centre in the store. A node that starts lists its own data centre, and asks the guide among those for the configuration and all members. The guide packs a whole configuration once for all that ask (deflate; routes differ in a few words). Who has no configuration after a second, or whose guides all fail, reads the store as before. A fleet that starts for the first time has nobody to ask and reads as before.

A key that isn't where its node would announce itself says nothing of a member: with the data centre in the key there could be two of one address.

--- a/crates/ctl/src/commands/status_command.rs
+++ b/crates/ctl/src/commands/status_command.rs
@@ -4,7 +4,7 @@
 
 use geranium_node::{
     config::ConfigVersion,
-    follow::MEMBER_PREFIX,
+    follow::{AnnouncementKey, MEMBER_PREFIX},
     store::{MetaStore, ReadAge, StoreItem},
 };
 use snafu::ResultExt;
@@ -84,5 +84,5 @@
 }
 
 fn hop_of(item: &StoreItem) -> Option<SocketAddr> {
-    item.key.strip_prefix(MEMBER_PREFIX)?.parse().ok()
+    AnnouncementKey::hop_in(&item.key)
 }
--- a/crates/node/src/errand/store_errand.rs
+++ b/crates/node/src/errand/store_errand.rs
@@ -97,7 +97,7 @@
     ///     expected: 7,
     ///     value: None,
     /// };
-    /// assert!(removal("geranium/member/10.1.0.4:7600").is_allowed());
+    /// assert!(removal("geranium/member/hofdi/10.1.0.4:7600").is_allowed());
     /// assert!(!removal("geranium/presets/night").is_allowed());
     /// ```
     pub fn is_allowed(&self) -> bool {
--- a/crates/node/src/follow/announcer.rs
+++ b/crates/node/src/follow/announcer.rs
@@ -92,7 +92,7 @@
         self.see(core);
         let Some(wanted) = wanted else {
             *renew_at = Instant::now() + RENEW_TIME;
-            return self.withdraw(core, way, &key).await;
+            return self.withdraw(core, way, key.as_str()).await;
         };
         let lease = match self.lease {
             Some(lease) if Instant::now() < *renew_at => lease,
@@ -111,7 +111,7 @@
         if self.record.as_ref() == Some(&wanted) {
             return Ok(());
         }
-        self.write(core, way, &key, wanted, lease).await
+        self.write(core, way, key.as_str(), wanted, lease).await
     }
 
     async fn grant(&mut self, way: &StoreWay<impl MetaStore>) -> Result<LeaseId, StoreError> {
--- a/crates/node/src/follow/config_history.rs
+++ b/crates/node/src/follow/config_history.rs
@@ -1,8 +1,8 @@
 //! Configurations that other nodes may still hold.
 
-use std::{collections::VecDeque, rc::Rc};
+use std::{cell::OnceCell, collections::VecDeque, rc::Rc};
 
-use super::ConfigNews;
+use super::{ConfigNews, PackedConfig};
 use crate::config::{ConfigDelta, ConfigInput, ConfigVersion};
 
 /// Versions kept. Changes come five a second at most for some seconds, and
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub struct ConfigHistory {
     versions: VecDeque<Rc<ConfigInput>>,
+    /// The newest version, packed once for all nodes that ask.
+    packed: OnceCell<Rc<PackedConfig>>,
 }
 
 impl ConfigHistory {
@@ -24,19 +26,34 @@
             self.versions.pop_front();
         }
         self.versions.push_back(input);
+        self.packed.take();
     }
 
     /// Returns what a node needs that holds `version`; nothing when that is
     /// the newest here.
-    pub fn news_for(&self, version: ConfigVersion) -> Option<ConfigNews> {
-        let newest = self.versions.back()?;
+    ///
+    /// # Errors
+    ///
+    /// When the newest version can't be packed.
+    pub fn news_for(&self, version: ConfigVersion) -> Result<Option<ConfigNews>, std::io::Error> {
+        let Some(newest) = self.versions.back() else {
+            return Ok(None);
+        };
         if newest.version <= version {
-            return None;
+            return Ok(None);
         }
         let known = self.versions.iter().find(|input| input.version == version);
-        Some(match known {
+        Ok(Some(match known {
             Some(known) => ConfigNews::Delta(ConfigDelta::between(known, newest)),
-            None => ConfigNews::Whole(Rc::clone(newest)),
-        })
+            None => ConfigNews::Whole(self.packed(newest)?),
+        }))
+    }
+
+    fn packed(&self, newest: &ConfigInput) -> Result<Rc<PackedConfig>, std::io::Error> {
+        if let Some(packed) = self.packed.get() {
+            return Ok(Rc::clone(packed));
+        }
+        let packed = Rc::new(PackedConfig::pack(newest)?);
+        Ok(Rc::clone(self.packed.get_or_init(|| packed)))
     }
 }
--- a/crates/node/src/follow/fleet_follower.rs
+++ b/crates/node/src/follow/fleet_follower.rs
@@ -20,6 +20,9 @@
 /// old its contact with the store is, so a guide that is cut off is passed
 /// over a second or two after that shows.
 const FOLLOW_WAIT: Duration = Duration::from_secs(2);
+/// Longest wait of a question of a node that has no configuration yet: its callers are
+/// refused until another node is asked.
+const FIRST_WAIT: Duration = Duration::from_millis(400);
 /// Time beyond the wait in which the answer has to be here: a thousand routes
 /// take 0.4 s on the slowest links.
 const ANSWER_TIME: Duration = Duration::from_millis(1_200);
@@ -72,7 +75,12 @@
 
 /// Asks a guide once, and returns whether it has lost the store.
 async fn follow(core: &NodeCore, hop: SocketAddr, lost_known: bool) -> bool {
-    let question = question(core, FOLLOW_WAIT, lost_known);
+    let wait = if core.version().0 == 0 {
+        FIRST_WAIT
+    } else {
+        FOLLOW_WAIT
+    };
+    let question = question(core, wait, lost_known);
     let answer = ask(core, hop, question).await;
     let now = core.clock.now();
     let lost = match answer {
--- a/crates/node/src/follow/follow_message.rs
+++ b/crates/node/src/follow/follow_message.rs
@@ -2,12 +2,13 @@
 
 use std::{num::ParseIntError, rc::Rc, str::FromStr, time::Duration};
 
+use super::PackedConfig;
 use crate::crash::CrashRow;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 use crate::{
-    config::{ConfigDelta, ConfigInput, ConfigVersion},
+    config::{ConfigDelta, ConfigVersion},
     member::MemberNews,
     store::Revision,
 };
@@ -77,7 +78,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ConfigNews {
     /// All of it.
-    Whole(Rc<ConfigInput>),
+    Whole(Rc<PackedConfig>),
     /// What changed since the version that the asking node named.
     Delta(ConfigDelta),
 }
--- a/crates/node/src/follow/follow_port.rs
+++ b/crates/node/src/follow/follow_port.rs
@@ -5,9 +5,10 @@
 use http::{Response, StatusCode, Uri};
 use tokio::time::{Instant, timeout_at};
 
-use super::{FollowAnswer, FollowQuestion};
+use super::{ConfigNews, FollowAnswer, FollowQuestion};
 use crate::{
     answer_body::{AnswerBody, empty_answer, json_answer},
+    config::ConfigVersion,
     node_core::NodeCore,
 };
 
@@ -48,8 +49,10 @@
         loop {
             let heard = self.core.news.notified();
             let answer = self.news_for(question);
-            let empty =
-                answer.config.is_none() && answer.members.is_empty() && answer.crashes.is_empty();
+            // A node that starts knows its own data centre at first.
+            let members = &answer.members;
+            let no_members = members.is_empty() || members.revision == 0;
+            let empty = answer.config.is_none() && no_members && answer.crashes.is_empty();
             let changed = answer.store_lost != question.lost_known;
             if !empty || changed || Instant::now() >= until {
                 return answer;
@@ -66,9 +69,18 @@
         FollowAnswer {
             store_age_ms: guide.store_age(now).as_millis() as u64,
             store_lost: guide.has_lost_store(),
-            config: self.core.history.borrow().news_for(question.version),
+            config: self.config_news(question.version),
             crashes: self.core.crashes.borrow().rows_since(question.members),
             members: self.core.fleet.borrow().news_since(question.members),
         }
     }
+
+    fn config_news(&self, version: ConfigVersion) -> Option<ConfigNews> {
+        let news = self.core.history.borrow().news_for(version);
+        news.unwrap_or_else(|cause| {
+            slog::error!(self.core.log.logger(), "configuration not packed";
+                "version" => self.core.version().0, "cause" => %cause);
+            None
+        })
+    }
 }
--- a/crates/node/src/follow/member_watcher.rs
+++ b/crates/node/src/follow/member_watcher.rs
@@ -10,7 +10,7 @@
 };
 
 use super::{
-    MEMBER_PREFIX, NODE_PREFIX,
+    AnnouncementKey, NODE_PREFIX,
     member_notes::MemberNotes,
     news_intake::{take_crash, take_lapse, take_record},
 };
@@ -18,7 +18,7 @@
     crash::CRASH_PREFIX,
     member::MemberRecord,
     node_core::NodeCore,
-    store::{MetaStore, Revision, StoreError, StoreEvent, StoreItem},
+    store::{MetaStore, ReadAge, Revision, StoreError, StoreEvent, StoreItem},
 };
 
 /// Longest wait of a watch; the store allows 30 s. A connection gone silent
@@ -36,6 +36,14 @@
 /// Watches the announcements in the store while this node has to.
 pub async fn watch_members(core: Rc<NodeCore>, store: Rc<impl MetaStore>) {
     loop {
+        if !core.knows_home() {
+            core.until_store_back().await;
+            match list_home(&core, &*store).await {
+                Ok(()) => core.home_listed(),
+                Err(failure) => core.store_failed("members", &failure),
+            }
+            continue;
+        }
         if !core.watches_store() {
             let _idle = timeout(IDLE_LOOK, core.duty_changed.notified()).await;
             continue;
@@ -59,14 +67,24 @@
     }
 }
 
+/// Reads the announcements of this data centre, among which is the node that is to be
+/// asked for all else.
+async fn list_home(core: &NodeCore, store: &impl MetaStore) -> Result<(), StoreError> {
+    core.metrics.store_call("list-home");
+    let prefix = AnnouncementKey::prefix(&core.settings.data_centre);
+    let list = store.list(&prefix, ReadAge::Current).await?;
+    let present: Vec<SocketAddr> = take_items(core, &list.items);
+    core.store_answered();
+    if !present.contains(&core.settings.hop) {
+        core.announce.notify_one();
+    }
+    Ok(())
+}
+
 async fn list_members(core: &NodeCore, store: &impl MetaStore) -> Result<(), StoreError> {
     core.metrics.store_call("list-members");
     let list = store.list(NODE_PREFIX, core.first_read_age()).await?;
-    let mut notes = MemberNotes::default();
-    let items = list.items.iter();
-    let taken = items.filter_map(|item| take_item(core, item, &mut notes));
-    let present: HashSet<SocketAddr> = taken.collect();
-    notes.write(core.log.logger());
+    let present: HashSet<SocketAddr> = take_items(core, &list.items).into_iter().collect();
     let now = core.clock.now();
     let mut fleet = core.fleet.borrow_mut();
     fleet.listed(now, list.revision, |hop| present.contains(hop));
@@ -97,11 +115,7 @@
     for event in &batch.events {
         match event {
             StoreEvent::Written(item) => drop(take_item(core, item, &mut notes)),
-            StoreEvent::Deleted { key, revision } => {
-                if let Some(hop) = hop_of(key) {
-                    take_lapse(core, hop, *revision);
-                }
-            }
+            StoreEvent::Deleted { key, revision } => take_removal(core, key, *revision),
         }
     }
     notes.write(core.log.logger());
@@ -109,6 +123,17 @@
     Ok(())
 }
 
+/// Takes in items, and returns whose announcements are among them.
+fn take_items(core: &NodeCore, items: &[StoreItem]) -> Vec<SocketAddr> {
+    let mut notes = MemberNotes::default();
+    let taken = items
+        .iter()
+        .filter_map(|item| take_item(core, item, &mut notes));
+    let hops = taken.collect();
+    notes.write(core.log.logger());
+    hops
+}
+
 /// Takes in an item, and returns whose announcement it is.
 ///
 /// **Failure.** Something else writes to the store: fields are missing or of
@@ -121,23 +146,41 @@
         take_crashes(core, item);
         return None;
     }
-    let hop = hop_of(&item.key);
     let cause = match parse_record(item) {
-        Ok(record) if Some(record.hop) == hop => {
+        Ok(record) if key_of(&record).as_str() == item.key => {
+            let hop = record.hop;
             take_record(core, record, item.revision, notes);
-            return hop;
+            return Some(hop);
         }
         Ok(record) => format!("it is of {}", record.hop),
         Err(cause) => cause.to_string(),
     };
     error!(core.log.logger(), "announcement unreadable";
         "key" => &*item.key, "revision" => item.revision.0, "cause" => cause);
-    if let Some(hop) = hop {
-        take_lapse(core, hop, item.revision);
-    }
+    take_removal(core, &item.key, item.revision);
     None
 }
 
+/// Takes in that there is no announcement at a key. A key at which its node wouldn't
+/// announce itself says nothing of a member.
+fn take_removal(core: &NodeCore, key: &str, revision: Revision) {
+    let Some(hop) = AnnouncementKey::hop_in(key) else {
+        return;
+    };
+    let known = {
+        let fleet = core.fleet.borrow();
+        let member = fleet.key_of(hop).and_then(|key| fleet.get(key));
+        member.map(|member| key_of(&member.record))
+    };
+    if known.is_none_or(|known| known.as_str() == key) {
+        take_lapse(core, hop, revision);
+    }
+}
+
+fn key_of(record: &MemberRecord) -> AnnouncementKey {
+    AnnouncementKey::new(&record.data_centre, record.hop)
+}
+
 fn parse_record(item: &StoreItem) -> Result<MemberRecord, serde_json::Error> {
     serde_json::from_slice(&item.value)
 }
@@ -153,7 +196,3 @@
             "key" => &*item.key, "cause" => %cause),
     }
 }
-
-fn hop_of(key: &str) -> Option<SocketAddr> {
-    key.strip_prefix(MEMBER_PREFIX)?.parse().ok()
-}
--- a/crates/node/src/follow/mod.rs
+++ b/crates/node/src/follow/mod.rs
@@ -11,6 +11,7 @@
 //! calls it ([`StoreAccess`]): often at the nodes that others follow, which tell
 //! them when it is back.
 
+mod announcement_key;
 mod announcer;
 mod config_history;
 mod config_source;
@@ -22,11 +23,13 @@
 mod member_notes;
 mod member_watcher;
 mod news_intake;
+mod packed_config;
 mod store_access;
 mod store_look;
 
 use crate::node_core::NodeCore;
 
+pub use announcement_key::{AnnouncementKey, MEMBER_PREFIX};
 pub use announcer::keep_announced;
 pub use config_history::ConfigHistory;
 pub use config_source::ConfigSource;
@@ -36,15 +39,14 @@
 pub use follow_port::{FOLLOW_PATH, FollowPort};
 pub use guide::{Guide, GuideChoice, StoreContact};
 pub use member_watcher::watch_members;
+pub use packed_config::{PackedConfig, UnpackError};
 pub use store_access::{LookDuty, StoreAccess};
 pub use store_look::look_for_store;
 
 /// Returns the key of a node's own announcement.
-pub(crate) fn own_key(core: &NodeCore) -> String {
-    format!("{MEMBER_PREFIX}{}", core.settings.hop)
+pub(crate) fn own_key(core: &NodeCore) -> AnnouncementKey {
+    AnnouncementKey::new(&core.settings.data_centre, core.settings.hop)
 }
 
-/// Prefix of the announcements in the store.
-pub const MEMBER_PREFIX: &str = "geranium/member/";
 /// Prefix of all that nodes keep in the store.
 pub const NODE_PREFIX: &str = "geranium/";
--- a/crates/node/src/follow/news_intake.rs
+++ b/crates/node/src/follow/news_intake.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashSet, net::SocketAddr, rc::Rc};
 
 use crate::crash::CrashRow;
-use slog::{info, warn};
+use slog::{error, info, warn};
 
 use super::{
     ConfigNews, FollowAnswer,
@@ -30,7 +30,14 @@
 fn take_config(core: &NodeCore, from: SocketAddr, news: ConfigNews) {
     let before = core.config.borrow().clone();
     let input = match news {
-        ConfigNews::Whole(input) => Some(input),
+        ConfigNews::Whole(packed) => match packed.unpack() {
+            Ok(input) => Some(Rc::new(input)),
+            Err(cause) => {
+                error!(core.log.logger(), "configuration unreadable";
+                    "from" => %from, "in_force" => core.version().0, "cause" => %cause);
+                None
+            }
+        },
         ConfigNews::Delta(delta) => before
             .as_ref()
             .and_then(|before| delta.apply(&before.input))
--- a/crates/node/src/follow/store_look.rs
+++ b/crates/node/src/follow/store_look.rs
@@ -5,7 +5,7 @@
 use rand::RngExt;
 use tokio::time::{Instant, timeout_at};
 
-use super::{LookDuty, own_key};
+use super::own_key;
 use crate::{
     node_core::NodeCore,
     store::{MetaStore, ReadAge},
@@ -19,7 +19,7 @@
         core.store_lost.notified().await;
         while until_look_due(&core).await {
             core.metrics.store_call("look");
-            let looked = store.read(&key, ReadAge::Recent).await;
+            let looked = store.read(key.as_str(), ReadAge::Recent).await;
             let mut access = core.store_access.borrow_mut();
             if looked.is_ok() {
                 access.looked();
@@ -45,12 +45,8 @@
         if core.store_access.borrow().is_open() {
             return false;
         }
-        let duty = if core.watches_store() {
-            LookDuty::Own
-        } else {
-            LookDuty::Told
-        };
-        let due = since + core.store_access.borrow().pause(duty, share);
+        let pause = core.store_access.borrow().pause(core.look_duty(), share);
+        let due = since + pause;
         if timeout_at(due, core.duty_changed.notified()).await.is_err() {
             return true;
         }
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -120,6 +120,8 @@
     sizes: RefCell<AnswerSizes>,
     caller_service: RefCell<HeaderValue>,
     stopping_since: Cell<Option<Duration>>,
+    /// When the members of this data centre were first read.
+    home_listed_at: Cell<Option<Duration>>,
 }
 
 impl NodeCore {
@@ -180,6 +182,7 @@
             sizes: RefCell::default(),
             caller_service: RefCell::new(caller_service),
             stopping_since: Cell::new(None),
+            home_listed_at: Cell::new(None),
             settings,
             headers,
             clock,
--- a/crates/node/src/node_core/store_contact.rs
+++ b/crates/node/src/node_core/store_contact.rs
@@ -7,7 +7,7 @@
 
 use super::NodeCore;
 use crate::{
-    follow::GuideChoice,
+    follow::{GuideChoice, LookDuty},
     store::{ReadAge, Revision, StoreError},
 };
 
@@ -18,6 +18,9 @@
 /// heartbeats.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Time left to another node to bring the first configuration and members.
+const FIRST_NEWS: Duration = Duration::from_secs(1);
+
 impl NodeCore {
     /// Notes that the store answered.
     pub fn store_answered(&self) {
@@ -106,22 +109,52 @@
         self.duty_changed.notify_waiters();
     }
 
-    /// Returns where this node gets its news. Before it knows anything that is
-    /// the store.
+    /// Notes that the members of this data centre are known.
+    pub fn home_listed(&self) {
+        self.home_listed_at.set(Some(self.clock.now()));
+        self.duty_changed.notify_waiters();
+    }
+
+    /// Whether this node knows whom it can ask for news. When the whole fleet starts for
+    /// the first time there is nobody to be known.
+    pub fn knows_home(&self) -> bool {
+        self.settings.first_start || self.home_listed_at.get().is_some()
+    }
+
+    /// Whether a node that knows nothing yet still leaves it to another one to read the
+    /// store.
+    ///
+    /// After a power cut all nodes of a data centre start in the same second. A large
+    /// configuration, read by each of them, fills the store's link and theirs.
+    fn may_wait_for_guide(&self, now: Duration) -> bool {
+        let listed = self.home_listed_at.get();
+        listed.is_some_and(|at| now < at + FIRST_NEWS)
+    }
+
+    /// Returns where this node gets its news.
     pub fn guide_choice(&self) -> GuideChoice {
+        let now = self.clock.now();
         let fleet = self.fleet.borrow();
-        if fleet.revision() == Revision(0) || self.config.borrow().is_none() {
+        let knows_all = fleet.revision() != Revision(0) && self.config.borrow().is_some();
+        if !knows_all && !self.may_wait_for_guide(now) {
             return GuideChoice::Store;
         }
-        self.guide
-            .borrow()
-            .choose(self.clock.now(), &fleet.carriers())
+        self.guide.borrow().choose(now, &fleet.carriers())
     }
 
     /// Whether this node watches the store.
     pub fn watches_store(&self) -> bool {
         let asked = self.guide.borrow().is_asked(self.clock.now());
-        asked || self.guide_choice() == GuideChoice::Store
+        self.knows_home() && (asked || self.guide_choice() == GuideChoice::Store)
+    }
+
+    /// Returns who looks for a store that this node has lost.
+    pub fn look_duty(&self) -> LookDuty {
+        if self.watches_store() || !self.knows_home() {
+            LookDuty::Own
+        } else {
+            LookDuty::Told
+        }
     }
 
     /// Waits until this node needn't watch the store.
--- a/crates/node/tests/all/config.rs
+++ b/crates/node/tests/all/config.rs
@@ -182,12 +182,17 @@
     assert_eq!(read, delta);
 }
 
+fn news(history: &ConfigHistory, version: u64) -> Option<ConfigNews> {
+    let news = history.news_for(ConfigVersion(version));
+    news.expect("it can be packed")
+}
+
 /// A node asks for news that holds a version of a moment ago, one of long ago,
 /// none, or a later one than the guide.
 #[test]
 fn history_answers_with_the_least_that_does() {
     let mut history = ConfigHistory::default();
-    assert_eq!(history.news_for(ConfigVersion(0)), None);
+    assert_eq!(news(&history, 0), None);
     for version in 10..40 {
         history.push(Rc::new(document(
             version,
@@ -195,18 +200,12 @@
         )));
     }
     assert!(
-        matches!(history.news_for(ConfigVersion(38)), Some(ConfigNews::Delta(delta)) if delta.to == ConfigVersion(39))
+        matches!(news(&history, 38), Some(ConfigNews::Delta(delta)) if delta.to == ConfigVersion(39))
     );
-    assert!(matches!(
-        history.news_for(ConfigVersion(12)),
-        Some(ConfigNews::Whole(_))
-    ));
-    assert!(matches!(
-        history.news_for(ConfigVersion(0)),
-        Some(ConfigNews::Whole(_))
-    ));
-    assert_eq!(history.news_for(ConfigVersion(39)), None);
-    assert_eq!(history.news_for(ConfigVersion(50)), None);
+    assert!(matches!(news(&history, 12), Some(ConfigNews::Whole(_))));
+    assert!(matches!(news(&history, 0), Some(ConfigNews::Whole(_))));
+    assert_eq!(news(&history, 39), None);
+    assert_eq!(news(&history, 50), None);
 }
 
 fn settings() -> NodeSettings {
--- a/crates/rig/src/rig_node.rs
+++ b/crates/rig/src/rig_node.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use geranium_node::follow::AnnouncementKey;
 use geranium_standins::{Machine, MachineAddrs};
 use snafu::ResultExt;
 
@@ -87,6 +88,11 @@
 }
 
 impl RigNode {
+    /// Returns the key of its announcement in the store.
+    pub fn announcement_key(&self) -> AnnouncementKey {
+        AnnouncementKey::new(&self.machine.data_centre, self.hop_link.addr())
+    }
+
     /// Starts backend server, links and node.
     ///
     /// # Errors
--- a/crates/rig/src/soak/fault_actor.rs
+++ b/crates/rig/src/soak/fault_actor.rs
@@ -191,11 +191,11 @@
     fn write_foreign(&mut self, fleet: &RigFleet, targets: &[usize]) {
         for &target in targets {
             let node = &fleet.nodes[target];
-            let hop = node.hop_link.addr();
+            let key = node.announcement_key();
             let mut state = fleet.store.state();
             for (number, value) in FOREIGN_VALUES.iter().enumerate() {
                 state.operator_put(&format!("geranium/member/foreign-{number}"), value);
-                state.operator_put(&format!("geranium/member/{hop}"), value);
+                state.operator_put(key.as_str(), value);
             }
             drop(state);
             let endpoint = Arc::clone(&node.endpoint);
@@ -323,7 +323,6 @@
 fn revoke(fleet: &RigFleet, targets: &[usize]) {
     let mut state = fleet.store.state();
     for &target in targets {
-        let hop = fleet.nodes[target].hop_link.addr();
-        state.revoke(&format!("geranium/member/{hop}"));
+        state.revoke(fleet.nodes[target].announcement_key().as_str());
     }
 }
