Let callers of a node that starts wait for its first configuration

Cause: a node that has just started refuses its callers as not ready, with 0.2 s to come back. Most ask only once more, and the configuration comes 0.3 to 0.9 s after the start.

Change: requests wait for it, up to 1.2 s after the node's start and 128 of them; the rest hears when that is over. Nothing is known yet that speaks against serving them, and their deadlines are longer. Later on, without a configuration, the store is away, and the advice is 0.5 s.

Test: the first answer of a node that restarts beside a slow store is 404 for a route that isn't there; it was 503.

--- a/crates/node/src/front/front_flow.rs
+++ b/crates/node/src/front/front_flow.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{
     FrontAnswer, FrontRequest,
@@ -15,16 +15,20 @@
 };
 use crate::{
     answer_body::AnswerBody,
-    config::RouteRule,
+    config::{MeshConfig, RouteRule},
     crash::request_print,
     header_set::{strip_connection, strip_hop},
     node_core::NodeCore,
     result_code::ResultCode,
 };
 
-/// Advice before the first configuration: it is read within a fraction of a
-/// second once the store answers.
-const RETRY_NOT_READY: Duration = Duration::from_millis(200);
+/// Time after a node's start in which its first configuration is expected.
+const FIRST_CONFIG_TIME: Duration = Duration::from_millis(1_200);
+/// Most requests that are held for the first configuration.
+const HELD_MAX: u32 = 128;
+/// Least advice before the first configuration. When it isn't there soon after the start
+/// the store is away.
+const RETRY_NOT_READY: Duration = Duration::from_millis(500);
 /// Advice while stopping: the process ends and is back within a second or so.
 const RETRY_STOPPING: Duration = Duration::from_millis(250);
 /// Time before the caller's own end at which it gets a final answer: the way
@@ -78,8 +82,7 @@
             return Err(FrontAnswer::not_run(ResultCode::Draining, RETRY_STOPPING));
         }
         let (mut head, body) = incoming.into_parts();
-        let config = self.core.config.borrow().clone();
-        let config = config.ok_or(FrontAnswer::not_run(ResultCode::NotReady, RETRY_NOT_READY))?;
+        let config = self.current_config().await?;
         let route = host_of(&head).and_then(|host| config.route(&host, head.uri.path()).cloned());
         let no_route = FrontAnswer::rejected(ResultCode::NoRoute, StatusCode::NOT_FOUND);
         let route = route.ok_or(no_route)?;
@@ -123,6 +126,27 @@
         })
     }
 
+    /// Returns the configuration in force. A node that has just started waits for the
+    /// first one.
+    ///
+    /// After a power cut callers ask again before any node has read its configuration,
+    /// and most of them ask no third time.
+    async fn current_config(&self) -> Result<Rc<MeshConfig>, FrontAnswer> {
+        loop {
+            let heard = self.core.news.notified();
+            let config = self.core.config.borrow().clone();
+            if let Some(config) = config {
+                return Ok(config);
+            }
+            let left = FIRST_CONFIG_TIME.saturating_sub(self.core.clock.now());
+            if left.is_zero() || self.core.open.get() > HELD_MAX {
+                let retry_after = left.max(RETRY_NOT_READY);
+                return Err(FrontAnswer::not_run(ResultCode::NotReady, retry_after));
+            }
+            let _timed_out = timeout(left, heard).await;
+        }
+    }
+
     /// Refuses a request that has crashed backend servers.
     fn check_print(&self, print: u64) -> Result<(), FrontAnswer> {
         let now = self.core.clock.now();
