Keep lease and announcement over a restart of the node alone

Change: a node that starts renews the lease of the announcement that its earlier process left (a tenth of a call), and writes only if something else than the time to warm up or the report's number differs.

--- a/crates/ctl/tests/all/support/memory_store.rs
+++ b/crates/ctl/tests/all/support/memory_store.rs
@@ -128,6 +128,7 @@
             key: key.to_owned(),
             value: value.clone(),
             revision: *revision,
+            lease: None,
         })
     }
 }
--- a/crates/node/src/follow/announcer.rs
+++ b/crates/node/src/follow/announcer.rs
@@ -103,17 +103,46 @@
                     lease
                 }
             },
-            None => self.grant(way).await?,
+            None => self.take_over(core, way).await?,
         };
         if Instant::now() >= *renew_at {
             *renew_at = Instant::now() + RENEW_TIME;
         }
-        if self.record.as_ref() == Some(&wanted) {
+        if self.stands_for(&wanted) {
             return Ok(());
         }
         self.write(core, way, key.as_str(), wanted, lease).await
     }
 
+    /// Keeps the lease and the announcement that an earlier process of this node left, or
+    /// asks for a new lease.
+    ///
+    /// Nodes restart more often than their backend servers do, and many at once; each new
+    /// lease and announcement is a call, and a change that every other node hears of.
+    async fn take_over(
+        &mut self,
+        core: &NodeCore,
+        way: &StoreWay<impl MetaStore>,
+    ) -> Result<LeaseId, StoreError> {
+        let Some(lease) = core.own_lease.get() else {
+            return self.grant(way).await;
+        };
+        let renewed = way.renew(lease).await;
+        if let Err(StoreError::NoLease) = renewed {
+            core.own_lease.set(None);
+            return self.grant(way).await;
+        }
+        renewed?;
+        core.own_lease.set(None);
+        let fleet = core.fleet.borrow();
+        let own = fleet.key_of(core.settings.hop);
+        let member = own.and_then(|key| fleet.get(key));
+        let standing = member.filter(|member| !member.has_lapsed());
+        self.record = standing.map(|member| member.record.clone());
+        self.lease = Some(lease);
+        Ok(lease)
+    }
+
     async fn grant(&mut self, way: &StoreWay<impl MetaStore>) -> Result<LeaseId, StoreError> {
         self.lease = None;
         self.record = None;
@@ -194,12 +223,22 @@
 
     /// Tells who waits once the store holds what it should.
     fn settle(&self, core: &NodeCore) {
-        if self.record == wanted(core) {
+        let settled = match wanted(core) {
+            Some(wanted) => self.stands_for(&wanted),
+            None => self.record.is_none(),
+        };
+        if settled {
             core.announce_pending.set(false);
             core.announced.notify_waiters();
         }
     }
 
+    /// Whether what stands in the store tells others all that matters of `wanted`.
+    fn stands_for(&self, wanted: &MemberRecord) -> bool {
+        let record = self.record.as_ref();
+        record.is_some_and(|record| record.stands_for(wanted))
+    }
+
     /// Notices what the watch has brought about the own key since the last
     /// write.
     fn see(&mut self, core: &NodeCore) {
--- a/crates/node/src/follow/member_watcher.rs
+++ b/crates/node/src/follow/member_watcher.rs
@@ -13,6 +13,7 @@
     AnnouncementKey, NODE_PREFIX,
     member_notes::MemberNotes,
     news_intake::{take_crash, take_lapse, take_record},
+    own_key,
 };
 use crate::{
     crash::CRASH_PREFIX,
@@ -74,6 +75,9 @@
     let prefix = AnnouncementKey::prefix(&core.settings.data_centre);
     let list = store.list(&prefix, ReadAge::Current).await?;
     let present: Vec<SocketAddr> = take_items(core, &list.items);
+    let key = own_key(core);
+    let own = list.items.iter().find(|item| item.key == key.as_str());
+    core.own_lease.set(own.and_then(|item| item.lease));
     core.store_answered();
     if !present.contains(&core.settings.hop) {
         core.announce.notify_one();
--- a/crates/node/src/member/member_record.rs
+++ b/crates/node/src/member/member_record.rs
@@ -46,3 +46,16 @@
     /// Number of the report on which this rests; later ones are greater.
     pub sequence: u64,
 }
+
+impl MemberRecord {
+    /// Whether it tells other nodes all that matters of `other`: how long the backend
+    /// server stays slow, and by which report, is of no use without another change.
+    pub fn stands_for(&self, other: &Self) -> bool {
+        let other = Self {
+            cold_ms: self.cold_ms,
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == other
+    }
+}
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -36,6 +36,7 @@
     node_metrics::NodeMetrics,
     node_settings::NodeSettings,
     retry::RetryBudget,
+    store::LeaseId,
 };
 
 /// Slots assumed until the backend server tells: the usual size of one.
@@ -81,6 +82,8 @@
     pub announce: Notify,
     /// Own announcement as an earlier process left it.
     pub own_record: RefCell<Option<MemberRecord>>,
+    /// Lease of that announcement.
+    pub own_lease: Cell<Option<LeaseId>>,
     /// Wakes who confirms it.
     pub own_record_heard: Notify,
     /// Wakes who waits until the announcement stands in the store.
@@ -161,6 +164,7 @@
             log,
             announce: Notify::new(),
             own_record: RefCell::default(),
+            own_lease: Cell::new(None),
             own_record_heard: Notify::new(),
             announced: Notify::new(),
             announce_pending: Cell::new(false),
--- a/crates/node/src/store/store_item.rs
+++ b/crates/node/src/store/store_item.rs
@@ -25,6 +25,8 @@
     pub value: Vec<u8>,
     /// Revision of the last change.
     pub revision: Revision,
+    /// Lease with which it ends.
+    pub lease: Option<LeaseId>,
 }
 
 /// One key as it was read.
