Look less often for the store at nodes that another one tells of its return

Followers of a node that has lost the store as well look every 4 to 8 s in place of 2 to 4 s: an outage of 8 s costs them one look or two. A node that is turned away alone, while the one that it follows reaches the store, looks every 0.75 to 1.5 s: with 4 to 8 s `logs::what_a_node_believes_has_its_lines` failed once beside load, as the node was told to stop and ended before it had regained the store.

--- a/crates/node/src/follow/guide.rs
+++ b/crates/node/src/follow/guide.rs
@@ -52,6 +52,8 @@
     asked_until: Duration,
     store_seen: Duration,
     store_lost: bool,
+    /// Whether the node that was asked last is cut off from the store.
+    guide_cut_off: bool,
 }
 
 impl Guide {
@@ -64,6 +66,7 @@
             asked_until: Duration::ZERO,
             store_seen: Duration::ZERO,
             store_lost: false,
+            guide_cut_off: false,
         }
     }
 
@@ -105,6 +108,7 @@
     #[must_use]
     pub fn told(&mut self, now: Duration, hop: SocketAddr, contact: StoreContact) -> bool {
         let cut_off = contact.lost || contact.age > STORE_STALE;
+        self.guide_cut_off = cut_off;
         if !cut_off || self.is_cut_off(now) {
             return false;
         }
@@ -112,6 +116,11 @@
         self.cut_nodes(now) >= LOST_FOR_ALL
     }
 
+    /// Whether the node that was asked last is cut off from the store.
+    pub const fn is_guide_cut_off(&self) -> bool {
+        self.guide_cut_off
+    }
+
     fn is_cut_off(&self, now: Duration) -> bool {
         self.store_lost || self.store_age(now) > STORE_STALE
     }
--- a/crates/node/src/follow/store_access.rs
+++ b/crates/node/src/follow/store_access.rs
@@ -7,16 +7,21 @@
 /// Longest pause. A node has to be back two seconds after the store is, with
 /// a look that may hang for one and a call or two to make by then.
 const PAUSE_MAX: Duration = Duration::from_millis(700);
-/// Pause from the second look on at a node that another one tells when the store is
-/// back. It finds out by itself when only this node was turned away.
-const PAUSE_TOLD: Duration = Duration::from_secs(4);
+/// Longest pause of a node that is turned away while others reach the store: they make
+/// its calls meanwhile.
+const PAUSE_ALONE: Duration = Duration::from_millis(1_500);
+/// Longest pause of a node that another one tells when the store is back.
+const PAUSE_TOLD: Duration = Duration::from_secs(8);
 
 /// Who looks for a store that has been lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LookDuty {
     /// This node, for itself and for those that follow it.
     Own,
-    /// Another node, which tells this one when the store is back.
+    /// This node, for itself: the one that it follows reaches the store.
+    Alone,
+    /// Another node, which has lost the store as well and tells this one when it is
+    /// back.
     Told,
 }
 
@@ -88,10 +93,13 @@
     /// assert!(told > access.pause(LookDuty::Own, 1.0));
     /// ```
     pub fn pause(&self, duty: LookDuty, share: f64) -> Duration {
-        let doublings = self.failures.saturating_sub(1).min(3);
+        let doublings = self.failures.saturating_sub(1).min(10);
+        let pause = PAUSE_FIRST * (1 << doublings);
         let pause = match duty {
+            LookDuty::Own => pause.min(PAUSE_MAX),
+            LookDuty::Alone => pause.min(PAUSE_ALONE),
             LookDuty::Told if doublings > 0 => PAUSE_TOLD,
-            _ => (PAUSE_FIRST * (1 << doublings)).min(PAUSE_MAX),
+            LookDuty::Told => pause,
         };
         pause.mul_f64(0.5 + 0.5 * share)
     }
--- a/crates/node/src/node_core/store_contact.rs
+++ b/crates/node/src/node_core/store_contact.rs
@@ -150,8 +150,10 @@
     pub fn look_duty(&self) -> LookDuty {
         if self.watches_store() || !self.knows_home() {
             LookDuty::Own
-        } else {
+        } else if self.guide.borrow().is_guide_cut_off() {
             LookDuty::Told
+        } else {
+            LookDuty::Alone
         }
     }
 
