--- a/crates/node/src/door/door_flow.rs
+++ b/crates/node/src/door/door_flow.rs
@@ -20,7 +20,7 @@
 
 use super::{
     CallBook, DoorQueue, DoorRefusal, DoorRequest, EndpointBreaker, EndpointGate, JobKey,
-    RefusalReason, RunAges,
+    RefusalReason,
 };
 use crate::{
     answer_body::AnswerBody,
@@ -88,24 +88,16 @@
     pub(super) link: Rc<LinkLine>,
     pub(super) sizes: RefCell<AnswerSizes>,
     pub(super) queue: RefCell<DoorQueue>,
-    pub(super) ages: RefCell<RunAges>,
     pub(super) waiters: RefCell<HashMap<JobKey, oneshot::Sender<()>>>,
 }
 
 impl DoorInner {
     /// Frees a slot and starts who is next.
     pub(super) fn finish(&self, class: u64, took: Option<Duration>) {
-        let mut queue = self.queue.borrow_mut();
-        let granted = queue.finish(self.clock.now(), class, took);
-        drop(queue);
-        self.wake(granted);
-    }
-
-    /// Frees the slot of a run that was cut short, and starts who is next.
-    pub(super) fn cut(&self, class: u64, elapsed: Duration) {
-        let mut queue = self.queue.borrow_mut();
-        let granted = queue.cut(self.clock.now(), class, elapsed);
-        drop(queue);
+        let granted = self
+            .queue
+            .borrow_mut()
+            .finish(self.clock.now(), class, took);
         self.wake(granted);
     }
 
@@ -151,7 +143,6 @@
             link,
             sizes: RefCell::default(),
             queue: RefCell::new(DoorQueue::new(settings.slots)),
-            ages: RefCell::default(),
             waiters: RefCell::default(),
         };
         Self {
@@ -210,15 +201,13 @@
     /// Returns the load of the backend server, as whoever asks for runs of
     /// `class` needs it.
     pub fn load(&self, class: u64) -> LoadReport {
-        let now = self.inner.clock.now();
         let queue = self.inner.queue.borrow();
-        let ages = self.inner.ages.borrow();
         LoadReport {
             running: queue.running(),
             waiting: queue.waiting(),
-            service: queue.service().max(ages.mean(now)),
-            run: queue.service_of(class).max(ages.mean_of(now, class)),
-            link: self.inner.link.schedule().backlog(now),
+            service: queue.service(),
+            run: queue.service_of(class),
+            link: self.inner.link.schedule().backlog(self.inner.clock.now()),
         }
     }
 
--- a/crates/node/src/door/door_queue.rs
+++ b/crates/node/src/door/door_queue.rs
@@ -257,7 +257,8 @@
 
     /// Takes in that a job ended and returns the jobs that run now.
     ///
-    /// `took` is the time of the run; `None` when it says nothing about the pace.
+    /// `took` is the time of a whole run; `None` when it was cut short, which
+    /// says nothing about the pace.
     pub fn finish(&mut self, now: Duration, class: u64, took: Option<Duration>) -> Vec<JobKey> {
         self.running = self.running.saturating_sub(1);
         if let Some(took) = took {
@@ -266,17 +267,6 @@
         self.grant(now)
     }
 
-    /// Takes in that a job ended unfinished after `elapsed` and returns the jobs that
-    /// run now.
-    ///
-    /// A run that lasted longer than the mean before it was cut short would have taken
-    /// at least that long; one that was cut sooner says nothing about the pace.
-    pub fn cut(&mut self, now: Duration, class: u64, elapsed: Duration) -> Vec<JobKey> {
-        let known = self.service_of(class);
-        let overdue = known > Duration::ZERO && elapsed > known;
-        self.finish(now, class, overdue.then_some(elapsed))
-    }
-
     fn note_wait(&mut self, job: WaitingJob, waited: Duration) {
         self.books.waited(job.class, job.late, job.planned, waited);
     }
--- a/crates/node/src/door/mod.rs
+++ b/crates/node/src/door/mod.rs
@@ -18,7 +18,6 @@
 mod endpoint_gate;
 mod endpoint_report;
 mod link_admission;
-mod run_ages;
 mod run_slot;
 mod slot_wait;
 
@@ -31,5 +30,4 @@
 pub use endpoint_confirm::confirm_endpoint;
 pub use endpoint_gate::{EndpointGate, LocalEndpoint, ReportVerdict};
 pub use endpoint_report::{EndpointReport, ReportState};
-pub use run_ages::{RunAges, RunKey};
 pub use run_slot::RunSlot;
--- a/crates/node/src/door/run_slot.rs
+++ b/crates/node/src/door/run_slot.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::{RunKey, door_flow::DoorInner};
+use super::door_flow::DoorInner;
 use crate::hop::PooledSender;
 
 /// A slot of the backend server, held by one request until its answer is made.
@@ -19,16 +19,13 @@
     class: u64,
     started: Instant,
     sender: Option<PooledSender>,
-    run: RunKey,
     made: bool,
 }
 
 impl RunSlot {
     pub(super) fn new(inner: Rc<DoorInner>, class: u64) -> Self {
-        let run = inner.ages.borrow_mut().begin(inner.clock.now(), class);
         Self {
             inner,
-            run,
             class,
             started: Instant::now(),
             sender: None,
@@ -43,7 +40,6 @@
     /// Gives the slot back: the answer is made.
     pub fn made(&mut self) {
         if !std::mem::replace(&mut self.made, true) {
-            self.inner.ages.borrow_mut().end(self.run);
             self.inner.finish(self.class, Some(self.started.elapsed()));
         }
     }
@@ -60,8 +56,7 @@
 impl Drop for RunSlot {
     fn drop(&mut self) {
         if !self.made {
-            self.inner.ages.borrow_mut().end(self.run);
-            self.inner.cut(self.class, self.started.elapsed());
+            self.inner.finish(self.class, None);
         }
     }
 }
