--- a/crates/node/src/follow/guide.rs
+++ b/crates/node/src/follow/guide.rs
@@ -53,7 +53,7 @@
     store_seen: Duration,
     store_lost: bool,
     /// Whether the node that was asked last is cut off from the store.
-    guide_cut_off: bool,
+    asked_cut_off: bool,
 }
 
 impl Guide {
@@ -66,7 +66,7 @@
             asked_until: Duration::ZERO,
             store_seen: Duration::ZERO,
             store_lost: false,
-            guide_cut_off: false,
+            asked_cut_off: false,
         }
     }
 
@@ -108,7 +108,7 @@
     #[must_use]
     pub fn told(&mut self, now: Duration, hop: SocketAddr, contact: StoreContact) -> bool {
         let cut_off = contact.lost || contact.age > STORE_STALE;
-        self.guide_cut_off = cut_off;
+        self.asked_cut_off = cut_off;
         if !cut_off || self.is_cut_off(now) {
             return false;
         }
@@ -118,7 +118,7 @@
 
     /// Whether the node that was asked last is cut off from the store.
     pub const fn is_guide_cut_off(&self) -> bool {
-        self.guide_cut_off
+        self.asked_cut_off
     }
 
     fn is_cut_off(&self, now: Duration) -> bool {
