Give members of unknown pace the target time before they are doubted

Runs take 320 ms, and up to 0.9 s cold: 1,845 members were taken for silent in the two seconds after a restart of all, kept out for half a second, and their requests sent to a second member each, where slots were short.

Change: while no run of the class is known, patience is the target time.

Ruled out: a larger assumed time; it would be another guess.

--- a/crates/node/src/member/member_choice.rs
+++ b/crates/node/src/member/member_choice.rs
@@ -176,11 +176,18 @@
     }
 
     /// Returns how long a member may stay silent before it is doubted.
+    ///
+    /// While no member has told how long such runs take, as after a start, that is the
+    /// target time: an assumed one would doubt every member that is slower, and send each
+    /// request to two of them when all are cold.
     pub fn patience(&self, now: Duration, key: MemberKey, query: &PickQuery<'_>) -> Duration {
         let Some(pool) = self.services.get(query.service) else {
             return PATIENCE_MIN;
         };
         let cost = self.cost(now, pool, query);
+        if cost.usual.run.is_none() {
+            return PATIENCE_MIN.max(query.target);
+        }
         let expected = self.get(key).map_or(0.0, |member| cost.expected_s(member));
         PATIENCE_MIN.max(Duration::from_secs_f64(expected * PATIENCE_RUNS))
     }
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -319,3 +319,12 @@
     fleet.judged(now, keys[2], TryEnd::Shut);
     assert_eq!(fleet.link_wait(now, &query), Some(retry_after));
 }
+
+/// Guards against members that are doubted after a start, before any has told how long
+/// its runs take.
+#[test]
+fn a_member_of_unknown_pace_is_given_the_target_time() {
+    let fleet = view(1, 1);
+    let key = fleet.key_of(hop(1)).expect("it is announced");
+    assert!(fleet.patience(at(10), key, &QUERY) >= QUERY.target);
+}
