Look a member up by its address in one place

The announcer, twice, and the member watcher went from an address to a key to a member by themselves; FleetView::at does. The test of an outage's cost took its guide's address out of the choice twice, and two tests of beliefs read a log the same way.

No behaviour changed; every assertion stands.

--- a/crates/ctl/tests/all/explain.rs
+++ b/crates/ctl/tests/all/explain.rs
@@ -20,6 +20,13 @@
     scan.finish()
 }
 
+/// Returns what was believed at the first decision about request `q`.
+fn first_belief(text: &str) -> Option<String> {
+    let mut scan = LogScan::new("q");
+    scan.read(text.as_bytes()).expect("bytes can be read");
+    scan.finish().events[0].belief.clone()
+}
+
 #[test]
 fn a_story_is_in_order_and_names_its_inputs() {
     insta::assert_snapshot!(story("q7"), @r"
@@ -35,12 +42,9 @@
 fn what_was_believed_before_stands_beside_a_decision() {
     let text = r#"{"msg":"member announced","ts":"1","node":"n1","at":"a","service":"s","instance":"i","state":"ready","revision":4}
 {"msg":"door refused","ts":"2","node":"n1","request":"q","at":"a","instance":"i","reason":"full","retry_after_ms":9}"#;
-    let mut scan = LogScan::new("q");
-    scan.read(text.as_bytes()).expect("bytes can be read");
-    let story = scan.finish();
-    let belief = story.events[0].belief.as_deref();
+    let belief = first_belief(text);
     assert_eq!(
-        belief,
+        belief.as_deref(),
         Some("1: member a (s, i) announced as ready at revision 4")
     );
 }
@@ -50,12 +54,9 @@
 fn a_belief_is_found_among_many_in_one_line() {
     let text = r#"{"msg":"members announced","ts":"1","node":"n1","count":2,"members":"a 4 ready s i; b 5 leaving t j"}
 {"msg":"door refused","ts":"2","node":"n1","request":"q","at":"b","instance":"j","reason":"leaving","retry_after_ms":9}"#;
-    let mut scan = LogScan::new("q");
-    scan.read(text.as_bytes()).expect("bytes can be read");
-    let story = scan.finish();
-    let belief = story.events[0].belief.as_deref();
+    let belief = first_belief(text);
     assert_eq!(
-        belief,
+        belief.as_deref(),
         Some("1: member b (t, j) announced as leaving at revision 5")
     );
 }
--- a/crates/node/src/follow/announcer.rs
+++ b/crates/node/src/follow/announcer.rs
@@ -134,8 +134,7 @@
         renewed?;
         core.own_lease.set(None);
         let fleet = core.fleet.borrow();
-        let own = fleet.key_of(core.settings.hop);
-        let member = own.and_then(|key| fleet.get(key));
+        let member = fleet.at(core.settings.hop);
         let standing = member.filter(|member| !member.has_lapsed());
         self.record = standing.map(|member| member.record.clone());
         self.lease = Some(lease);
@@ -242,10 +241,7 @@
     /// write.
     fn see(&mut self, core: &NodeCore) {
         let fleet = core.fleet.borrow();
-        let Some(member) = fleet
-            .key_of(core.settings.hop)
-            .and_then(|key| fleet.get(key))
-        else {
+        let Some(member) = fleet.at(core.settings.hop) else {
             return;
         };
         if member.revision() <= self.seen {
--- a/crates/node/src/follow/member_watcher.rs
+++ b/crates/node/src/follow/member_watcher.rs
@@ -172,8 +172,7 @@
     };
     let known = {
         let fleet = core.fleet.borrow();
-        let member = fleet.key_of(hop).and_then(|key| fleet.get(key));
-        member.map(|member| key_of(&member.record))
+        fleet.at(hop).map(|member| key_of(&member.record))
     };
     if known.is_none_or(|known| known.as_str() == key) {
         take_lapse(core, hop, revision);
--- a/crates/node/src/member/fleet_view.rs
+++ b/crates/node/src/member/fleet_view.rs
@@ -241,6 +241,11 @@
         self.keys.get(&hop).copied()
     }
 
+    /// Returns the member at `hop`, if one is known.
+    pub fn at(&self, hop: SocketAddr) -> Option<&MemberView> {
+        self.get(self.key_of(hop)?)
+    }
+
     /// Returns the members' announcements.
     pub fn records(&self) -> impl Iterator<Item = &MemberRecord> {
         self.members.iter().map(|(_, member)| &member.record)
--- a/crates/node/tests/all/outage_cost.rs
+++ b/crates/node/tests/all/outage_cost.rs
@@ -69,18 +69,15 @@
     while now < at(10_000) + OUTAGE {
         for own in 0..fleet.len() {
             let choice = fleet[own].guide.choose(now, &order);
-            if let GuideChoice::Node(guide) = choice {
-                let guide = order.iter().position(|record| record.hop == guide);
+            if let GuideChoice::Node(hop) = choice {
+                let guide = order.iter().position(|record| record.hop == hop);
                 let guide = &mut fleet[guide.expect("it is one of them")].guide;
                 guide.asked(now);
                 let contact = StoreContact {
                     age: guide.store_age(now),
                     lost: guide.has_lost_store(),
                 };
-                let GuideChoice::Node(at) = choice else {
-                    unreachable!("it is a node");
-                };
-                let doubted = fleet[own].guide.told(now, at, contact);
+                let doubted = fleet[own].guide.told(now, hop, contact);
                 if doubted && fleet[own].access.doubt() {
                     fleet[own].pause = (now, rng.random());
                 }
