Count link bytes separately for local callers, refusals and requests

The "link carried" log line and geranium_link_bytes_total had one value for short answers, whether sent to callers or to other nodes, and one for heads, refusals and requests together. They could not show why files are refused on a full link: because of refusals, because of the callers on the same machine, or because bytes are counted that do not use the link.

Short answers and heads are now split by recipient: "short" and "overhead" cover those to other nodes, "short-home" and "overhead-home" those to callers on this machine. Refusals and requests to other nodes have their own values, "refusal" and "request". The total number of bytes counted is unchanged.

--- a/crates/node/src/answer_body.rs
+++ b/crates/node/src/answer_body.rs
@@ -160,7 +160,7 @@
     fn count(&mut self, bytes: usize) {
         match (&mut self.promise, &self.open) {
             (Some(promise), _) => promise.sent(bytes as u64),
-            (None, Some(open)) => open.sent(LinkUse::Short, bytes as u64),
+            (None, Some(open)) => open.sent_short_body(bytes as u64),
             (None, None) => {}
         }
     }
--- a/crates/node/src/front/attempt.rs
+++ b/crates/node/src/front/attempt.rs
@@ -102,7 +102,7 @@
         let outgoing = self.outgoing(record);
         let bytes = head_bytes(outgoing.headers()) + self.request.body.len() as u64;
         let link = &self.core.link;
-        link.sent(self.core.clock.now(), LinkUse::Overhead, bytes);
+        link.sent(self.core.clock.now(), LinkUse::Request, bytes);
         let idle_time = self.core.settings.hop_idle;
         let exchange = self
             .core
--- a/crates/node/src/link/link_use.rs
+++ b/crates/node/src/link/link_use.rs
@@ -15,8 +15,16 @@
     /// A long answer of another backend server, to a caller on this machine: it has
     /// taken that one's link before.
     Forwarded,
-    /// The body of any short answer.
+    /// The body of a short answer to another node.
     Short,
-    /// Heads of answers, and whole requests to other nodes.
+    /// The body of a short answer to a caller on this machine.
+    ShortHome,
+    /// The head of an answer to another node, unless it is a refusal.
     Overhead,
+    /// The head of an answer to a caller on this machine.
+    OverheadHome,
+    /// A refusal sent to another node, which is a head without a body.
+    Refusal,
+    /// A request to another node, head and body.
+    Request,
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,7 +23,7 @@
     front::FrontFlow,
     hop_port::HopPort,
     http_port::{PortError, PortLimits, open_port, serve_port},
-    node_core::{CALLERS_LEAVE, NodeCore, OpenMark},
+    node_core::{CALLERS_LEAVE, NodeCore, OpenMark, RequestOrigin},
     node_settings::ListenAddrs,
     operators::OperatorsPort,
     store::MetaStore,
@@ -109,7 +109,7 @@
         let port = HopPort::new(Rc::clone(core));
         let core = Rc::clone(core);
         move |request| {
-            let (port, open) = (port.clone(), core.open_mark());
+            let (port, open) = (port.clone(), core.open_mark(RequestOrigin::Node));
             async move { opened(port.answer(request).await, open) }
         }
     });
@@ -173,7 +173,7 @@
     let flow = FrontFlow::new(Rc::clone(core));
     let (counted, limited) = (Rc::clone(core), Rc::clone(core));
     let answer = move |request| {
-        let (flow, open) = (flow.clone(), counted.open_mark());
+        let (flow, open) = (flow.clone(), counted.open_mark(RequestOrigin::Caller));
         async move { opened(flow.answer(request).await, open) }
     };
     let limits = move || match &*limited.config.borrow() {
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 pub use connection_mark::ConnectionMark;
-pub use open_mark::OpenMark;
+pub use open_mark::{OpenMark, RequestOrigin};
 
 use crate::{
     config::{ConfigVersion, MeshConfig},
@@ -194,9 +194,9 @@
     }
 
     /// Counts a request as open until the mark is dropped.
-    pub fn open_mark(self: &Rc<Self>) -> OpenMark {
+    pub fn open_mark(self: &Rc<Self>, origin: RequestOrigin) -> OpenMark {
         self.open.set(self.open.get() + 1);
-        OpenMark(Rc::clone(self))
+        OpenMark::new(Rc::clone(self), origin)
     }
 
     /// Counts a connection or a port as open until the mark is dropped.
--- a/crates/node/src/node_core/open_mark.rs
+++ b/crates/node/src/node_core/open_mark.rs
@@ -5,28 +5,60 @@
 use http::HeaderMap;
 
 use super::NodeCore;
-use crate::{header_set::head_bytes, link::LinkUse};
+use crate::{
+    header_set::{HOP_REFUSAL, head_bytes},
+    link::LinkUse,
+};
+
+/// The sender of a request, which also receives the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestOrigin {
+    /// A caller on this machine.
+    Caller,
+    /// Another node.
+    Node,
+}
 
 /// Counts a request as open until dropped.
 #[derive(Debug)]
-pub struct OpenMark(pub(super) Rc<NodeCore>);
+pub struct OpenMark {
+    core: Rc<NodeCore>,
+    origin: RequestOrigin,
+}
 
 impl OpenMark {
+    pub(super) const fn new(core: Rc<NodeCore>, origin: RequestOrigin) -> Self {
+        Self { core, origin }
+    }
+
     /// Notes the head of the answer, which goes out with its first bytes.
     pub fn sent_head(&self, headers: &HeaderMap) {
-        self.sent(LinkUse::Overhead, head_bytes(headers));
+        let purpose = match self.origin {
+            RequestOrigin::Caller => LinkUse::OverheadHome,
+            RequestOrigin::Node if headers.contains_key(&HOP_REFUSAL) => LinkUse::Refusal,
+            RequestOrigin::Node => LinkUse::Overhead,
+        };
+        self.sent(purpose, head_bytes(headers));
+    }
+
+    /// Counts bytes sent from the body of a short answer.
+    pub fn sent_short_body(&self, bytes: u64) {
+        let purpose = match self.origin {
+            RequestOrigin::Caller => LinkUse::ShortHome,
+            RequestOrigin::Node => LinkUse::Short,
+        };
+        self.sent(purpose, bytes);
     }
 
-    /// Notes bytes of the answer that were sent.
-    pub fn sent(&self, purpose: LinkUse, bytes: u64) {
-        let core = &self.0;
+    fn sent(&self, purpose: LinkUse, bytes: u64) {
+        let core = &self.core;
         core.link.sent(core.clock.now(), purpose, bytes);
     }
 }
 
 impl Drop for OpenMark {
     fn drop(&mut self) {
-        let open = &self.0.open;
+        let open = &self.core.open;
         open.set(open.get().saturating_sub(1));
     }
 }
