Let LinkLine create its promises, and share the final step of picking a member

No behaviour change, except that the "long answer ended" log line has null instead of an empty string as `request` when the request has no readable identifier.

LinkLine::offer returned a verdict and left it to the door to create the AnswerCourse and the LinkPromise, while LinkLine::take creates them itself. offer now returns the promise, or the time after which the link could be promised. A request's identifier is kept as the header's value, which is shared, and is converted to text only for a log line. AnswerEnd lists its own variants (VariantArray). FleetView::pick and pick_queue ended with the same steps, which are now in PickCost::pick.

--- a/crates/node/src/door/link_admission.rs
+++ b/crates/node/src/door/link_admission.rs
@@ -1,6 +1,6 @@
 //! The link's part in what the door admits.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use http::HeaderValue;
 use tokio::time::Instant;
@@ -8,8 +8,7 @@
 use super::{DoorError, DoorFlow, DoorRequest, RefusalReason, door_flow::refused};
 use crate::{
     answer_body::SHORT_MAX,
-    header_set::header_text,
-    link::{AnswerCourse, LinkOffer, LinkPromise, LinkVerdict},
+    link::{LinkOffer, LinkPromise},
     request_origin::RequestOrigin,
 };
 
@@ -40,13 +39,9 @@
             useful_until: clock.at(request.useful_until),
             ends_at: clock.at(request.ends_at),
         };
-        let now = clock.now();
-        match link.offer(now, offer) {
-            LinkVerdict::Promised(key) => {
-                let course = AnswerCourse::new(self.id_of(request), now, offer);
-                Ok(Some(LinkPromise::new(link, clock, key, course)))
-            }
-            LinkVerdict::Refused { retry_after } => refused(RefusalReason::LinkFull, retry_after),
+        match link.offer(clock, self.id_of(request), offer) {
+            Ok(promise) => Ok(Some(promise)),
+            Err(retry_after) => refused(RefusalReason::LinkFull, retry_after),
         }
     }
 
@@ -65,22 +60,20 @@
             useful_until: clock.at(answer.useful_until),
             ends_at: clock.at(answer.ends_at),
         };
-        let id = answer.id.and_then(|id| id.to_str().map(Rc::from).ok());
-        Some(link.take(clock, id.unwrap_or_default(), offer))
+        Some(link.take(clock, answer.id, offer))
     }
 
     /// Returns what [`DoorFlow::take_link`] needs, if another node sent the request.
     pub(super) fn unscheduled_answer(&self, request: &DoorRequest) -> Option<UnscheduledAnswer> {
         (request.origin == RequestOrigin::Node).then(|| UnscheduledAnswer {
-            id: request.headers.get(&self.headers.request_id).cloned(),
+            id: self.id_of(request),
             useful_until: request.useful_until,
             ends_at: request.ends_at,
         })
     }
 
     /// Returns the identifier of a request, for the log.
-    fn id_of(&self, request: &DoorRequest) -> Rc<str> {
-        let id = header_text(&request.headers, &self.headers.request_id);
-        id.unwrap_or_default().into()
+    fn id_of(&self, request: &DoorRequest) -> Option<HeaderValue> {
+        request.headers.get(&self.headers.request_id).cloned()
     }
 }
--- a/crates/node/src/link/answer_course.rs
+++ b/crates/node/src/link/answer_course.rs
@@ -1,13 +1,16 @@
 //! What became of one long answer that was promised the link.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
-use strum::{Display, EnumCount, IntoStaticStr};
+use http::HeaderValue;
+use strum::{Display, EnumCount, IntoStaticStr, VariantArray};
 
 use super::LinkOffer;
 
 /// How a long answer that was promised the link ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumCount, IntoStaticStr)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Display, EnumCount, IntoStaticStr, VariantArray,
+)]
 #[strum(serialize_all = "kebab-case")]
 pub enum AnswerEnd {
     /// All of it was handed over while it was of full use.
@@ -24,7 +27,7 @@
 #[derive(Debug, Clone)]
 pub struct AnswerCourse {
     /// Identifier of the request, for the log.
-    pub request: Rc<str>,
+    pub request: Option<HeaderValue>,
     /// When the link was promised.
     pub asked_at: Duration,
     /// What it was promised for.
@@ -47,7 +50,7 @@
 
 impl AnswerCourse {
     /// Begins with a promise.
-    pub const fn new(request: Rc<str>, asked_at: Duration, offer: LinkOffer) -> Self {
+    pub const fn new(request: Option<HeaderValue>, asked_at: Duration, offer: LinkOffer) -> Self {
         Self {
             request,
             asked_at,
--- a/crates/node/src/link/link_line.rs
+++ b/crates/node/src/link/link_line.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use http::HeaderValue;
+
 use super::{
     AnswerCourse, LinkLoad, LinkNotes, LinkOffer, LinkPromise, LinkSchedule, LinkUse, LinkVerdict,
     LoadKey,
@@ -42,22 +44,37 @@
         self.schedule.borrow_mut()
     }
 
-    /// Offers a long answer to the schedule.
-    pub fn offer(&self, now: Duration, offer: LinkOffer) -> LinkVerdict {
+    /// Promises the link to the long answer to a request, if the answer can arrive in time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the link could be promised to the answer.
+    pub fn offer(
+        self: &Rc<Self>,
+        clock: NodeClock,
+        request: Option<HeaderValue>,
+        offer: LinkOffer,
+    ) -> Result<LinkPromise, Duration> {
+        let now = clock.now();
         let verdict = self.schedule().offer(now, offer);
-        let mut load = self.load.borrow_mut();
         match verdict {
-            LinkVerdict::Promised(_) => load.promised += 1,
-            LinkVerdict::Refused { .. } => load.refused += 1,
+            LinkVerdict::Promised(key) => {
+                self.load.borrow_mut().promised += 1;
+                let course = AnswerCourse::new(request, now, offer);
+                Ok(LinkPromise::new(self, clock, key, course))
+            }
+            LinkVerdict::Refused { retry_after } => {
+                self.load.borrow_mut().refused += 1;
+                Err(retry_after)
+            }
         }
-        verdict
     }
 
     /// Gives a long answer that is there its turns without asking for room.
     pub fn take(
         self: &Rc<Self>,
         clock: NodeClock,
-        request: Rc<str>,
+        request: Option<HeaderValue>,
         offer: LinkOffer,
     ) -> LinkPromise {
         let key = self
--- a/crates/node/src/link/link_notes.rs
+++ b/crates/node/src/link/link_notes.rs
@@ -51,7 +51,7 @@
         let end = course.end();
         if let Some(log) = self.log.for_request(now, "long answer") {
             info!(log, "long answer ended";
-                "request" => &*course.request,
+                "request" => course.request.as_ref().and_then(|id| id.to_str().ok()),
                 "end" => <&'static str>::from(end),
                 "bytes" => course.bytes,
                 "bytes_promised" => course.offer.bytes,
@@ -72,13 +72,7 @@
             let label = KeyValue::new("use", <&'static str>::from(purpose));
             self.counters.bytes.add(load.bytes(purpose), &[label]);
         }
-        let ends = [
-            AnswerEnd::InTime,
-            AnswerEnd::Late,
-            AnswerEnd::Cut,
-            AnswerEnd::Unmade,
-        ];
-        for end in ends {
+        for &end in AnswerEnd::VARIANTS {
             self.counters.answer(end.into(), load.ends(end));
         }
         self.counters.answer("refused", load.refused);
--- a/crates/node/src/link/link_promise.rs
+++ b/crates/node/src/link/link_promise.rs
@@ -23,7 +23,12 @@
 
 impl LinkPromise {
     /// Holds a promise that the schedule made.
-    pub fn new(line: &Rc<LinkLine>, clock: NodeClock, key: LoadKey, course: AnswerCourse) -> Self {
+    pub(super) fn new(
+        line: &Rc<LinkLine>,
+        clock: NodeClock,
+        key: LoadKey,
+        course: AnswerCourse,
+    ) -> Self {
         Self {
             line: Rc::clone(line),
             clock,
--- a/crates/node/src/member/member_choice.rs
+++ b/crates/node/src/member/member_choice.rs
@@ -49,17 +49,7 @@
         let cost = self.cost(now, pool, query);
         let fresh = |key: &MemberKey| !query.probed.contains(key);
         let candidates = self.candidates(pool, query).filter(|(key, _)| fresh(key));
-        let (open, closed): (Vec<_>, Vec<_>) =
-            candidates.partition(|(_, member)| cost.is_open(member));
-        if let Some(home) = cost.home(&open, rng) {
-            return Some(home);
-        }
-        let compared = if open.is_empty() {
-            closed
-        } else {
-            cost.draw(open, rng)
-        };
-        cost.cheapest(compared, rng)
+        cost.pick(candidates.collect(), Vec::new(), rng)
     }
 
     /// Picks a member of this data centre for a long answer, in whose queue it may wait.
@@ -103,18 +93,7 @@
         let (known, others): (Vec<_>, Vec<_>) = self
             .candidates(pool, query)
             .partition(|(key, _)| query.probed.contains(key));
-        let (open, closed): (Vec<_>, Vec<_>) = others
-            .into_iter()
-            .partition(|(_, member)| cost.is_open(member));
-        if let Some(home) = cost.home(&open, rng) {
-            return Some(home);
-        }
-        let mut compared = cost.draw(open, rng);
-        compared.extend(known);
-        if compared.is_empty() {
-            compared = closed;
-        }
-        cost.cheapest(compared, rng)
+        cost.pick(others, known, rng)
     }
 
     /// Whether a try may only probe for a free slot: slots are usually free, and another
--- a/crates/node/src/member/pick_cost.rs
+++ b/crates/node/src/member/pick_cost.rs
@@ -42,6 +42,31 @@
         !doubtful && fits && member.is_open(self.now)
     }
 
+    /// Picks a member from `fresh` or `probed`, preferring open members of this data centre
+    /// in `fresh` that are likely to answer in time.
+    ///
+    /// All of `probed` are compared, since their load is known. Members of `fresh` that
+    /// aren't open are compared only when there is no other candidate.
+    pub(super) fn pick(
+        self,
+        fresh: Vec<Candidate<'_>>,
+        probed: Vec<Candidate<'_>>,
+        rng: &mut impl Rng,
+    ) -> Option<MemberKey> {
+        let (open, closed): (Vec<_>, Vec<_>) = fresh
+            .into_iter()
+            .partition(|(_, member)| self.is_open(member));
+        if let Some(home) = self.home(&open, rng) {
+            return Some(home);
+        }
+        let mut compared = self.draw(open, rng);
+        compared.extend(probed);
+        if compared.is_empty() {
+            compared = closed;
+        }
+        self.cheapest(compared, rng)
+    }
+
     /// Draws the members to be compared, each by the requests that it carries in a
     /// given time.
     pub(super) fn draw<'b>(
@@ -70,7 +95,7 @@
     /// Answers from another data centre are paid for by the byte. With dozens of members
     /// most of those drawn are far ones, and small differences in load would send the
     /// request there. A queue, a slow run or failures at home let it spill over.
-    pub(super) fn home(self, open: &[Candidate<'_>], rng: &mut impl Rng) -> Option<MemberKey> {
+    fn home(self, open: &[Candidate<'_>], rng: &mut impl Rng) -> Option<MemberKey> {
         let near = open.iter().copied().filter(|(_, member)| member.is_near());
         let compared = self.draw(near.collect(), rng);
         let key = self.cheapest(compared.clone(), rng)?;
