Separate the state of the distribution from its tasks

No behaviour change. `follow` and `node_core` depended on each other: the tasks in `follow` use the core, and the core holds Guide, StoreAccess and ConfigHistory. These three types and the messages between nodes do no I/O. They move to their own module, `distribution`, which uses neither the core nor the tasks directly, so that the core no longer uses `follow` directly.

--- a/crates/node/src/follow/follow_message.rs
+++ b/crates/node/src/distribution/follow_message.rs
@@ -56,7 +56,7 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_node::follow::FollowQuestion;
+    /// use geranium_node::distribution::FollowQuestion;
     ///
     /// let question: FollowQuestion = "12,530,2000,0".parse()?;
     /// assert_eq!(question.to_string(), "12,530,2000,0");
--- a/crates/node/src/follow/packed_config.rs
+++ b/crates/node/src/distribution/packed_config.rs
@@ -58,7 +58,7 @@
     ///
     /// ```
     /// use geranium_node::config::{ConfigInput, ConfigVersion, LimitsInput};
-    /// use geranium_node::follow::PackedConfig;
+    /// use geranium_node::distribution::PackedConfig;
     ///
     /// let limits = LimitsInput { head_bytes: 1, body_bytes: 1, head_s: 1.0, idle_s: 1.0 };
     /// let input = ConfigInput {
--- a/crates/node/src/follow/store_access.rs
+++ b/crates/node/src/distribution/store_access.rs
@@ -82,7 +82,7 @@
     ///
     /// ```
     /// use std::time::Duration;
-    /// use geranium_node::follow::{LookDuty, StoreAccess};
+    /// use geranium_node::distribution::{LookDuty, StoreAccess};
     ///
     /// let mut access = StoreAccess::default();
     /// assert!(access.failed());
--- a/crates/node/src/follow/fleet_follower.rs
+++ b/crates/node/src/follow/fleet_follower.rs
@@ -8,10 +8,9 @@
 use snafu::Snafu;
 use tokio::time::{sleep, timeout};
 
-use super::{
-    FOLLOW_PATH, FollowAnswer, FollowQuestion, GuideChoice, StoreContact, news_intake::take_answer,
-};
+use super::{FOLLOW_PATH, news_intake::take_answer};
 use crate::{
+    distribution::{FollowAnswer, FollowQuestion, GuideChoice, StoreContact},
     hop::{CallError, NodeCall},
     node_core::NodeCore,
 };
--- a/crates/node/src/follow/follow_port.rs
+++ b/crates/node/src/follow/follow_port.rs
@@ -5,10 +5,10 @@
 use http::{Response, StatusCode, Uri};
 use tokio::time::{Instant, timeout_at};
 
-use super::{ConfigNews, FollowAnswer, FollowQuestion};
 use crate::{
     answer_body::{AnswerBody, empty_answer, json_answer},
     config::ConfigVersion,
+    distribution::{ConfigNews, FollowAnswer, FollowQuestion},
     node_core::NodeCore,
 };
 
--- a/crates/node/src/follow/mod.rs
+++ b/crates/node/src/follow/mod.rs
@@ -13,34 +13,26 @@
 
 mod announcement_key;
 mod announcer;
-mod config_history;
 mod config_source;
 mod config_watcher;
 mod fleet_follower;
-mod follow_message;
 mod follow_port;
-mod guide;
 mod member_notes;
 mod member_watcher;
 mod news_intake;
-mod packed_config;
-mod store_access;
 mod store_look;
 
+#[cfg(doc)]
+use crate::distribution::{Guide, StoreAccess};
 use crate::node_core::NodeCore;
 
 pub use announcement_key::{AnnouncementKey, MEMBER_PREFIX};
 pub use announcer::keep_announced;
-pub use config_history::ConfigHistory;
 pub use config_source::ConfigSource;
 pub use config_watcher::watch_config;
 pub use fleet_follower::{catch_up, follow_guide};
-pub use follow_message::{ConfigNews, FollowAnswer, FollowQuestion, FollowQuestionError};
 pub use follow_port::{FOLLOW_PATH, FollowPort};
-pub use guide::{Guide, GuideChoice, StoreContact};
 pub use member_watcher::watch_members;
-pub use packed_config::{PackedConfig, UnpackError};
-pub use store_access::{LookDuty, StoreAccess};
 pub use store_look::look_for_store;
 
 /// Returns the key of a node's own announcement.
--- a/crates/node/src/follow/news_intake.rs
+++ b/crates/node/src/follow/news_intake.rs
@@ -2,15 +2,13 @@
 
 use std::{collections::HashSet, net::SocketAddr, rc::Rc};
 
-use crate::crash::CrashRow;
 use slog::{error, info, warn};
 
-use super::{
-    ConfigNews, FollowAnswer,
-    member_notes::{MemberNotes, MemberRow},
-};
+use super::member_notes::{MemberNotes, MemberRow};
 use crate::{
     config::MeshConfig,
+    crash::CrashRow,
+    distribution::{ConfigNews, FollowAnswer},
     member::{MemberNews, MemberRecord},
     node_core::NodeCore,
     store::Revision,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod answer_body;
 pub mod config;
 pub mod crash;
+pub mod distribution;
 pub mod door;
 pub mod errand;
 pub mod event_log;
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -23,10 +23,10 @@
 use crate::{
     config::{ConfigVersion, MeshConfig},
     crash::CrashBook,
+    distribution::{ConfigHistory, Guide, StoreAccess},
     door::{DoorFlow, DoorSettings},
     errand::ErrandDesk,
     event_log::EventLog,
-    follow::{ConfigHistory, Guide, StoreAccess},
     front::{DeadlineBook, ReturnBook},
     header_set::HeaderSet,
     hop::{ConnectionPool, PoolSettings},
--- a/crates/node/src/node_core/store_contact.rs
+++ b/crates/node/src/node_core/store_contact.rs
@@ -7,7 +7,7 @@
 
 use super::NodeCore;
 use crate::{
-    follow::{GuideChoice, LookDuty},
+    distribution::{GuideChoice, LookDuty},
     store::{ReadAge, Revision, StoreError},
 };
 
--- a/crates/node/tests/all/guide.rs
+++ b/crates/node/tests/all/guide.rs
@@ -1,7 +1,7 @@
 //! Which node watches the store for whom.
 
 use geranium_node::{
-    follow::{Guide, GuideChoice, StoreContact},
+    distribution::{Guide, GuideChoice, StoreContact},
     member::MemberRecord,
 };
 
--- a/crates/node/tests/all/outage_cost.rs
+++ b/crates/node/tests/all/outage_cost.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use geranium_node::{
-    follow::{Guide, GuideChoice, LookDuty, StoreAccess, StoreContact},
+    distribution::{Guide, GuideChoice, LookDuty, StoreAccess, StoreContact},
     member::MemberRecord,
 };
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
