Hold long answers away from full remote links for longer

Many long answers came from other data centres, whose own callers were refused in their place.

Cause: a door's refusal for want of room on its link kept long answers away for at most 0.3 s, for near and remote members alike. In a shortage all links are full, so callers refused in their own data centre asked the other data centres, again and again. What was served to them there was not served to the callers of that data centre, and was sent between data centres, which is charged by the byte.

Fix: a refusal for want of room on the link keeps long answers away from a remote member for 5 s, as long as this data centre has a member that can be asked. Where it has none, or as soon as it has none left, the 0.3 s limit applies.

--- a/crates/node/src/member/member_choice.rs
+++ b/crates/node/src/member/member_choice.rs
@@ -141,7 +141,7 @@
         let views = pool.keys.iter().filter_map(|&key| self.get(key));
         let waits = views.filter(|member| member.takes_work() && !member.is_out(now));
         let waits = waits.filter(|member| !member.is_local());
-        let wait = waits.map(|member| member.link_wait(now)).min()?;
+        let wait = waits.map(|member| cost.link_wait(member)).min()?;
         (wait > Duration::ZERO).then_some(wait)
     }
 
@@ -198,7 +198,18 @@
             run: run.map(Duration::from_secs_f64),
             held: pool.usual_held(),
         };
-        PickCost { now, query, usual }
+        PickCost {
+            now,
+            query,
+            usual,
+            has_near_member: query.is_long() && self.has_near_member(now, pool),
+        }
+    }
+
+    /// Whether a member in this data centre takes work and isn't out.
+    fn has_near_member(&self, now: Duration, pool: &ServicePool) -> bool {
+        let mut members = pool.keys.iter().filter_map(|&key| self.get(key));
+        members.any(|member| member.is_near() && member.takes_work() && !member.is_out(now))
     }
 
     /// Yields the members that take work and weren't tried.
--- a/crates/node/src/member/member_view.rs
+++ b/crates/node/src/member/member_view.rs
@@ -32,6 +32,9 @@
 /// Longest time for which a refusal for want of room on the link keeps long
 /// answers away: a link that is spoken for carries two or three of them in it.
 const LINK_REFUSED_MAX: Duration = Duration::from_millis(300);
+/// Time for which a refusal for want of room on the link keeps long answers away from a
+/// member in another data centre, while a member in this data centre can be asked.
+const LINK_REFUSED_REMOTE: Duration = Duration::from_secs(5);
 /// Longest time for which a refusal keeps new requests away. Queues turn over
 /// in about one service time.
 const REFUSED_MAX: Duration = Duration::from_millis(150);
@@ -59,6 +62,8 @@
     out_time: Duration,
     refused_until: Duration,
     link_refused_until: Duration,
+    /// End of the longer hold that applies to remote members while a near one can be asked.
+    remote_link_refused_until: Duration,
     served_at: Option<Duration>,
 }
 
@@ -98,6 +103,7 @@
             out_time: Duration::ZERO,
             refused_until: Duration::ZERO,
             link_refused_until: Duration::ZERO,
+            remote_link_refused_until: Duration::ZERO,
             served_at: None,
         }
     }
@@ -164,15 +170,20 @@
         now < self.out_until
     }
 
-    /// Whether its instance's link has room for a long answer, as far as is
-    /// known.
-    pub(super) fn has_link(&self, now: Duration) -> bool {
-        now >= self.link_refused_until
-    }
-
-    /// Time until its instance's link is expected to have room.
-    pub(super) const fn link_wait(&self, now: Duration) -> Duration {
-        self.link_refused_until.saturating_sub(now)
+    /// Time until long answers may be requested from it again after a refusal for want of
+    /// room on its instance's link.
+    ///
+    /// The wait is longer for a remote member if a near one can be asked
+    /// (`has_near_member`). When links are short in every data centre, remote callers would
+    /// only displace callers in the member's data centre and add traffic between data
+    /// centres, which is charged by the byte.
+    pub(super) fn link_wait(&self, now: Duration, has_near_member: bool) -> Duration {
+        let until = if has_near_member && !self.is_near() {
+            self.remote_link_refused_until.max(self.link_refused_until)
+        } else {
+            self.link_refused_until
+        };
+        until.saturating_sub(now)
     }
 
     /// When it last answered.
@@ -301,6 +312,7 @@
 
     pub(super) fn link_refused(&mut self, now: Duration, retry_after: Duration) {
         self.link_refused_until = now + retry_after.min(LINK_REFUSED_MAX);
+        self.remote_link_refused_until = now + LINK_REFUSED_REMOTE;
         self.served_at = Some(now);
         self.out_time = Duration::ZERO;
     }
--- a/crates/node/src/member/pick_cost.rs
+++ b/crates/node/src/member/pick_cost.rs
@@ -30,6 +30,8 @@
     pub(super) now: Duration,
     pub(super) query: &'a PickQuery<'a>,
     pub(super) usual: UsualRun,
+    /// Whether a long answer is requested and a member in this data centre can be asked.
+    pub(super) has_near_member: bool,
 }
 
 impl PickCost<'_> {
@@ -38,7 +40,7 @@
         let doubtful = member
             .lapsed_at
             .is_some_and(|at| member.served_at() < Some(at));
-        let fits = !self.query.is_long() || member.has_link(self.now);
+        let fits = !self.query.is_long() || self.link_wait(member).is_zero();
         !doubtful && fits && member.is_open(self.now)
     }
 
@@ -67,6 +69,11 @@
         self.cheapest(compared, rng)
     }
 
+    /// Time until long answers may be requested from a member again.
+    pub(super) fn link_wait(self, member: &MemberView) -> Duration {
+        member.link_wait(self.now, self.has_near_member)
+    }
+
     /// Draws the members to be compared, each by the requests that it carries in a
     /// given time.
     pub(super) fn draw<'b>(
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod guide;
 mod link;
 mod link_load;
+mod link_shortage;
 mod outage_cost;
 mod poison;
 mod queue;
