--- a/crates/node/tests/all/budget.rs
+++ b/crates/node/tests/all/budget.rs
@@ -10,9 +10,7 @@
     window: Duration::from_secs(10),
 };
 
-/// A service is full and every first try fails, on every node, for a minute.
-/// Whatever window one looks at, the further tries of all nodes stay under the
-/// bound that they keep together.
+/// Guards against nodes that together retry beyond their common bound in some window.
 #[test]
 fn all_nodes_together_stay_under_the_bound_in_every_window() {
     const NODES: usize = 12;
@@ -65,10 +63,7 @@
     }
 }
 
-/// The backend servers of a service shed half of the calls that lookups make, two
-/// each, and the lookups fail with them. Calls are tried again, and so are lookups,
-/// each of which makes its calls anew: those come on top at the service that is
-/// called, whose bound the nodes must keep as well.
+/// Guards against repeated runs whose calls push the called service beyond its retry bound.
 #[test]
 fn runs_that_are_repeated_leave_room_for_their_calls() {
     const NODES: usize = 12;
--- a/crates/node/tests/all/calls.rs
+++ b/crates/node/tests/all/calls.rs
@@ -11,9 +11,7 @@
     Duration::from_micros(micros)
 }
 
-/// Lookups of callers and calls of the backend server are turned away side by
-/// side, thirty times a second each. Runs fail just after their calls. The calls
-/// are known soon, and the lookups aren't taken for any.
+/// Guards against mistaking callers' requests for calls of the backend server.
 #[test]
 fn calls_are_told_from_requests_that_are_refused_beside_them() {
     let mut book = CallBook::default();
--- a/crates/node/tests/all/config.rs
+++ b/crates/node/tests/all/config.rs
@@ -129,9 +129,7 @@
     assert!(config.route("till.example", "").is_none());
 }
 
-/// Operators change one route of many. A route that stays keeps its place in
-/// the division by weights; begun anew with each version, a route of three to
-/// one would send everything to the first service during a burst of changes.
+/// Guards against weighted routing that restarts with each version and sends all to one service.
 #[test]
 fn routes_that_stay_keep_their_place_in_the_division() {
     let shares: &[(&str, u32)] = &[("a", 3), ("b", 1)];
@@ -250,9 +248,7 @@
     }
 }
 
-/// An operator's newer version is in force when an older one comes, from another
-/// node that lags or in a late answer of the store. Were it taken, callers would get
-/// the answers of before the change.
+/// Guards against adopting an older version, as from a late answer or a lagging node.
 #[test]
 fn an_older_version_is_not_adopted() {
     let log = EventLog::new(Logger::root(Discard, o!()));
--- a/crates/node/tests/all/deadlines.rs
+++ b/crates/node/tests/all/deadlines.rs
@@ -11,9 +11,7 @@
     Duration::from_millis(millis)
 }
 
-/// Callers wait for two and a half seconds. In a shortage two of three requests
-/// are second and third attempts with what is left. First ones are known as
-/// such, and of the others how long ago they began.
+/// Guards against treating second and third attempts as first ones in a shortage.
 #[test]
 fn attempts_are_told_from_one_another_in_a_shortage() {
     let mut book = DeadlineBook::default();
@@ -34,9 +32,7 @@
     }
 }
 
-/// Two kinds of callers use one route, some with a second and some with ten.
-/// Both are taken for what they are, and who has 700 ms left began with a
-/// second.
+/// Guards against treating callers with the shorter of two usual deadlines as returning ones.
 #[test]
 fn each_usual_deadline_is_a_first_attempt() {
     let mut book = DeadlineBook::default();
@@ -47,9 +43,7 @@
     assert_eq!(book.spent(CLASS, millis(700)), millis(300));
 }
 
-/// A caller is refused twice and comes a third time, each on a new connection some
-/// milliseconds sooner or later than its end says. It is known each time, and counts from
-/// its first attempt.
+/// Guards against counting a returning caller's time from its last attempt.
 #[test]
 fn a_caller_that_comes_again_counts_from_its_first_attempt() {
     let mut book = ReturnBook::default();
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -77,9 +77,7 @@
     );
 }
 
-/// Files of 90 kB cost 0.27 s of waiting to carry from another data centre:
-/// they stay at home until that is that much slower. Short answers go away
-/// sooner.
+/// Guards against fetching long answers from another data centre for a small gain in time.
 #[test]
 fn long_answers_stay_at_home_longer() {
     let mut fleet = view(1, 1);
@@ -96,10 +94,7 @@
     assert!(!picks(&fleet, at(0), &long).contains_key(&far));
 }
 
-/// One of eight members stands in the data centre of the callers, and it is busier
-/// than the others. A file is asked for there first: were it late there, the door
-/// would say so at once. It isn't asked again while it refuses, and short answers
-/// go wherever they are made soonest.
+/// Guards against requesting long answers elsewhere before the own data centre has refused.
 #[test]
 fn long_answers_are_asked_for_at_home_first() {
     let mut fleet = view(1, 7);
@@ -185,7 +180,7 @@
     }
 }
 
-/// One of four turns ten times slower. It gets no share worth speaking of.
+/// Guards against sending requests to a member that is ten times slower than the others.
 #[test]
 fn a_slow_member_is_left() {
     let mut fleet = view(4, 0);
@@ -198,8 +193,7 @@
     assert!(!picks(&fleet, at(0), &QUERY).contains_key(&slow));
 }
 
-/// A node loses power. After the first request that fails to reach it, others
-/// go elsewhere, for longer each time; alone it is still tried.
+/// Guards against sending request after request to an unreachable member.
 #[test]
 fn an_unreachable_member_stays_out_for_longer_each_time() {
     let mut fleet = view(2, 0);
@@ -233,8 +227,7 @@
     assert!(picks(&fleet, at(1), &QUERY).is_empty());
 }
 
-/// Announcements vanish while the store is away. Members that still answer are
-/// kept until the others had time to write theirs again, then dropped.
+/// Guards against dropping a member whose announcement is briefly missing, and keeping it for good.
 #[test]
 fn a_missing_announcement_is_waited_for_and_then_believed() {
     let mut fleet = view(2, 0);
@@ -254,8 +247,7 @@
     assert_eq!(fleet.len(), 1);
 }
 
-/// A failure is worth a second try where another member fails less often. When
-/// all fail alike, what they call is at fault, and a second try adds to it.
+/// Guards against second tries that only add load because all members fail alike.
 #[test]
 fn a_second_try_needs_a_healthier_member() {
     let mut fleet = view(3, 0);
@@ -287,9 +279,7 @@
     assert!(!fleet.has_healthier(at(60), keys[0], &query));
 }
 
-/// Thirty members all fail half of their answers, for what they call is short. A
-/// node has seen five answers of each, so that some look far better than others by
-/// chance. A second try would fail as often as the first, and make its calls again.
+/// Guards against second tries at members that look healthier by chance.
 #[test]
 fn chance_makes_no_member_healthier() {
     let mut fleet = view(30, 0);
@@ -315,8 +305,7 @@
     assert!(tried_again * 4 < failures, "{tried_again} of {failures}");
 }
 
-/// A node asks for news. It gets what changed since it last heard, drops
-/// included, and everything when it knows nothing.
+/// Guards against news that omit dropped members or repeat known changes.
 #[test]
 fn news_hold_what_changed_since() {
     let mut fleet = view(3, 0);
@@ -348,10 +337,7 @@
     assert_eq!(news.lapsed.len(), 2);
 }
 
-/// A node is restarted and lists the members. One had vanished from the store
-/// before, which this process never saw. Another node, which still believes in
-/// that member, asks for what happened since: it must get the whole list, in
-/// which the member is missing.
+/// Guards against vanished members that other nodes keep because a restarted node never saw them.
 #[test]
 fn a_list_taken_anew_is_told_as_a_whole() {
     let mut fleet = view(3, 0);
@@ -366,10 +352,7 @@
     assert!(fleet.news_since(Revision(69)).whole);
 }
 
-/// A service of files has full links, and one member whose backend server breaks every
-/// run. Its link is free, so it drew all files that the others refused, and each of their
-/// callers heard that its request may have run. Left out for the moment, it is no reason
-/// to ask: the caller is told when the others have room.
+/// Guards against counting a broken member as one with room when all other links are full.
 #[test]
 fn a_broken_member_draws_no_files_from_full_links() {
     let now = at(1_000);
--- a/crates/node/tests/all/fleet_load.rs
+++ b/crates/node/tests/all/fleet_load.rs
@@ -395,11 +395,7 @@
     rng.random::<f64>() * 2.0 - 1.0
 }
 
-/// Sixty nodes send to thirty backend servers, the slowest three times as slow
-/// as the fastest, at 86% of what they carry. Each node hears of a server with
-/// its own requests only, every few seconds. With the best of what they know
-/// all nodes pick the same few servers, which refuse, while others idle; drawn
-/// by what they carry, and probed, nearly all requests find room.
+/// Guards against all nodes choosing the same few servers because their load reports are stale.
 #[test]
 fn stale_news_do_not_crowd_the_fastest() {
     let node = Fleet::new(Picker::Node, BUSY).play();
@@ -408,11 +404,7 @@
     assert!(naive.share_in_time() < 0.9, "{node:?} {naive:?}");
 }
 
-/// Half more is asked for than sixty nodes' thirty backend servers carry: every
-/// slot is taken. A probe that only looks for a free one finds none, and each was
-/// a call between two nodes that have a tenth of a core. Requests are asked to
-/// wait at the first member, and as many are served in time as with a probe (0.633
-/// and 0.632), with 2.0 calls for each in place of 2.4.
+/// Guards against probing for free slots in a shortage, when there are none.
 #[test]
 fn a_shortage_is_not_probed() {
     let node = Fleet::new(Picker::Node, 1.5).play();
@@ -420,10 +412,7 @@
     assert!(node.share_in_time() > 0.55, "{node:?}");
 }
 
-/// Six of thirty backend servers are gone for good while the nodes beside them
-/// live on and refuse at once. Holding nothing, they look the least loaded; taken
-/// for members that have no room for a moment they get most tries, and callers
-/// are refused though other servers have room.
+/// Guards against nodes without a backend server that look idle and draw most tries.
 #[test]
 fn nodes_without_a_server_draw_no_work() {
     let load = BUSY * 0.75;
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -99,9 +99,7 @@
     assert_eq!(refusal(&gate, at(30), "i-2"), None);
 }
 
-/// After a restart of the node a heartbeat of an earlier start comes first.
-/// The backend server itself refuses the next request and names itself: its
-/// heartbeats count again.
+/// Guards against an earlier start's late heartbeat that shuts the door to the live start for good.
 #[test]
 fn the_backend_server_has_the_last_word() {
     let mut gate = EndpointGate::default();
@@ -145,9 +143,7 @@
     );
 }
 
-/// A node acknowledges a leaving and is restarted; other nodes tell it old news,
-/// in which its backend server was ready. The next heartbeat says leaving. Since
-/// when isn't known, so no time is left in which work would still be taken.
+/// Guards against a restarted node that takes work for a server first heard of as leaving.
 #[test]
 fn one_first_heard_of_as_leaving_takes_no_work() {
     let mut gate = EndpointGate::default();
@@ -164,10 +160,7 @@
     }
 }
 
-/// A backend server crashes while it is leaving and comes back under the same
-/// identifier. It counts its heartbeats anew, so they pass for late ones, and
-/// callers get no answer until its number has passed the old one: minutes. The
-/// leaving of the start that crashed isn't its own.
+/// Guards against treating a new start's heartbeats as stale ones of the previous start.
 #[test]
 fn a_start_under_the_same_identifier_takes_work_at_once() {
     let mut gate = EndpointGate::default();
@@ -178,9 +171,7 @@
     assert_eq!(refusal(&gate, at(9_000), "i-1"), None);
 }
 
-/// A heartbeat of the start that crashed was held up by a cut and arrives after
-/// the next start under the same identifier has reported. Its number is the
-/// higher one, and it says leaving: the next start would get no work.
+/// Guards against a crashed start's delayed heartbeat that shuts the door to the next start.
 #[test]
 fn a_late_heartbeat_of_the_same_identifier_changes_nothing() {
     let mut gate = EndpointGate::default();
@@ -192,9 +183,7 @@
     assert_eq!(refusal(&gate, at(12_000), "i-1"), None);
 }
 
-/// A backend server says farewell and comes back under the same identifier. Its
-/// farewell arrives once more, late: it names the start that ended, not the one
-/// that lives. The identifier isn't out for good either.
+/// Guards against a repeated farewell that ends the next start of the same identifier.
 #[test]
 fn a_farewell_ends_one_start_of_an_identifier() {
     let mut gate = EndpointGate::default();
@@ -206,9 +195,7 @@
     assert_eq!(refusal(&gate, at(12_000), "i-1"), None);
 }
 
-/// The farewell of a backend server comes to a node that has just been restarted
-/// and says nothing of the start. Its last heartbeat comes after it and must not
-/// open the door; that of a start that began later must.
+/// Guards against reopening the door to a start that has said farewell.
 #[test]
 fn a_farewell_without_a_time_ends_what_began_before() {
     let mut gate = EndpointGate::default();
@@ -220,9 +207,7 @@
     assert_eq!(refusal(&gate, at(901), "i-1"), None);
 }
 
-/// After a restart of the node the first heartbeat is a late one of an earlier
-/// start under another identifier. The start that lives must not count as ended
-/// by it.
+/// Guards against an earlier start, heard of first after a restart, that shuts out the live one.
 #[test]
 fn the_later_start_lives_whichever_is_heard_first() {
     let mut gate = EndpointGate::default();
--- a/crates/node/tests/all/guide.rs
+++ b/crates/node/tests/all/guide.rs
@@ -43,9 +43,7 @@
     assert_eq!(guide.choose(at(6_000), &order), GuideChoice::Node(hop(1)));
 }
 
-/// The store turns the guide away and serves this node: the guide's news grow
-/// old, and it is passed over. When the store is away for both, changing the
-/// guide would help nobody and cost calls.
+/// Guards against following a guide with older news than this node has, and leaving one with newer.
 #[test]
 fn a_guide_with_old_news_is_passed_over_by_those_with_newer() {
     let records: Vec<MemberRecord> = (1..5).map(record).collect();
@@ -81,10 +79,7 @@
     assert!(!guide.is_asked(at(5_500)));
 }
 
-/// The store turns the guides of all data centres away in the same moment, and a
-/// change of the configuration comes. Nobody is left from whom to hear of it. A
-/// guide says that it has lost the store, and its followers go on at once, not
-/// when its news have grown old.
+/// Guards against following a guide that has reported losing the store.
 #[test]
 fn a_guide_that_has_lost_the_store_is_passed_over_at_once() {
     let records: Vec<MemberRecord> = (1..5).map(record).collect();
--- a/crates/node/tests/all/link.rs
+++ b/crates/node/tests/all/link.rs
@@ -33,9 +33,7 @@
     matches!(verdict, LinkVerdict::Refused { .. })
 }
 
-/// Files of 100 ms each are asked for all at once. As many are begun as can be
-/// there when they are due, and the rest hears at once when to come back; one
-/// whose caller left makes room.
+/// Guards against promising more long answers than the link can deliver in time.
 #[test]
 fn what_cannot_be_there_when_due_is_refused() {
     let mut link = LinkSchedule::new(LINK_MBPS);
@@ -53,8 +51,7 @@
     promised(link.offer(at(0), offer(800)));
 }
 
-/// The link isn't busy yet, but spoken for: promises count until they are sent
-/// or taken back.
+/// Guards against promising the same link capacity twice before the answers are sent.
 #[test]
 fn promises_count_until_they_are_sent_or_withdrawn() {
     let mut link = LinkSchedule::new(LINK_MBPS);
@@ -70,8 +67,7 @@
     assert!(link.backlog(at(1_200)) < at(1));
 }
 
-/// A file turns out five times as long as usual: what is promised after it
-/// reckons with its real length.
+/// Guards against planning with the usual length after the real length is known.
 #[test]
 fn the_real_length_counts_once_it_is_known() {
     let mut link = LinkSchedule::new(LINK_MBPS);
@@ -82,8 +78,7 @@
     promised(link.offer(at(0), offer(2_000)));
 }
 
-/// Two files are ready. The one that is due first hands on piece by piece, only
-/// some milliseconds ahead of the link; the other waits for it, and follows.
+/// Guards against sending the answer that is due later first, or sending too far ahead of the link.
 #[test]
 fn the_answer_due_first_has_the_link() {
     let mut link = LinkSchedule::new(LINK_MBPS);
@@ -110,9 +105,7 @@
     assert!(now > at(170), "the file went out within {now:?}");
 }
 
-/// A caller that was refused comes back late: its file can't be in time any
-/// more, yet is still of some use. It gets what the others leave, until its
-/// caller's own end.
+/// Guards against late answers that displace those that can still be in time.
 #[test]
 fn a_late_file_gets_what_the_others_leave() {
     let mut link = LinkSchedule::new(LINK_MBPS);
@@ -125,10 +118,7 @@
     assert!(is_refused(link.offer(at(700), offer(800))));
 }
 
-/// A process has just started, and nobody knows that a route's answers are long.
-/// Ten are made at once. Handed on as they come they would fill the link for a
-/// second, and the node would seem dead to the others; they take turns, and the
-/// link is never spoken for by more than some milliseconds of what was sent.
+/// Guards against answers of unknown length that fill the link all at once after a restart.
 #[test]
 fn files_that_nobody_knew_to_be_long_take_turns() {
     let mut link = LinkSchedule::new(LINK_MBPS);
@@ -154,10 +144,7 @@
     assert!(begun.len() <= 3, "{} hand on at once", begun.len());
 }
 
-/// A long file is due and hasn't gone out yet, for it was made late; two others can
-/// still be in time. Sent by the time when they are due alone, the late one goes
-/// first and makes the second late, which makes the third late, and so on. It goes
-/// behind those that can be in time, and before its caller's end it goes out.
+/// Guards against one late answer that delays each answer after it.
 #[test]
 fn a_late_file_makes_no_other_late() {
     let mut link = LinkSchedule::new(LINK_MBPS);
--- a/crates/node/tests/all/link_load.rs
+++ b/crates/node/tests/all/link_load.rs
@@ -298,12 +298,7 @@
     }
 }
 
-/// Users saw that too few files were served, and half of those late. Files are asked
-/// for four times as often as the link carries them. One is promised and made within
-/// 0.1 s; later ones that are due sooner, or hardly later, are promised as well and go
-/// before it, so that it is put behind all that can be in time; it waits with its
-/// answer ready until its caller leaves. Cause: an offer left room for what is due
-/// before it only. Evidence: with everything promised counted none of these is cut.
+/// Guards against later promises that displace earlier ones until their callers leave.
 #[test]
 fn promised_files_are_sent() {
     let result = LinkLoadPlay::new(40.0, ALL).play();
@@ -312,10 +307,7 @@
     assert!(f64::from(result.in_time) >= promised * 0.9, "{result:?}");
 }
 
-/// Payments were refused, as their calls to a service of files came late: nodes there
-/// took no new connection for a quarter of a second. Their links were planned full with
-/// the bodies of answers; heads, refusals and requests came on top, and what the links
-/// couldn't carry waited in front of them, longer and longer.
+/// Guards against planning a link full with bodies, so that heads and refusals have to queue.
 #[test]
 fn heads_and_refusals_find_room_on_a_full_link() {
     let node = LinkLoadPlay::new(40.0, ALL).play();
@@ -332,10 +324,7 @@
     assert!(naive.longest_queue > connect_time, "{node:?} {naive:?}");
 }
 
-/// Half of the files that left their door in time came late for their callers: these had
-/// been refused before and come again, and how long each waits differs, so that what is
-/// left of it tells nothing. Taken for new ones they got the place of others that could
-/// have been in time.
+/// Guards against serving returning callers, whose time is nearly over, as new ones.
 #[test]
 fn files_go_to_callers_that_can_have_them_in_time() {
     let node = LinkLoadPlay::new(40.0, ALL).play();
--- a/crates/node/tests/all/poison.rs
+++ b/crates/node/tests/all/poison.rs
@@ -77,10 +77,7 @@
     result
 }
 
-/// One request crashes whatever runs it, and its caller sends it every second.
-/// Unguarded it takes a server each time. The hot prices in flight beside it
-/// must be served all along, and one rare request that sat beside both crashes
-/// is back within a minute.
+/// Guards against a request that crashes server after server, and refusing others long for it.
 #[test]
 fn poison_is_stopped_and_innocents_are_not() {
     let (guarded, naive) = (resend(true), resend(false));
@@ -148,10 +145,7 @@
     assert_eq!(crashes, 3);
 }
 
-/// Four backend servers of a service end together, each with the same popular
-/// lookup and others in flight. The lookup is innocent and was answered a
-/// thousand times. Refused, it can't show that; a minute later it must be served
-/// again, not after the whole hold.
+/// Guards against refusing a popular lookup for over a minute after servers ended together.
 #[test]
 fn servers_lost_together_shut_a_popular_lookup_out_for_a_minute() {
     let mut register = PoisonRegister::new(TERMS);
--- a/crates/node/tests/all/queue.rs
+++ b/crates/node/tests/all/queue.rs
@@ -118,9 +118,7 @@
     assert_eq!(queue.offer(at(100), probe), OfferVerdict::Run);
 }
 
-/// A lookup that runs elsewhere asks for stock here, where every slot is taken
-/// and an order waits. The call goes first, and may wait beyond its own target:
-/// without it the lookup has run for nothing.
+/// Guards against runs that are wasted because their calls wait behind new requests.
 #[test]
 fn calls_of_runs_that_have_begun_go_first() {
     let mut queue = trained(1);
@@ -135,9 +133,7 @@
     assert_eq!(queue.finish(at(140), 2, Some(at(40))), [order]);
 }
 
-/// A caller was refused and comes again too late to be answered in time. It
-/// goes behind one that still can be, though it asked before; where nobody else
-/// is, it runs at once.
+/// Guards against late requests that take slots from those that can be in time.
 #[test]
 fn what_is_late_already_goes_behind_the_others() {
     let mut queue = trained(2);
@@ -152,9 +148,7 @@
     assert_eq!(again, OfferVerdict::Run);
 }
 
-/// Orders wait while calls overtake them one after the other. What the places
-/// in the queue really take is measured: soon an order that would be overtaken
-/// for too long is refused on arrival, and not after it has waited.
+/// Guards against queueing requests that will be overtaken for longer than they can wait.
 #[test]
 fn a_queue_that_is_overtaken_is_known_to_be_slow() {
     let mut queue = trained(1);
@@ -182,10 +176,7 @@
     assert!(refused_at_once);
 }
 
-/// Two new routes of the highest rank are seldom asked for. One was served once,
-/// the other refused once, while less urgent work fills every slot. That is no
-/// lead: the next request on the first route waits, and isn't refused for the
-/// sake of the second.
+/// Guards against refusing a request because its route seems ahead after a single verdict.
 #[test]
 fn a_route_is_not_ahead_by_a_single_verdict() {
     let mut queue = trained(1);
@@ -197,9 +188,7 @@
     waits(queue.offer(at(101), offer(0, 10, 1_500)));
 }
 
-/// A process has just started, and callers come back all at once. How long a run
-/// takes isn't known yet; those that find no free slot wait for one, and aren't
-/// refused as if it took no time.
+/// Guards against refusing requests that find no free slot before any run time is known.
 #[test]
 fn jobs_wait_before_any_run_has_ended() {
     let mut queue = DoorQueue::new(1);
--- a/crates/node/tests/all/queue_load.rs
+++ b/crates/node/tests/all/queue_load.rs
@@ -144,9 +144,7 @@
     Duration::from_millis(millis)
 }
 
-/// A burst to one and a half times what the slots carry, for half a minute.
-/// In order of arrival the wait passes the target after a second and nearly
-/// every answer is late; with the queue most of what can be served is in time.
+/// Guards against a queue that serves nearly every request late under overload.
 #[test]
 fn overload_is_refused_and_not_served_late() {
     let orders = LoadClass {
@@ -222,9 +220,7 @@
     assert!(queued.share_in_time() > 0.97, "{queued:?}");
 }
 
-/// Lookups come at one and a half times the capacity, and runs differ widely. The
-/// queue only has to keep the slots busy: let be as long as the target allows, one
-/// of eleven answers came late, on slots that could have served others in time.
+/// Guards against a queue longer than the slots need to stay busy, which makes answers late.
 #[test]
 fn a_shortage_makes_few_answers_late() {
     let lookups = LoadClass {
--- a/crates/node/tests/all/starts.rs
+++ b/crates/node/tests/all/starts.rs
@@ -20,9 +20,7 @@
     }
 }
 
-/// A request crashes the same backend server three times, and that comes back
-/// under its identifier each time. Counted by identifier, that is one crash,
-/// and the request goes on crashing servers.
+/// Guards against counting several crashes under one identifier as one.
 #[test]
 fn each_crash_of_an_identifier_counts() {
     let mut book = CrashBook::default();
