--- a/crates/standins/src/endpoint_server.rs
+++ b/crates/standins/src/endpoint_server.rs
@@ -18,6 +18,9 @@
     run_record::RunRecord,
 };
 
+/// Text in a path that crashes a server with [`EndpointFault::CrashesOnRequest`].
+const CRASH_MARK: &str = "crash";
+
 /// How a backend server is. A request may ask for another time of a run by
 /// `work` (milliseconds) and another answer by `bytes` in its query.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -93,6 +96,34 @@
         shared.runs.lock().expect("no test panicked").clone()
     }
 
+    /// Whether a request that crashes servers has begun to run here. The server then ends
+    /// by itself.
+    ///
+    /// # Panics
+    ///
+    /// Panics when another thread did while holding the runs.
+    pub fn has_crashed(&self) -> bool {
+        let faulty = self.options().fault == EndpointFault::CrashesOnRequest;
+        faulty && self.runs().iter().any(|run| run.path.contains(CRASH_MARK))
+    }
+
+    /// Ends it with all its connections. What it ran can still be asked for.
+    pub fn stop(&mut self) {
+        self.thread.end();
+    }
+
+    /// Ends it, and starts it again on `addr` as `options` say. Returns what it ran before.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the address is taken, or another thread did while holding the runs.
+    pub fn restart(&mut self, addr: SocketAddr, options: EndpointOptions) -> Vec<RunRecord> {
+        self.thread.end();
+        let runs = self.runs();
+        *self = Self::start(addr, options);
+        runs
+    }
+
     /// Returns how it is, to change that.
     ///
     /// # Panics
@@ -162,7 +193,7 @@
         index,
         finished: false,
     };
-    if options.fault == EndpointFault::CrashesOnRequest && head.uri.path().contains("crash") {
+    if options.fault == EndpointFault::CrashesOnRequest && head.uri.path().contains(CRASH_MARK) {
         return Reply::Crash;
     }
     let asked = |name| figure(&head.uri, name);
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -72,8 +72,9 @@
     }
 }
 
-impl Drop for ServerThread {
-    fn drop(&mut self) {
+impl ServerThread {
+    /// Ends the thread, with all its connections and listeners, and waits for its end.
+    pub(crate) fn end(&mut self) {
         let _gone = self.stop.send(true);
         if let Some(thread) = self.thread.take() {
             let _panicked = thread.join();
@@ -81,6 +82,12 @@
     }
 }
 
+impl Drop for ServerThread {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 /// Opens a listener on `addr`.
 ///
 /// # Panics
