Know a crash before its sender is answered, and refuse what has crashed two servers at their doors

Callers saw: a request that crashes what runs it took down one backend server after the other. A service of four that stay away was gone.

One send crashes two servers: `try broke` twice under one request. The verdict `Suspect` said "never retried" and nothing read it. 2. A server that is back at once never crashed: `connections broke`, `look` `there`, 51 ms later. 3. News take the long way (lease, write, watcher, followers; the caller had its 502 after 1 ms), are lost for good while the store is away, and reach fronts only, not the next server's door. Class of fault: evidence that arrives after the decision that it is for.

Fix: the node probes its backend server as soon as a run breaks and asks which start it is; a start that takes the place of one that broke runs proves a crash later. The nodes beside the other servers of the service, and of services on the same route, are told before the sender is answered (100 ms at most), again where they couldn't be, and the store until it takes the news. Doors refuse. What was running at a crash isn't retried, and runs beside no other such request.

--- a/crates/node/src/config/mesh_config.rs
+++ b/crates/node/src/config/mesh_config.rs
@@ -154,6 +154,12 @@
         self.routes.len()
     }
 
+    /// Whether some route divides its requests between two services.
+    pub fn share_a_route(&self, one: &str, other: &str) -> bool {
+        let mut routes = self.routes.values();
+        routes.any(|route| route.shares.allows(one) && route.shares.allows(other))
+    }
+
     /// Whether some route may send requests to `service`.
     pub fn uses(&self, service: &str) -> bool {
         self.routes
--- /dev/null
+++ b/crates/node/src/crash/broken_runs.rs
@@ -0,0 +1,120 @@
+//! Runs whose connection to the backend server broke.
+
+use std::{
+    cell::{Cell, RefCell},
+    time::Duration,
+};
+
+use tokio::sync::{Notify, oneshot};
+
+use super::{BreakCause, BreakFinding, CrashRow};
+use crate::member::EndpointStart;
+
+/// Time for which a run that broke is held against the end of its backend server. The
+/// platform restarts one within seconds.
+const RECENT_TIME: Duration = Duration::from_secs(10);
+/// Most runs that are remembered so: those of a backend server that breaks every run for
+/// some seconds.
+const RECENT_MAX: usize = 1_024;
+
+/// A run whose connection broke before an answer, and whose sender waits for the cause.
+#[derive(Debug)]
+pub(super) struct BrokenRun {
+    pub(super) row: CrashRow,
+    pub(super) found: oneshot::Sender<BreakFinding>,
+}
+
+/// A run that broke lately and isn't counted as a crash.
+#[derive(Debug)]
+struct RecentRun {
+    at: Duration,
+    cause: BreakCause,
+    row: CrashRow,
+}
+
+/// Runs whose connection to the backend server broke before an answer.
+#[derive(Debug, Default)]
+pub struct BrokenRuns {
+    waiting: RefCell<Vec<BrokenRun>>,
+    recent: RefCell<Vec<RecentRun>>,
+    /// Rows of starts that turned out to have crashed after their runs were settled.
+    late: RefCell<Vec<CrashRow>>,
+    /// Batches of such rows that other nodes are being told of.
+    late_open: Cell<u32>,
+    late_told: Notify,
+    pub(super) heard: Notify,
+}
+
+impl BrokenRuns {
+    /// Notes that the connection of a run broke, and returns where the cause will be told.
+    pub fn push(&self, start: EndpointStart, print: u64) -> oneshot::Receiver<BreakFinding> {
+        let (found, finding) = oneshot::channel();
+        let row = CrashRow {
+            fingerprint: print,
+            start,
+        };
+        self.waiting.borrow_mut().push(BrokenRun { row, found });
+        self.heard.notify_one();
+        finding
+    }
+
+    /// Takes in that `instance` has taken the place of a start that didn't say that it
+    /// leaves.
+    ///
+    /// A backend server that is restarted within milliseconds listens again before anyone
+    /// could notice that it was gone, perhaps under the identifier that it had. What broke
+    /// shortly before counts as a crash, unless the earlier start was seen to live after it.
+    pub fn replaced(&self, now: Duration, ended: &EndpointStart, instance: &str) {
+        let mut recent = self.recent.borrow_mut();
+        let crashed = |run: &RecentRun| {
+            let lived = run.cause == BreakCause::AnswerLost && ended.instance() != instance;
+            run.row.start == *ended && !lived && now < run.at + RECENT_TIME
+        };
+        let rows = recent.iter().filter(|run| crashed(run));
+        let rows: Vec<CrashRow> = rows.map(|run| run.row.clone()).collect();
+        recent.retain(|run| run.row.start != *ended);
+        if !rows.is_empty() {
+            self.late.borrow_mut().extend(rows);
+            self.heard.notify_one();
+        }
+    }
+
+    /// Remembers a run that isn't counted as a crash, as `cause` says.
+    pub(super) fn remember(&self, now: Duration, cause: BreakCause, row: CrashRow) {
+        let mut recent = self.recent.borrow_mut();
+        recent.retain(|run| now < run.at + RECENT_TIME);
+        if recent.len() < RECENT_MAX {
+            let at = now;
+            recent.push(RecentRun { at, cause, row });
+        }
+    }
+
+    /// Takes the runs whose senders wait.
+    pub(super) fn take_waiting(&self) -> Vec<BrokenRun> {
+        self.waiting.take()
+    }
+
+    /// Takes the rows of starts that turned out to have crashed, if there are any.
+    pub(super) fn take_late(&self) -> Option<Vec<CrashRow>> {
+        let rows = self.late.take();
+        if rows.is_empty() {
+            return None;
+        }
+        self.late_open.set(self.late_open.get() + 1);
+        Some(rows)
+    }
+
+    /// Notes that other nodes know of the rows that were taken.
+    pub(super) fn told_late(&self) {
+        self.late_open.set(self.late_open.get().saturating_sub(1));
+        self.late_told.notify_waiters();
+    }
+
+    /// Waits until other nodes know of the crashes that showed as another start took the
+    /// place of the one that crashed.
+    pub async fn until_late_told(&self) {
+        while self.late_open.get() > 0 || !self.late.borrow().is_empty() {
+            self.late_told.notified().await;
+        }
+    }
+}
--- a/crates/node/src/crash/crash_book.rs
+++ b/crates/node/src/crash/crash_book.rs
@@ -7,10 +7,10 @@
 
 /// Prefix of the crashes in the store.
 pub const CRASH_PREFIX: &str = "geranium/crash/";
-/// Crashes after which a request is refused. Backend servers crash for reasons
-/// of their own with a dozen requests in hand; three of them with the same one
-/// is no accident.
-const CRASHES_MAX: u32 = 3;
+/// Crashes after which a request is refused. A service may have no more backend servers
+/// than that. Requests that only ran beside the one that crashes them are cleared by their
+/// good answers, or refused for a short time.
+const CRASHES_MAX: u32 = 2;
 /// Time for which such a request stays refused: a caller's automatic resends
 /// end by then.
 const HOLD: Duration = Duration::from_secs(600);
@@ -38,7 +38,8 @@
 }
 
 impl CrashBook {
-    /// Takes in a row and returns whether it was new.
+    /// Takes in a row and returns whether it was new. The revision is that of the row in the
+    /// store, 0 while it isn't known; rows are handed on once it is.
     pub fn record(&mut self, now: Duration, row: CrashRow, revision: Revision) -> bool {
         let new = self.register.record(now, row.clone());
         if new {
@@ -46,6 +47,8 @@
                 self.rows.pop_front();
             }
             self.rows.push_back((revision, row));
+        } else if let Some(known) = self.rows.iter_mut().find(|known| known.1 == row) {
+            known.0 = known.0.max(revision);
         }
         new
     }
@@ -63,6 +66,13 @@
         }
     }
 
+    /// Whether a request is to run by itself, as it was running when a backend server
+    /// crashed. One that was answered well before is more likely a bystander.
+    pub fn is_suspect(&self, now: Duration, print: u64) -> bool {
+        let verdict = self.register.verdict(now, print);
+        verdict == PoisonVerdict::Suspect && !self.register.was_good(print)
+    }
+
     /// Returns the rows after a revision, for another node.
     pub fn rows_since(&self, since: Revision) -> Vec<(u64, CrashRow)> {
         let rows = self.rows.iter().filter(|(revision, _)| *revision > since);
--- /dev/null
+++ b/crates/node/src/crash/crash_port.rs
@@ -0,0 +1,51 @@
+//! Takes in what other nodes tell of crashes.
+
+use std::rc::Rc;
+
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Collected, Limited};
+use hyper::body::Incoming;
+use slog::warn;
+
+use super::CrashRow;
+use crate::{
+    answer_body::{AnswerBody, empty_answer},
+    node_core::NodeCore,
+    store::Revision,
+};
+
+/// Path at which a node is told of crashes.
+pub const CRASH_PATH: &str = "/.geranium/crash";
+/// Longest news of a crash: a row is some 80 bytes, and a server runs a few dozen requests.
+const BODY_MAX: usize = 64 * 1024;
+
+/// Takes in what other nodes tell of crashes.
+#[derive(Debug, Clone)]
+pub struct CrashPort {
+    core: Rc<NodeCore>,
+}
+
+impl CrashPort {
+    /// Makes the port of a node.
+    pub const fn new(core: Rc<NodeCore>) -> Self {
+        Self { core }
+    }
+
+    /// Takes in crashes, and answers once they count here.
+    pub async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let body = Limited::new(request.into_body(), BODY_MAX).collect().await;
+        let body = body.map(Collected::to_bytes).unwrap_or_default();
+        match serde_json::from_slice::<Vec<CrashRow>>(&body) {
+            Ok(rows) => {
+                for row in rows {
+                    self.core.heard_crash(row, Revision(0));
+                }
+                empty_answer(StatusCode::OK)
+            }
+            Err(cause) => {
+                warn!(self.core.log.logger(), "crash unreadable"; "cause" => %cause);
+                empty_answer(StatusCode::BAD_REQUEST)
+            }
+        }
+    }
+}
--- a/crates/node/src/crash/crash_watch.rs
+++ b/crates/node/src/crash/crash_watch.rs
@@ -1,137 +1,145 @@
 //! Telling a crash of the backend server from a broken connection.
 
-use std::{cell::RefCell, io::ErrorKind, rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use slog::{info, warn};
-use strum::IntoStaticStr;
 use tokio::{
-    net::TcpStream,
-    sync::Notify,
-    time::{sleep, timeout},
+    task::spawn_local,
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 
-use super::{CRASH_PREFIX, CrashRow};
+use super::{
+    BreakCause, BreakFinding, CrashRow,
+    broken_runs::BrokenRun,
+    crash_news::{store_crash, tell_peers},
+};
 use crate::{
+    hop::ExchangeError,
     member::EndpointStart,
     node_core::NodeCore,
-    store::{MetaStore, Revision, StoreError, StoreWrite},
+    store::{MetaStore, Revision},
 };
 
-/// Time after a break in which further ones gather: a process that crashes
-/// drops all its connections within a millisecond or two.
-const GATHER: Duration = Duration::from_millis(50);
-/// Longest look whether the backend server listens.
-const LOOK_TIME: Duration = Duration::from_millis(250);
-/// Time for which a crash stands in the store. Every node reads it within a
-/// second or two and remembers it by itself.
-const CRASH_LEASE: Duration = Duration::from_secs(30);
-
-/// Runs whose connection broke before an answer.
-#[derive(Debug, Default)]
-pub struct BrokenRuns {
-    runs: RefCell<Vec<BrokenRun>>,
-    heard: Notify,
-}
-
-#[derive(Debug, PartialEq, Eq)]
-struct BrokenRun {
-    start: EndpointStart,
-    print: u64,
-}
-
-impl From<BrokenRun> for CrashRow {
-    fn from(run: BrokenRun) -> Self {
-        Self {
-            fingerprint: run.print,
-            start: run.start,
-        }
-    }
-}
-
-impl BrokenRuns {
-    /// Notes that the connection of a run broke.
-    pub fn push(&self, start: EndpointStart, print: u64) {
-        self.runs.borrow_mut().push(BrokenRun { start, print });
-        self.heard.notify_one();
-    }
-}
+/// Time after a break in which further ones gather: a process that crashes drops all its
+/// connections within a millisecond or two.
+const GATHER: Duration = Duration::from_millis(5);
+/// Longest probe of a backend server. The senders of what broke wait for it.
+const PROBE_TIME: Duration = Duration::from_millis(250);
+/// Pause after a probe whose connection broke as well: the process is ending.
+const PROBE_PAUSE: Duration = Duration::from_millis(5);
 
 /// Watches for crashes of the backend server until the node ends.
 ///
 /// A request that crashes its backend server is told from one whose answer was lost by
-/// whether the backend server still listens after its connections broke. One that crashed
-/// doesn't listen for some seconds.
+/// whether the backend server lives after its connections broke. Those who sent what broke
+/// are answered once that is known, so that a caller that sends such a request again at
+/// once finds it known.
 pub async fn watch_crashes(core: Rc<NodeCore>, store: Rc<impl MetaStore>) {
     loop {
         core.door.broken().heard.notified().await;
+        if let Some(late) = core.door.broken().take_late() {
+            spawn_local(record_late(Rc::clone(&core), Rc::clone(&store), late));
+        }
         sleep(GATHER).await;
-        let runs = core.door.broken().runs.take();
-        let look = look_at_endpoint(&core).await;
-        info!(core.log.logger(), "backend server's connections broke";
-            "runs" => runs.len(),
-            "look" => <&'static str>::from(look),
-            "only_trials" => core.door.is_broken());
-        if look != EndpointLook::Gone {
-            continue;
+        for (start, runs) in by_start(core.door.broken().take_waiting()) {
+            spawn_local(settle(Rc::clone(&core), Rc::clone(&store), start, runs));
         }
-        let rows: Vec<CrashRow> = runs.into_iter().map(CrashRow::from).collect();
-        warn!(core.log.logger(), "backend server crashed"; "runs" => rows.len());
+    }
+}
+
+fn by_start(runs: Vec<BrokenRun>) -> HashMap<EndpointStart, Vec<BrokenRun>> {
+    let mut starts: HashMap<EndpointStart, Vec<BrokenRun>> = HashMap::new();
+    for run in runs {
+        starts.entry(run.row.start.clone()).or_default().push(run);
+    }
+    starts
+}
+
+/// Finds out why runs at one start broke, and tells those who sent them.
+async fn settle(
+    core: Rc<NodeCore>,
+    store: Rc<impl MetaStore>,
+    start: EndpointStart,
+    runs: Vec<BrokenRun>,
+) {
+    let begun = Instant::now();
+    let cause = probe(&core, &start).await;
+    info!(core.log.logger(), "backend server's connections broke";
+        "instance" => %start,
+        "runs" => runs.len(),
+        "cause" => <&'static str>::from(cause),
+        "took_ms" => begun.elapsed().as_millis() as u64,
+        "only_trials" => core.door.is_broken());
+    let rows: Vec<CrashRow> = runs.iter().map(|run| run.row.clone()).collect();
+    if cause == BreakCause::Crashed {
+        warn!(core.log.logger(), "backend server crashed";
+            "instance" => %start, "runs" => rows.len(), "evidence" => "probe");
+        record(Rc::clone(&core), store, rows).await;
+    } else {
         let now = core.clock.now();
-        let published = publish(&*store, &core, &rows).await;
-        let revision = match published {
-            Ok(revision) => revision,
-            Err(cause) => {
-                warn!(core.log.logger(), "crash not told"; "cause" => %cause);
-                Revision(0)
-            }
-        };
         for row in rows {
-            core.crashes.borrow_mut().record(now, row, revision);
+            core.door.broken().remember(now, cause, row);
         }
     }
+    let finding = BreakFinding { cause, start };
+    for run in runs {
+        // A sender that was cancelled meanwhile waits no more.
+        let _gone = run.found.send(finding.clone());
+    }
 }
 
-/// What a look at the backend server showed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, IntoStaticStr)]
-#[strum(serialize_all = "kebab-case")]
-enum EndpointLook {
-    /// It listens.
-    There,
-    /// Nothing listens at its address.
-    Gone,
-    /// Nothing answers at its address, or something else is wrong: no proof
-    /// of a crash.
-    Unclear,
+/// Records crashes that showed as another start took the place of the one that crashed.
+async fn record_late(core: Rc<NodeCore>, store: Rc<impl MetaStore>, rows: Vec<CrashRow>) {
+    warn!(core.log.logger(), "backend server crashed";
+        "runs" => rows.len(), "evidence" => "another start took its place");
+    record(Rc::clone(&core), store, rows).await;
+    core.door.broken().told_late();
 }
 
-async fn look_at_endpoint(core: &NodeCore) -> EndpointLook {
-    match timeout(LOOK_TIME, TcpStream::connect(core.settings.endpoint)).await {
-        Ok(Ok(_)) => EndpointLook::There,
-        Ok(Err(error)) => match error.kind() {
-            ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => EndpointLook::Gone,
-            _ => EndpointLook::Unclear,
-        },
-        Err(_elapsed) => EndpointLook::Unclear,
+/// Records crashes here, with the peers and in the store.
+async fn record(core: Rc<NodeCore>, store: Rc<impl MetaStore>, rows: Vec<CrashRow>) {
+    let now = core.clock.now();
+    for row in &rows {
+        let mut crashes = core.crashes.borrow_mut();
+        crashes.record(now, row.clone(), Revision(0));
     }
+    spawn_local(store_crash(Rc::clone(&core), store, rows.clone()));
+    tell_peers(&core, &rows).await;
 }
 
-async fn publish(
-    store: &impl MetaStore,
-    core: &NodeCore,
-    rows: &[CrashRow],
-) -> Result<Revision, StoreError> {
-    let Some(first) = rows.first() else {
-        return Ok(Revision(0));
-    };
-    let value = serde_json::to_vec(rows).map_err(|error| StoreError::Unexpected {
-        reason: error.to_string(),
-    })?;
-    core.metrics.store_call("tell-crash");
-    let grant = store.grant(CRASH_LEASE).await?;
-    let key = format!("{CRASH_PREFIX}{}", first.start);
-    let revision = store
-        .commit(&[StoreWrite::leased(&key, &value, Revision(0), grant.lease)])
-        .await?;
-    info!(core.log.logger(), "crash told"; "revision" => revision.0);
-    Ok(revision)
+/// Asks the backend server which start it is.
+///
+/// An answer of the start that was asked before proves that it lives. That it takes no
+/// connection proves that it is gone, unless other runs are still open there: an overloaded
+/// server refuses connections, too.
+async fn probe(core: &NodeCore, start: &EndpointStart) -> BreakCause {
+    let config = core.config.borrow().clone();
+    let path = config.and_then(|config| {
+        let path = config.health_path(&core.settings.service);
+        path.map(ToOwned::to_owned)
+    });
+    let path = path.unwrap_or_else(|| "/".to_owned());
+    let until = Instant::now() + PROBE_TIME;
+    loop {
+        let answer = timeout_at(until, core.door.ask_health(&path)).await;
+        match answer {
+            Ok(Ok(health)) => {
+                return match health.instance {
+                    Some(instance) if instance == start.instance() => BreakCause::AnswerLost,
+                    Some(_) => BreakCause::Crashed,
+                    None => BreakCause::Unclear,
+                };
+            }
+            Ok(Err(ExchangeError::Refused { .. })) if core.door.is_idle() => {
+                return BreakCause::Crashed;
+            }
+            Ok(Err(_)) => {}
+            Err(_elapsed) => return BreakCause::Unclear,
+        }
+        let next = Instant::now() + PROBE_PAUSE;
+        if next >= until {
+            return BreakCause::Unclear;
+        }
+        sleep_until(next).await;
+    }
 }
--- a/crates/node/src/crash/poison_register.rs
+++ b/crates/node/src/crash/poison_register.rs
@@ -120,6 +120,12 @@
         }
     }
 
+    /// Whether good answers paid for a crash of the request.
+    pub fn was_good(&self, fingerprint: u64) -> bool {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.is_some_and(SuspectRecord::was_good)
+    }
+
     /// Returns the rows in memory.
     pub fn rows(&self) -> impl Iterator<Item = &CrashRow> {
         self.rows.iter().map(|(_, row)| row)
--- a/crates/node/src/crash/poison_verdict.rs
+++ b/crates/node/src/crash/poison_verdict.rs
@@ -7,7 +7,8 @@
 pub enum PoisonVerdict {
     /// Nothing is held against it.
     Clear,
-    /// It was running when a backend server crashed: it is never retried.
+    /// It was running when a backend server crashed: it is never retried, and runs beside no
+    /// other such request.
     Suspect,
     /// It is refused as `Poisoned`, and did not run.
     Refused {
--- /dev/null
+++ b/crates/node/src/door/crash_admission.rs
@@ -0,0 +1,54 @@
+//! Keeping requests that crash backend servers away from this one.
+
+use std::time::Duration;
+
+use tokio::{sync::SemaphorePermit, time::timeout_at};
+
+use super::{
+    DoorError, DoorFlow, DoorRequest, RefusalReason,
+    door_flow::{RETRY_ELSEWHERE, refused},
+};
+
+impl DoorFlow {
+    /// Refuses a request that has crashed backend servers, and lets one that was running
+    /// when one crashed wait for its turn, which it holds while it runs.
+    ///
+    /// Only one such request runs at a time. Of the dozen that are running when a server
+    /// crashes one is guilty. Were they sent again together, they would all be running at
+    /// the second crash, too, and be refused with the one that causes it.
+    ///
+    /// # Errors
+    ///
+    /// When it may not run here, or its turn doesn't come in its time.
+    pub(super) async fn admit_print(
+        &self,
+        request: &DoorRequest,
+    ) -> Result<Option<SemaphorePermit<'_>>, DoorError> {
+        self.refuse_poisoned(request.print)?;
+        let now = self.inner.clock.now();
+        if !self.crashes.borrow().is_suspect(now, request.print) {
+            return Ok(None);
+        }
+        let turn = if request.may_wait {
+            let turn = timeout_at(request.ends_at, self.suspect_turn.acquire()).await;
+            turn.ok().and_then(Result::ok)
+        } else {
+            self.suspect_turn.try_acquire().ok()
+        };
+        if turn.is_none() {
+            return refused(RefusalReason::Busy, RETRY_ELSEWHERE);
+        }
+        // The one before may have been this very request, sent twice.
+        self.refuse_poisoned(request.print)?;
+        Ok(turn)
+    }
+
+    fn refuse_poisoned(&self, print: u64) -> Result<(), DoorError> {
+        let now = self.inner.clock.now();
+        let refusal: Option<Duration> = self.crashes.borrow().refusal(now, print);
+        match refusal {
+            Some(retry_after) => refused(RefusalReason::Poisoned, retry_after),
+            None => Ok(()),
+        }
+    }
+}
--- a/crates/node/src/door/door_flow.rs
+++ b/crates/node/src/door/door_flow.rs
@@ -14,7 +14,7 @@
 use hyper::body::Body;
 use snafu::Snafu;
 use tokio::{
-    sync::oneshot,
+    sync::{Semaphore, oneshot},
     time::{timeout, timeout_at},
 };
 
@@ -24,9 +24,9 @@
 };
 use crate::{
     answer_body::AnswerBody,
-    crash::BrokenRuns,
+    crash::{BreakFinding, BrokenRuns, CrashBook},
     header_set::{HeaderSet, header_text},
-    hop::{ConnectionPool, PoolSettings},
+    hop::{ConnectionPool, ExchangeError, PoolSettings},
     link::LinkLine,
     member::{AnswerSizes, EndpointStart, LoadReport},
     node_clock::NodeClock,
@@ -77,9 +77,20 @@
     Broke {
         /// What was met.
         reason: String,
+        /// What was found of the backend server, where its connection broke.
+        finding: Option<BreakFinding>,
     },
 }
 
+/// What the backend server said when its health was checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthAnswer {
+    /// Whether it is healthy and not leaving.
+    pub healthy: bool,
+    /// Start that it says it is.
+    pub instance: Option<String>,
+}
+
 /// State of the door.
 #[derive(Debug)]
 pub(super) struct DoorInner {
@@ -120,6 +131,9 @@
     pub(super) headers: HeaderSet,
     pub(super) gate: RefCell<EndpointGate>,
     pub(super) broken: BrokenRuns,
+    pub(super) crashes: Rc<RefCell<CrashBook>>,
+    /// Held while a request runs that was running when a backend server crashed.
+    pub(super) suspect_turn: Semaphore,
     pub(super) breaker: RefCell<EndpointBreaker>,
     pub(super) calls: RefCell<CallBook>,
     stopping_since: Cell<Option<Duration>>,
@@ -132,6 +146,7 @@
         headers: HeaderSet,
         clock: NodeClock,
         link: Rc<LinkLine>,
+        crashes: Rc<RefCell<CrashBook>>,
     ) -> Self {
         let endpoints = ConnectionPool::new(PoolSettings {
             connect_time: CONNECT_TIME,
@@ -151,6 +166,8 @@
             headers,
             gate: RefCell::default(),
             broken: BrokenRuns::default(),
+            crashes,
+            suspect_turn: Semaphore::new(1),
             breaker: RefCell::default(),
             calls: RefCell::default(),
             stopping_since: Cell::new(None),
@@ -228,20 +245,39 @@
     /// Asks the backend server whether it is healthy and not leaving, and
     /// returns the start that says so.
     pub async fn health(&self, path: &str) -> Option<String> {
+        let asked = timeout(HEALTH_TIME, self.ask_health(path)).await;
+        let answer = asked.ok()?.ok()?;
+        answer.instance.filter(|_| answer.healthy)
+    }
+
+    /// Sends a health check to the backend server.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer.
+    pub async fn ask_health(&self, path: &str) -> Result<HealthAnswer, ExchangeError> {
         let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = path.parse().ok()?;
-        let host = HeaderValue::from_str(&self.settings.endpoint.to_string()).ok()?;
-        request.headers_mut().insert(header::HOST, host);
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        if let Ok(host) = HeaderValue::from_str(&self.settings.endpoint.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
         let endpoints = &self.inner.endpoints;
         let exchange = endpoints.exchange(self.settings.endpoint, request, IDLE_ONCE);
-        let (response, sender) = timeout(HEALTH_TIME, exchange).await.ok()?.ok()?;
-        let healthy = response.status() == StatusCode::OK;
-        let instance =
-            header_text(response.headers(), &self.headers.instance).map(ToOwned::to_owned);
+        let (response, sender) = exchange.await?;
+        let answer = HealthAnswer {
+            healthy: response.status() == StatusCode::OK,
+            instance: header_text(response.headers(), &self.headers.instance)
+                .map(ToOwned::to_owned),
+        };
         if response.into_body().collect().await.is_ok() {
             endpoints.give_back(sender);
         }
-        instance.filter(|_| healthy)
+        Ok(answer)
+    }
+
+    /// Whether the backend server runs nothing for this node.
+    pub fn is_idle(&self) -> bool {
+        self.inner.queue.borrow().running() == 0
     }
 
     /// Runs a request at the backend server.
@@ -257,20 +293,28 @@
         request: DoorRequest,
         idempotent: bool,
     ) -> Result<Response<AnswerBody>, DoorError> {
+        let turn = self.admit_print(&request).await?;
         let start = self.admit(&request)?;
         let promise = self.promise_link(&request)?;
         let slot = self.wait_for_slot(&request).await?;
-        // The backend server may have begun to leave meanwhile.
+        // A backend server may have crashed meanwhile, or this one begun to leave.
+        let _turn = match turn {
+            Some(turn) => Some(turn),
+            None => self.admit_print(&request).await?,
+        };
         self.admit(&request)?;
         self.admit_by_breaker()?;
         let ends_at = request.ends_at + OVERTIME;
-        let class = request.class;
+        let (class, print) = (request.class, request.print);
         let unscheduled = self.unscheduled_answer(&request);
         let answer = timeout_at(ends_at, self.call(request, idempotent, slot, start)).await;
         if let Ok(result) = &answer {
             self.note_run(result);
         }
         let answer = answer.unwrap_or_else(|_elapsed| broke("no answer in time"))?;
+        if answer.status().is_success() {
+            self.crashes.borrow_mut().completed(print);
+        }
         let bytes = answer.body().size_hint().exact();
         if let Some(bytes) = bytes {
             self.inner.sizes.borrow_mut().observe(class, bytes);
@@ -315,5 +359,6 @@
 
 pub(super) fn broke<T>(reason: impl Into<String>) -> Result<T, DoorError> {
     let reason = reason.into();
-    Err(DoorError::Broke { reason })
+    let finding = None;
+    Err(DoorError::Broke { reason, finding })
 }
--- a/crates/node/src/door/door_refusal.rs
+++ b/crates/node/src/door/door_refusal.rs
@@ -20,6 +20,8 @@
     Full,
     /// The instance's link has more to carry than small answers can wait for.
     LinkFull,
+    /// The request has crashed backend servers.
+    Poisoned,
     /// The backend server itself refused.
     EndpointRefused,
     /// The backend server takes no connection.
--- a/crates/node/src/door/endpoint_call.rs
+++ b/crates/node/src/door/endpoint_call.rs
@@ -41,12 +41,14 @@
             .await;
         let (response, sender) = match exchange {
             Ok(answer) => answer,
-            Err(ExchangeError::NotSent { .. }) => {
+            Err(ExchangeError::NotSent { .. } | ExchangeError::Refused { .. }) => {
                 return refused(RefusalReason::EndpointDown, RETRY_ELSEWHERE);
             }
             Err(ExchangeError::Broke { reason }) => {
-                self.broken.push(start, print);
-                return broke(reason);
+                // The backend server's place is free, whatever is found.
+                drop(slot);
+                let finding = self.broken.push(start, print).await.ok();
+                return Err(DoorError::Broke { reason, finding });
             }
         };
         self.check(&response, id.as_ref())?;
@@ -84,7 +86,10 @@
         let status = response.status();
         if status == StatusCode::MISDIRECTED_REQUEST {
             if let Some(actual) = header_text(headers, &self.headers.instance) {
-                self.gate.borrow_mut().corrected(actual);
+                let now = self.inner.clock.now();
+                if let Some(ended) = self.gate.borrow_mut().corrected(actual) {
+                    self.broken.replaced(now, &ended, actual);
+                }
             }
             return refused(RefusalReason::OtherInstance, RETRY_ELSEWHERE);
         }
--- a/crates/node/src/door/endpoint_gate.rs
+++ b/crates/node/src/door/endpoint_gate.rs
@@ -94,17 +94,19 @@
         }
     }
 
-    /// Takes in that the backend server named itself `instance`.
-    pub fn corrected(&mut self, instance: &str) {
+    /// Takes in that the backend server named itself `instance`, and returns the start that
+    /// has ended without having said that it leaves.
+    pub fn corrected(&mut self, instance: &str) -> Option<EndpointStart> {
         self.retired
             .retain(|retired| retired.instance() != instance);
         let other = |current: &LocalEndpoint| current.report.start.instance() != instance;
-        if self.current.as_ref().is_some_and(other) {
-            let ended = self.current.take();
-            if let Some(ended) = ended {
-                self.retire(ended.report.start);
-            }
+        if !self.current.as_ref().is_some_and(other) {
+            return None;
         }
+        let ended = self.current.take()?;
+        self.retire(ended.report.start.clone());
+        let unannounced = ended.leaving_since.is_none();
+        unannounced.then_some(ended.report.start)
     }
 
     /// Takes in what this node announced before it was restarted.
@@ -127,6 +129,14 @@
         self.adopt(now, report);
     }
 
+    /// Returns the start that lives here unless it has said that it leaves: were another to
+    /// take its place now, its end would be unannounced.
+    pub fn unannounced_end(&self) -> Option<EndpointStart> {
+        let current = self.current.as_ref()?;
+        let staying = current.leaving_since.is_none();
+        staying.then(|| current.report.start.clone())
+    }
+
     /// Returns the backend server that lives here, if one is known.
     pub const fn current(&self) -> Option<&LocalEndpoint> {
         self.current.as_ref()
--- a/crates/node/src/door/mod.rs
+++ b/crates/node/src/door/mod.rs
@@ -8,6 +8,7 @@
 
 mod call_book;
 mod class_books;
+mod crash_admission;
 mod door_flow;
 mod door_queue;
 mod door_refusal;
@@ -22,7 +23,7 @@
 mod slot_wait;
 
 pub use call_book::CallBook;
-pub use door_flow::{DoorError, DoorFlow, DoorSettings};
+pub use door_flow::{DoorError, DoorFlow, DoorSettings, HealthAnswer};
 pub use door_queue::{DoorQueue, JobKey, JobOffer, OfferVerdict};
 pub use door_refusal::{DoorRefusal, RefusalReason};
 pub use door_request::DoorRequest;
--- a/crates/node/src/follow/member_watcher.rs
+++ b/crates/node/src/follow/member_watcher.rs
@@ -12,7 +12,7 @@
 use super::{
     AnnouncementKey, NODE_PREFIX,
     member_notes::MemberNotes,
-    news_intake::{take_crash, take_lapse, take_record},
+    news_intake::{take_lapse, take_record},
     own_key,
 };
 use crate::{
@@ -191,7 +191,7 @@
     match serde_json::from_slice::<Vec<CrashRow>>(&item.value) {
         Ok(rows) => {
             for row in rows {
-                take_crash(core, row, item.revision);
+                core.heard_crash(row, item.revision);
             }
         }
         Err(cause) => error!(core.log.logger(), "crash unreadable";
--- a/crates/node/src/follow/news_intake.rs
+++ b/crates/node/src/follow/news_intake.rs
@@ -7,7 +7,6 @@
 use super::member_notes::{MemberNotes, MemberRow};
 use crate::{
     config::MeshConfig,
-    crash::CrashRow,
     distribution::{ConfigNews, FollowAnswer},
     member::{MemberNews, MemberRecord},
     node_core::NodeCore,
@@ -20,7 +19,7 @@
         take_config(core, from, news);
     }
     for (revision, row) in answer.crashes {
-        take_crash(core, row, Revision(revision));
+        core.heard_crash(row, Revision(revision));
     }
     take_members(core, answer.members);
 }
@@ -98,19 +97,6 @@
     }
 }
 
-/// Takes in that a backend server crashed while it ran a request.
-pub(super) fn take_crash(core: &NodeCore, row: CrashRow, revision: Revision) {
-    let print = row.fingerprint;
-    let new = core
-        .crashes
-        .borrow_mut()
-        .record(core.clock.now(), row, revision);
-    if new {
-        info!(core.log.logger(), "crash heard";
-            "print" => format!("{print:016x}"), "revision" => revision.0);
-    }
-}
-
 /// Takes in that an announcement is missing.
 pub(super) fn take_lapse(core: &NodeCore, hop: SocketAddr, revision: Revision) {
     let known = core
--- a/crates/node/src/front/attempt.rs
+++ b/crates/node/src/front/attempt.rs
@@ -12,10 +12,11 @@
 use crate::{
     answer_body::{AnswerBody, is_short},
     config::ConfigVersion,
+    crash::BreakFinding,
     door::{DoorError, DoorRefusal, DoorRequest},
     header_set::{
-        HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, head_bytes, header_text,
-        set_header, strip_connection, strip_hop,
+        HOP_BROKE, HOP_FINDING, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, head_bytes,
+        header_text, set_header, strip_connection, strip_hop,
     },
     hop::{ExchangeError, HopNote},
     link::LinkUse,
@@ -32,7 +33,12 @@
     /// The node there couldn't be reached; nothing was sent.
     Unreachable(String),
     /// The request may have run; there is no usable answer.
-    Broke(String),
+    Broke {
+        /// What was met.
+        reason: String,
+        /// What was found of the backend server, where its connection broke.
+        finding: Option<BreakFinding>,
+    },
 }
 
 /// How a try ended: with the backend server's answer, good or not, or without.
@@ -89,7 +95,7 @@
         match answer {
             Ok(response) => Ok(Box::new(response.map(|body| body.with_mark(mark)))),
             Err(DoorError::Refused { refusal }) => Err(TryFailure::Refused(refusal)),
-            Err(DoorError::Broke { reason }) => Err(TryFailure::Broke(reason)),
+            Err(DoorError::Broke { reason, finding }) => Err(TryFailure::Broke { reason, finding }),
         }
     }
 
@@ -111,13 +117,17 @@
             .await;
         let (response, sender) = match exchange {
             Ok(answer) => answer,
-            Err(ExchangeError::NotSent { reason }) => return Err(TryFailure::Unreachable(reason)),
-            Err(ExchangeError::Broke { reason }) => return Err(TryFailure::Broke(reason)),
+            Err(ExchangeError::NotSent { reason } | ExchangeError::Refused { reason }) => {
+                return Err(TryFailure::Unreachable(reason));
+            }
+            Err(ExchangeError::Broke { reason }) => return Err(unexplained(reason)),
         };
         mark.hold(sender);
         self.learn(key, record, response.headers());
         let refusal = parsed::<DoorRefusal>(response.headers(), &HOP_REFUSAL);
         let broke = header_text(response.headers(), &HOP_BROKE).map(ToOwned::to_owned);
+        let finding = header_text(response.headers(), &HOP_FINDING);
+        let finding = finding.and_then(|text| serde_json::from_str(text).ok());
         let (mut head, body) = response.into_parts();
         strip_connection(&mut head.headers);
         strip_hop(&mut head.headers);
@@ -127,11 +137,11 @@
         }
         let whole = match whole(body, mark).await {
             Ok(whole) => whole,
-            Err(reason) => return Err(TryFailure::Broke(reason)),
+            Err(reason) => return Err(unexplained(reason)),
         };
         match (refusal, broke) {
             (Some(refusal), _) => Err(TryFailure::Refused(refusal)),
-            (None, Some(reason)) => Err(TryFailure::Broke(reason)),
+            (None, Some(reason)) => Err(TryFailure::Broke { reason, finding }),
             (None, None) => {
                 let answer = Response::from_parts(head, AnswerBody::whole(whole));
                 Ok(Box::new(answer))
@@ -190,6 +200,12 @@
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
 }
 
+/// A break of the connection to the other node, which says nothing of the backend server.
+const fn unexplained(reason: String) -> TryFailure {
+    let finding = None;
+    TryFailure::Broke { reason, finding }
+}
+
 async fn whole(body: Incoming, mark: SentMark) -> Result<Bytes, String> {
     match body.collect().await {
         Ok(whole) => {
--- a/crates/node/src/front/try_flow.rs
+++ b/crates/node/src/front/try_flow.rs
@@ -59,7 +59,7 @@
                     }
                 }
                 Err(failure) => {
-                    let broke = matches!(failure, TryFailure::Broke(_));
+                    let broke = matches!(failure, TryFailure::Broke { .. });
                     self.note_failure(tries, &asked, failure);
                     tries.at = Some(asked.record);
                     if broke && !self.request.route.kind.is_idempotent() {
@@ -105,6 +105,14 @@
                 tries.was_busy(key);
                 tries.never_arrived();
             }
+            TryFailure::Refused(refusal) if refusal.reason == RefusalReason::Poisoned => {
+                // It says nothing of the member.
+                drop(fleet);
+                tries.never_arrived();
+                tries.refusal = Some(refusal);
+                tries.crashes_servers = true;
+                self.core.note_refusal(self.request, record, &refusal);
+            }
             TryFailure::Refused(refusal) => {
                 fleet.judged(now, key, end_of(refusal));
                 drop(fleet);
@@ -120,9 +128,13 @@
                 tries.never_arrived();
                 self.core.note_unreachable(self.request, record, &reason);
             }
-            TryFailure::Broke(reason) => {
+            TryFailure::Broke { reason, finding } => {
                 fleet.judged(now, key, TryEnd::Broke);
                 drop(fleet);
+                if let Some(finding) = finding {
+                    tries.crashes_servers |= finding.is_suspicious();
+                    self.core.note_finding(self.request.print, finding);
+                }
                 self.core.note_broke(self.request, record, &reason);
                 tries.ran = true;
                 tries.broke = Some(reason);
@@ -245,7 +257,7 @@
 
     /// Picks the next member, or none when the request is to be given up.
     fn next_try(self, tries: &mut TryRecord<'_>) -> Option<NextTry> {
-        if tries.tried.len() >= TRIES_MAX {
+        if tries.tried.len() >= TRIES_MAX || tries.crashes_servers {
             return None;
         }
         let now = self.core.clock.now();
@@ -265,7 +277,16 @@
         }
         let rng = &mut rand::rng();
         let home = fleet.pick_home(now, &query, rng);
-        let probes = home.is_none() && tries.probed.len() < PROBES_MAX && fleet.may_probe(&query);
+        // A suspect has to wait for its turn at any door.
+        let suspect = self
+            .core
+            .crashes
+            .borrow()
+            .is_suspect(now, self.request.print);
+        let probes = home.is_none()
+            && !suspect
+            && tries.probed.len() < PROBES_MAX
+            && fleet.may_probe(&query);
         let key = match home {
             Some(home) => home,
             None if probes => fleet.pick(now, &query, rng)?,
@@ -316,9 +337,10 @@
     let retry_after = refusal.retry_after;
     match refusal.reason {
         RefusalReason::LinkFull => TryEnd::LinkRefused { retry_after },
-        RefusalReason::Busy | RefusalReason::Full | RefusalReason::EndpointRefused => {
-            TryEnd::Refused { retry_after }
-        }
+        RefusalReason::Busy
+        | RefusalReason::Full
+        | RefusalReason::Poisoned
+        | RefusalReason::EndpointRefused => TryEnd::Refused { retry_after },
         RefusalReason::Shut
         | RefusalReason::Leaving
         | RefusalReason::OtherInstance
--- a/crates/node/src/front/try_record.rs
+++ b/crates/node/src/front/try_record.rs
@@ -46,6 +46,8 @@
     pub(super) ran: bool,
     pub(super) refusal: Option<DoorRefusal>,
     pub(super) broke: Option<String>,
+    /// Whether it crashes backend servers, or may do so: no other one may be tried.
+    pub(super) crashes_servers: bool,
     /// A failure that a backend server answered, while another is tried.
     pub(super) kept: Option<Box<Response<AnswerBody>>>,
 }
@@ -64,6 +66,7 @@
             ran: false,
             refusal: None,
             broke: None,
+            crashes_servers: false,
             kept: None,
         }
     }
@@ -146,6 +149,7 @@
         RefusalReason::Busy | RefusalReason::Full | RefusalReason::LinkFull => {
             ResultCode::QueueFull
         }
+        RefusalReason::Poisoned => ResultCode::Poisoned,
         RefusalReason::EndpointRefused => ResultCode::BackendRefused,
     }
 }
--- a/crates/node/src/header_set.rs
+++ b/crates/node/src/header_set.rs
@@ -33,6 +33,9 @@
 pub const HOP_REFUSAL: HeaderName = HeaderName::from_static("geranium-refusal");
 /// The request may have run and has no usable answer.
 pub const HOP_BROKE: HeaderName = HeaderName::from_static("geranium-broke");
+/// What was found of a backend server whose connection broke: see
+/// [`BreakFinding`](crate::crash::BreakFinding), as JSON.
+pub const HOP_FINDING: HeaderName = HeaderName::from_static("geranium-finding");
 /// Version of the configuration that the answering node holds.
 pub const HOP_VERSION: HeaderName = HeaderName::from_static("geranium-version");
 
@@ -48,7 +51,14 @@
     HeaderName::from_static("proxy-connection"),
 ];
 /// Headers by which nodes speak to one another.
-const HOP_HEADERS: [HeaderName; 5] = [HOP_NOTE, HOP_LOAD, HOP_REFUSAL, HOP_BROKE, HOP_VERSION];
+const HOP_HEADERS: [HeaderName; 6] = [
+    HOP_NOTE,
+    HOP_LOAD,
+    HOP_REFUSAL,
+    HOP_BROKE,
+    HOP_FINDING,
+    HOP_VERSION,
+];
 
 /// Bytes of a head beside the headers that are told: the first line, and what the
 /// library adds (date, length, connection).
--- a/crates/node/src/hop/connection_pool.rs
+++ b/crates/node/src/hop/connection_pool.rs
@@ -1,6 +1,6 @@
 //! Kept connections, one request at a time on each.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -139,7 +139,15 @@
         tune_socket(&socket);
         let stream = timeout(self.settings.connect_time, socket.connect(addr)).await;
         let stream = stream.map_err(|elapsed| not_sent(elapsed.to_string()))?;
-        let stream = stream.map_err(|error| not_sent(error.to_string()))?;
+        let stream = stream.map_err(|error| {
+            let reason = error.to_string();
+            match error.kind() {
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => {
+                    ExchangeError::Refused { reason }
+                }
+                _ => ExchangeError::NotSent { reason },
+            }
+        })?;
         let mut builder = http1::Builder::new();
         builder.max_buf_size(BUFFER_MAX);
         let handshake = builder.handshake(TokioIo::new(stream)).await;
--- a/crates/node/src/hop/exchange_error.rs
+++ b/crates/node/src/hop/exchange_error.rs
@@ -11,6 +11,12 @@
         /// What was met.
         reason: String,
     },
+    /// Nothing of the request left this process: the address takes no connections.
+    #[snafu(display("not sent: {reason}"))]
+    Refused {
+        /// What was met.
+        reason: String,
+    },
     /// Some or all of the request may have arrived.
     #[snafu(display("broke after sending: {reason}"))]
     Broke {
--- a/crates/node/src/hop_port.rs
+++ b/crates/node/src/hop_port.rs
@@ -11,13 +11,13 @@
 
 use crate::{
     answer_body::{AnswerBody, empty_answer},
-    crash::request_print,
+    crash::{BreakFinding, CRASH_PATH, CrashPort, request_print},
     door::{DoorError, DoorRefusal, DoorRequest, RefusalReason},
     errand::{ERRAND_PATH, ErrandPort},
     follow::{FOLLOW_PATH, FollowPort},
     header_set::{
-        HOP_BROKE, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, header_text, set_header,
-        strip_connection,
+        HOP_BROKE, HOP_FINDING, HOP_LOAD, HOP_NOTE, HOP_REFUSAL, HOP_VERSION, header_text,
+        set_header, strip_connection,
     },
     hop::HopNote,
     node_core::NodeCore,
@@ -48,6 +48,9 @@
         } else if incoming.uri().path() == ERRAND_PATH {
             let port = ErrandPort::new(Rc::clone(&self.core));
             port.answer(incoming).await
+        } else if incoming.uri().path() == CRASH_PATH {
+            let port = CrashPort::new(Rc::clone(&self.core));
+            port.answer(incoming).await
         } else {
             self.run(incoming).await
         };
@@ -79,7 +82,7 @@
         let mut response = match self.core.door.run(request, note.idempotent).await {
             Ok(response) => response,
             Err(DoorError::Refused { refusal }) => refused(&refusal),
-            Err(DoorError::Broke { reason }) => broke(&reason),
+            Err(DoorError::Broke { reason, finding }) => broke(&reason, finding.as_ref()),
         };
         let load = self.core.door.load(note.class);
         set_header(response.headers_mut(), &HOP_LOAD, &load.to_string());
@@ -125,9 +128,12 @@
     response
 }
 
-fn broke(reason: &str) -> Response<AnswerBody> {
+fn broke(reason: &str, finding: Option<&BreakFinding>) -> Response<AnswerBody> {
     let mut response = empty_answer(StatusCode::BAD_GATEWAY);
     let reason = if reason.is_empty() { "unknown" } else { reason };
     set_header(response.headers_mut(), &HOP_BROKE, reason);
+    if let Some(Ok(finding)) = finding.map(serde_json::to_string) {
+        set_header(response.headers_mut(), &HOP_FINDING, &finding);
+    }
     response
 }
--- /dev/null
+++ b/crates/node/src/node_core/crash_notes.rs
@@ -0,0 +1,62 @@
+//! What this node hears of crashes of backend servers.
+
+use std::{collections::HashMap, net::SocketAddr};
+
+use slog::info;
+
+use super::NodeCore;
+use crate::{
+    crash::{BreakCause, BreakFinding, CrashRow},
+    store::Revision,
+};
+
+impl NodeCore {
+    /// Takes in that a backend server crashed while it ran a request. The revision is that
+    /// of the row in the store, 0 while it isn't known.
+    pub fn heard_crash(&self, row: CrashRow, revision: Revision) {
+        let print = row.fingerprint;
+        let start = row.start.to_string();
+        let now = self.clock.now();
+        let new = self.crashes.borrow_mut().record(now, row, revision);
+        if new {
+            info!(self.log.logger(), "crash heard";
+                "print" => format!("{print:016x}"),
+                "instance" => start,
+                "revision" => revision.0);
+        }
+    }
+
+    /// Takes in what was found of the backend server that broke a request of this node.
+    pub fn note_finding(&self, print: u64, finding: BreakFinding) {
+        if finding.cause == BreakCause::Crashed {
+            let row = CrashRow {
+                fingerprint: print,
+                start: finding.start,
+            };
+            self.heard_crash(row, Revision(0));
+        }
+    }
+
+    /// Returns the other nodes whose backend servers get the requests that this one gets:
+    /// those of its service, and of services that share a route with it.
+    pub fn crash_peers(&self) -> Vec<SocketAddr> {
+        let Some(config) = self.config.borrow().clone() else {
+            return Vec::new();
+        };
+        let own = &*self.settings.service;
+        let mut sharing: HashMap<String, bool> = HashMap::from([(own.to_owned(), true)]);
+        let fleet = self.fleet.borrow();
+        let others = fleet
+            .records()
+            .filter(|record| record.hop != self.settings.hop);
+        let peers = others.filter(|record| {
+            let known = sharing.get(&record.service).copied();
+            known.unwrap_or_else(|| {
+                let together = config.share_a_route(own, &record.service);
+                sharing.insert(record.service.clone(), together);
+                together
+            })
+        });
+        peers.map(|record| record.hop).collect()
+    }
+}
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -30,9 +30,14 @@
         let now = self.clock.now();
         let (start, slots) = (report.start.clone(), report.slots);
         let (state, sequence) = (report.state, report.sequence);
+        let before = self.door.gate().borrow().unannounced_end();
         let verdict = self.door.gate().borrow_mut().report(now, report);
         if verdict == ReportVerdict::Adopted {
             self.door.forget_connections();
+            if let Some(ended) = before {
+                let broken = self.door.broken();
+                broken.replaced(now, &ended, start.instance());
+            }
         }
         if matches!(verdict, ReportVerdict::Adopted | ReportVerdict::Changed) {
             self.door.set_slots(slots);
@@ -61,8 +66,8 @@
         self.announce.notify_one();
     }
 
-    /// Waits until what changed about the backend server stands in the store, for a
-    /// moment at most.
+    /// Waits until what changed about the backend server stands in the store, and other
+    /// nodes know of a crash that showed with it, for a moment at most.
     ///
     /// If the node is killed between acknowledging a leaving and writing it, its next
     /// process knows nothing of it. The store answers in milliseconds, and whoever waits
@@ -73,6 +78,7 @@
             while self.announce_pending.get() {
                 self.announced.notified().await;
             }
+            self.door.broken().until_late_told().await;
         };
         let _written = timeout(ACK_WAIT, wait).await;
     }
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -1,6 +1,7 @@
 //! What the parts of a node share.
 
 mod connection_mark;
+mod crash_notes;
 mod endpoint_reports;
 mod open_mark;
 mod request_notes;
@@ -68,7 +69,7 @@
     /// Door of the own backend server.
     pub door: DoorFlow,
     /// Crashes of backend servers.
-    pub crashes: RefCell<CrashBook>,
+    pub crashes: Rc<RefCell<CrashBook>>,
     /// Link of the instance.
     pub link: Rc<LinkLine>,
     /// Connections to other nodes.
@@ -152,13 +153,21 @@
         let metrics = NodeMetrics::new(&settings)?;
         let notes = LinkNotes::new(log.clone(), metrics.link());
         let link = Rc::new(LinkLine::new(settings.link_mbps, notes));
+        let crashes = Rc::<RefCell<CrashBook>>::default();
+        let door = DoorFlow::new(
+            door_settings,
+            headers.clone(),
+            clock,
+            Rc::clone(&link),
+            Rc::clone(&crashes),
+        );
         let caller_service = endpoint_reports::service_value(&settings.service);
         Ok(Rc::new(Self {
             metrics,
-            door: DoorFlow::new(door_settings, headers.clone(), clock, Rc::clone(&link)),
+            door,
             link,
             config: RefCell::default(),
-            crashes: RefCell::default(),
+            crashes,
             fleet: RefCell::new(FleetView::with_local_endpoint(
                 settings.data_centre.clone(),
                 settings.hop,
--- a/crates/node/src/node_core/request_notes.rs
+++ b/crates/node/src/node_core/request_notes.rs
@@ -55,7 +55,9 @@
         if let Some(bytes) = bytes.filter(|_| answer.status().is_success()) {
             self.sizes.borrow_mut().observe(request.route.class, bytes);
         }
-        if answer.status().is_success() {
+        // The door here counts what it answered itself.
+        let away = at.is_some_and(|at| at.hop != self.settings.hop);
+        if away && answer.status().is_success() {
             self.crashes.borrow_mut().completed(request.print);
         }
         let took = request.arrived.elapsed();
--- a/crates/standins/src/endpoint_fault.rs
+++ b/crates/standins/src/endpoint_fault.rs
@@ -22,4 +22,6 @@
     Fails,
     /// Crashes when it runs a request whose path holds `crash`.
     CrashesOnRequest,
+    /// Crashes so, and listens again at once under its identifier, as a later start.
+    RestartsOnRequest,
 }
--- a/crates/standins/src/endpoint_server.rs
+++ b/crates/standins/src/endpoint_server.rs
@@ -196,6 +196,11 @@
     if options.fault == EndpointFault::CrashesOnRequest && head.uri.path().contains(CRASH_MARK) {
         return Reply::Crash;
     }
+    if options.fault == EndpointFault::RestartsOnRequest && head.uri.path().contains(CRASH_MARK) {
+        let mut options = mark.shared.options.lock().expect("no test panicked");
+        options.born_ms += 1;
+        return Reply::Hangup;
+    }
     let asked = |name| figure(&head.uri, name);
     sleep(asked("work").map_or(options.work, Duration::from_millis)).await;
     mark.finished = true;
@@ -241,9 +246,10 @@
             &[signature, echo],
             Bytes::new(),
         ),
-        EndpointFault::Sound | EndpointFault::Sheds | EndpointFault::CrashesOnRequest => {
-            reply(StatusCode::OK, &[signature, echo], answer)
-        }
+        EndpointFault::Sound
+        | EndpointFault::Sheds
+        | EndpointFault::CrashesOnRequest
+        | EndpointFault::RestartsOnRequest => reply(StatusCode::OK, &[signature, echo], answer),
     }
 }
 
