Take what the store tells by its era, and write again what an older copy has lost

Cause: in a drill the store comes back from a copy some seconds old; revisions and lease numbers are given out again, and `Store-Era` in its answers rises. The code was built on revisions that never come twice and never go back, and nothing read the header.

Callers and operators would see (tests of this commit on the code before): a live server that nobody finds, as a node that is turned away isn't announced again; members that never come back after a second copy; a server that has left announced as ready again. What nodes know by revision was deaf until the counter had caught up.

Change: the era is part of a revision (16 bits above 48 of the number), put there by the adapter from the header of the same answer, and a field of a lease. Everything that compares, keeps or tells revisions orders by era first without knowing of it. The adapter doesn't send what belongs to an era that is over: a watch ends as `HistoryGone`, a renewal as `NoLease`, a condition as a conflict with the revision now; and ends so what turns out to have been answered in a later era. A node that hears of an era, by its own calls, news of members or calls that others make for it, writes its announcement under a new lease, withdraws one that the copy brought back, and writes the crashes of the last 30 s again.

Ruled out: a type with the era beside the number, as 146 places name a revision and messages of nodes of two versions would differ; giving up all leases on any loss of the store, as each would cost two writes a node.

Proof: seven process tests and five of the client, of which on the code before three to four of the then seven process tests fail (the moments of renewals differ from run to run); drawn histories in `eras`. Guards taken out one by one: looks before sending 2 tests fail, looks at answers 2, order 7, lease given up 1, farewell 1, crashes 1; without the wake of the announcer by the watch itself none does, as the list of members wakes it, too. 4 and 16 nodes: at most four writes a node until all is back.

Open: `geranium-ctl` doesn't tell the era, nor which activations were lost with it; a node whose first call in an era is a renewal renews a lease that may be another's, once.

--- a/crates/ctl/tests/all/support/memory_store.rs
+++ b/crates/ctl/tests/all/support/memory_store.rs
@@ -7,8 +7,8 @@
 };
 
 use geranium_node::store::{
-    LeaseGrant, LeaseId, MetaStore, ReadAge, Revision, StoreChange, StoreError, StoreItem,
-    StoreList, StoreRead, StoreWrite, WatchBatch,
+    LeaseGrant, LeaseId, MetaStore, ReadAge, Revision, StoreChange, StoreEra, StoreError,
+    StoreItem, StoreList, StoreRead, StoreWrite, WatchBatch,
 };
 
 /// How a call fails.
@@ -200,7 +200,10 @@
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseGrant, StoreError> {
         Ok(LeaseGrant {
-            lease: LeaseId(1),
+            lease: LeaseId {
+                era: StoreEra(0),
+                number: 1,
+            },
             ttl,
         })
     }
--- a/crates/node/src/crash/broken_runs.rs
+++ b/crates/node/src/crash/broken_runs.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
-use super::{BreakCause, BreakFinding, CrashRow};
+use super::{BreakCause, BreakFinding, CrashRow, crash_news::CRASH_LEASE};
 use crate::member::EndpointStart;
 
 /// Time for which a run that broke is held against the end of its backend server. The
@@ -42,6 +42,10 @@
     /// Batches of such rows that other nodes are being told of.
     late_open: Cell<u32>,
     late_told: Notify,
+    /// Crashes that were written to the store lately, with the time of that.
+    written: RefCell<Vec<(Duration, Vec<CrashRow>)>>,
+    /// Crashes to be written to the store again.
+    unwritten: RefCell<Vec<Vec<CrashRow>>>,
     pub(super) heard: Notify,
 }
 
@@ -79,6 +83,29 @@
         }
     }
 
+    /// Remembers crashes that were written to the store.
+    pub(super) fn remember_written(&self, now: Duration, rows: Vec<CrashRow>) {
+        let mut written = self.written.borrow_mut();
+        written.retain(|(at, _)| now < *at + CRASH_LEASE);
+        written.push((now, rows));
+    }
+
+    /// Has the crashes written again that the store may have lost.
+    pub fn write_again(&self, now: Duration) {
+        let written = self.written.take();
+        let lasting = written
+            .into_iter()
+            .filter(|(at, _)| now < *at + CRASH_LEASE);
+        let rows = lasting.map(|(_, rows)| rows);
+        self.unwritten.borrow_mut().extend(rows);
+        self.heard.notify_one();
+    }
+
+    /// Takes the crashes that are to be written again.
+    pub(super) fn take_unwritten(&self) -> Vec<Vec<CrashRow>> {
+        self.unwritten.take()
+    }
+
     /// Remembers a run that isn't counted as a crash, as `cause` says.
     pub(super) fn remember(&self, now: Duration, cause: BreakCause, row: CrashRow) {
         let mut recent = self.recent.borrow_mut();
--- a/crates/node/src/crash/crash_news.rs
+++ b/crates/node/src/crash/crash_news.rs
@@ -19,7 +19,7 @@
 
 /// Time for which a crash stands in the store. Every node reads it within a second or two
 /// and remembers it by itself.
-const CRASH_LEASE: Duration = Duration::from_secs(30);
+pub(super) const CRASH_LEASE: Duration = Duration::from_secs(30);
 /// Pause after the store has failed to take in a crash.
 const STORE_PAUSE: Duration = Duration::from_secs(1);
 /// Time after which a crash isn't written any more: callers' automatic resends end by then.
@@ -103,9 +103,11 @@
             Ok(revision) => {
                 info!(core.log.logger(), "crash told"; "revision" => revision.0);
                 let now = core.clock.now();
-                for row in rows {
-                    core.crashes.borrow_mut().record(now, row, revision);
+                for row in &rows {
+                    let mut crashes = core.crashes.borrow_mut();
+                    crashes.record(now, row.clone(), revision);
                 }
+                core.door.broken().remember_written(now, rows);
                 return;
             }
             Err(cause) => warn!(core.log.logger(), "crash not told"; "cause" => %cause),
--- a/crates/node/src/crash/crash_watch.rs
+++ b/crates/node/src/crash/crash_watch.rs
@@ -40,6 +40,9 @@
         if let Some(late) = core.door.broken().take_late() {
             spawn_local(record_late(Rc::clone(&core), Rc::clone(&store), late));
         }
+        for rows in core.door.broken().take_unwritten() {
+            spawn_local(store_crash(Rc::clone(&core), Rc::clone(&store), rows));
+        }
         sleep(GATHER).await;
         for (start, runs) in by_start(core.door.broken().take_waiting()) {
             spawn_local(settle(Rc::clone(&core), Rc::clone(&store), start, runs));
--- a/crates/node/src/errand/store_errand.rs
+++ b/crates/node/src/errand/store_errand.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     follow::MEMBER_PREFIX,
-    store::{LeaseId, MetaStore, Revision, StoreChange, StoreError, StoreWrite},
+    store::{LeaseId, MetaStore, Revision, StoreChange, StoreEra, StoreError, StoreWrite},
 };
 
 /// Longest lease that is asked for on behalf of another node: announcements live
@@ -24,8 +24,11 @@
     },
     /// Renew a lease.
     Renew {
-        /// Lease.
+        /// Number of the lease.
         lease: u64,
+        /// Era of the lease.
+        #[serde(default)]
+        era: StoreEra,
     },
     /// Write a key, or remove it.
     Write {
@@ -35,6 +38,9 @@
         expected: u64,
         /// Value with its lease; none to remove the key.
         value: Option<(String, u64)>,
+        /// Era of the value's lease.
+        #[serde(default)]
+        era: StoreEra,
     },
 }
 
@@ -44,8 +50,11 @@
 pub enum ErrandOutcome {
     /// The lease is granted.
     Granted {
-        /// Lease.
+        /// Number of the lease.
         lease: u64,
+        /// Era of the lease.
+        #[serde(default)]
+        era: StoreEra,
         /// Milliseconds for which it lasts.
         ttl_ms: u64,
     },
@@ -73,14 +82,17 @@
         let value = match write.change {
             StoreChange::Put { value, lease } => {
                 let text = String::from_utf8(value.to_vec()).ok()?;
-                Some((text, lease?.0))
+                Some((text, lease?))
             }
             StoreChange::Remove => None,
         };
+        let era = value.as_ref().map_or(StoreEra(0), |(_, lease)| lease.era);
+        let value = value.map(|(text, lease)| (text, lease.number));
         Some(Self::Write {
             key: write.key.to_owned(),
             expected: write.expected.0,
             value,
+            era,
         })
     }
 
@@ -90,12 +102,13 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_node::errand::StoreErrand;
+    /// use geranium_node::{errand::StoreErrand, store::StoreEra};
     ///
     /// let removal = |key: &str| StoreErrand::Write {
     ///     key: key.to_owned(),
     ///     expected: 7,
     ///     value: None,
+    ///     era: StoreEra(0),
     /// };
     /// assert!(removal("geranium/member/hofdi/10.1.0.4:7600").is_allowed());
     /// assert!(!removal("geranium/presets/night").is_allowed());
@@ -118,23 +131,26 @@
             Self::Grant { ttl_ms } => {
                 let grant = store.grant(Duration::from_millis(*ttl_ms)).await;
                 grant.map(|grant| ErrandOutcome::Granted {
-                    lease: grant.lease.0,
+                    lease: grant.lease.number,
+                    era: grant.lease.era,
                     ttl_ms: grant.ttl.as_millis() as u64,
                 })
             }
-            Self::Renew { lease } => {
-                let renewed = store.renew(LeaseId(*lease)).await;
+            Self::Renew { lease, era } => {
+                let renewed = store.renew(lease_of(*era, *lease)).await;
                 renewed.map(|()| ErrandOutcome::Renewed)
             }
             Self::Write {
                 key,
                 expected,
                 value,
+                era,
             } => {
                 let expected = Revision(*expected);
                 let write = match value {
                     Some((text, lease)) => {
-                        StoreWrite::leased(key, text.as_bytes(), expected, LeaseId(*lease))
+                        let lease = lease_of(*era, *lease);
+                        StoreWrite::leased(key, text.as_bytes(), expected, lease)
                     }
                     None => StoreWrite::remove(key, expected),
                 };
@@ -153,3 +169,7 @@
         }
     }
 }
+
+const fn lease_of(era: StoreEra, number: u64) -> LeaseId {
+    LeaseId { era, number }
+}
--- a/crates/node/src/errand/store_way.rs
+++ b/crates/node/src/errand/store_way.rs
@@ -74,10 +74,13 @@
         }
         let ttl_ms = ttl.as_millis() as u64;
         match self.send(&StoreErrand::Grant { ttl_ms }).await? {
-            ErrandOutcome::Granted { lease, ttl_ms } => Ok(LeaseGrant {
-                lease: LeaseId(lease),
-                ttl: Duration::from_millis(ttl_ms),
-            }),
+            ErrandOutcome::Granted { lease, era, ttl_ms } => {
+                self.core.eras.hear(era);
+                Ok(LeaseGrant {
+                    lease: LeaseId { era, number: lease },
+                    ttl: Duration::from_millis(ttl_ms),
+                })
+            }
             outcome => Err(unexpected(outcome)),
         }
     }
@@ -93,7 +96,11 @@
             let renewed = self.store.renew(lease).await;
             return self.answered(renewed);
         }
-        match self.send(&StoreErrand::Renew { lease: lease.0 }).await? {
+        let errand = StoreErrand::Renew {
+            lease: lease.number,
+            era: lease.era,
+        };
+        match self.send(&errand).await? {
             ErrandOutcome::Renewed => Ok(()),
             outcome => Err(unexpected(outcome)),
         }
@@ -118,7 +125,11 @@
             reason: "the value is no text".to_owned(),
         })?;
         match self.send(&errand).await? {
-            ErrandOutcome::Written { revision } => Ok(Revision(revision)),
+            ErrandOutcome::Written { revision } => {
+                let revision = Revision(revision);
+                self.core.eras.hear(revision.era());
+                Ok(revision)
+            }
             ErrandOutcome::Conflict { current } => Err(StoreError::Conflict {
                 key: write.key.to_owned(),
                 current: Revision(current),
--- a/crates/node/src/follow/announcer.rs
+++ b/crates/node/src/follow/announcer.rs
@@ -14,7 +14,7 @@
     errand::StoreWay,
     member::{MemberRecord, MemberState},
     node_core::NodeCore,
-    store::{LeaseId, MetaStore, Revision, StoreError, StoreWrite},
+    store::{LeaseId, MetaStore, Revision, StoreEra, StoreError, StoreWrite},
 };
 
 /// Time after which an announcement that isn't renewed vanishes. Others learn
@@ -89,6 +89,7 @@
         let key = own_key(core);
         let wanted = wanted(core);
         self.see(core);
+        self.enter_era(core.eras.latest());
         let Some(wanted) = wanted else {
             *renew_at = Instant::now() + RENEW_TIME;
             return self.withdraw(core, way, key.as_str()).await;
@@ -113,6 +114,14 @@
         self.write(core, way, key.as_str(), wanted, lease).await
     }
 
+    /// Gives up a lease of an era that is over, and all that was known to stand in the store.
+    fn enter_era(&mut self, era: StoreEra) {
+        if self.lease.is_some_and(|lease| lease.era < era) {
+            self.lease = None;
+            self.record = None;
+        }
+    }
+
     /// Keeps the lease and the announcement that an earlier process of this node left, or
     /// asks for a new lease.
     ///
@@ -196,7 +205,9 @@
         way: &StoreWay<impl MetaStore>,
         key: &str,
     ) -> Result<(), StoreError> {
-        if self.record.is_none() {
+        // An older copy of the store may have brought back the one of a server that left.
+        let brought_back = self.revision != Revision(0) && has_left(core);
+        if self.record.is_none() && !brought_back {
             return Ok(());
         }
         let removal = StoreWrite::remove(key, self.revision);
@@ -260,6 +271,12 @@
     }
 }
 
+/// Whether the backend server has said its farewell.
+fn has_left(core: &NodeCore) -> bool {
+    let gate = core.door.gate().borrow();
+    gate.current().is_some_and(|current| current.deregistered)
+}
+
 /// Returns what should stand in the store.
 fn wanted(core: &NodeCore) -> Option<MemberRecord> {
     let gate = core.door.gate().borrow();
--- a/crates/node/src/follow/news_intake.rs
+++ b/crates/node/src/follow/news_intake.rs
@@ -53,6 +53,7 @@
 
 fn take_members(core: &NodeCore, news: MemberNews) {
     let revision = Revision(news.revision);
+    core.eras.hear(revision.era());
     if news.whole {
         let now = core.clock.now();
         let present: HashSet<SocketAddr> =
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,7 +18,7 @@
     errand::run_errands,
     follow::{
         ConfigSource, catch_up, follow_guide, keep_announced, look_for_store, watch_config,
-        watch_members,
+        watch_eras, watch_members,
     },
     front::FrontFlow,
     hop_port::HopPort,
@@ -132,6 +132,7 @@
     spawn_local(follow_guide(Rc::clone(core)));
     spawn_local(confirm_endpoint(Rc::clone(core)));
     spawn_local(look_for_store(Rc::clone(core), Rc::clone(&store)));
+    spawn_local(watch_eras(Rc::clone(core)));
     spawn_local(watch_crashes(Rc::clone(core), Rc::clone(&store)));
     spawn_local(run_errands(Rc::clone(core), Rc::clone(&store)));
     spawn_local(keep_announced(Rc::clone(core), store));
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -38,7 +38,7 @@
     node_settings::NodeSettings,
     request_origin::RequestOrigin,
     retry::RetryBudget,
-    store::LeaseId,
+    store::{EraTracker, LeaseId},
 };
 
 /// Slots assumed until the backend server tells: the usual size of one.
@@ -100,6 +100,8 @@
     pub news: Notify,
     /// Wakes whoever depends on whether this node watches the store.
     pub duty_changed: Notify,
+    /// Eras of the store.
+    pub eras: Rc<EraTracker>,
     /// Whether the store is called.
     pub store_access: RefCell<StoreAccess>,
     /// Wakes who looks for the store.
@@ -185,6 +187,7 @@
             ahead_heard: Notify::new(),
             news: Notify::new(),
             duty_changed: Notify::new(),
+            eras: Rc::default(),
             store_access: RefCell::default(),
             store_lost: Notify::new(),
             store_back: Notify::new(),
--- a/crates/node/src/store/mod.rs
+++ b/crates/node/src/store/mod.rs
@@ -6,12 +6,14 @@
 
 mod meta_store;
 mod read_age;
+mod store_era;
 mod store_error;
 mod store_item;
 mod store_write;
 
 pub use meta_store::MetaStore;
 pub use read_age::ReadAge;
+pub use store_era::{EraTracker, StoreEra};
 pub use store_error::StoreError;
 pub use store_item::{
     LeaseGrant, LeaseId, Revision, StoreEvent, StoreItem, StoreList, StoreRead, WatchBatch,
--- a/crates/node/src/store/store_write.rs
+++ b/crates/node/src/store/store_write.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns the lease with which the key is to end.
+    pub const fn lease(&self) -> Option<LeaseId> {
+        match self.change {
+            StoreChange::Put { lease, .. } => lease,
+            StoreChange::Remove => None,
+        }
+    }
+
     /// Removes the key.
     pub const fn remove(key: &'a str, expected: Revision) -> Self {
         Self {
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod config;
 mod deadlines;
+mod eras;
 mod fleet;
 mod fleet_load;
 mod gate;
--- a/crates/standins/src/endpoint_server.rs
+++ b/crates/standins/src/endpoint_server.rs
@@ -96,6 +96,11 @@
         shared.runs.lock().expect("no test panicked").clone()
     }
 
+    /// Whether it has crashed, and all its connections are closed.
+    pub fn has_ended(&self) -> bool {
+        self.thread.has_ended()
+    }
+
     /// Whether a request that crashes servers has begun to run here. The server then ends
     /// by itself.
     ///
--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -73,6 +73,11 @@
 }
 
 impl ServerThread {
+    /// Whether the thread has ended by itself.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
     /// Ends the thread, with all its connections and listeners, and waits for its end.
     pub(crate) fn end(&mut self) {
         let _gone = self.stop.send(true);
--- a/crates/standins/src/kv_server.rs
+++ b/crates/standins/src/kv_server.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use serde_json::Value;
@@ -128,7 +128,17 @@
     }
 }
 
+/// Answers a call, and names the era in every answer.
 async fn serve(shared: Arc<KvShared>, port: usize, request: Request<Incoming>) -> Reply {
+    let mut reply = serve_call(Arc::clone(&shared), port, request).await;
+    if let Reply::Answer(response) = &mut reply {
+        let era = HeaderValue::from(shared.state().era());
+        response.headers_mut().insert("store-era", era);
+    }
+    reply
+}
+
+async fn serve_call(shared: Arc<KvShared>, port: usize, request: Request<Incoming>) -> Reply {
     let (head, body) = request.into_parts();
     let Ok(body) = body.collect().await else {
         return Reply::Hangup;
--- a/crates/standins/src/kv_state.rs
+++ b/crates/standins/src/kv_state.rs
@@ -1,7 +1,7 @@
 //! What the store holds.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -27,9 +27,20 @@
     ends_at: Instant,
 }
 
+/// A copy of what the store holds.
+#[derive(Debug, Clone)]
+pub struct KvCopy {
+    revision: u64,
+    items: BTreeMap<String, KvItem>,
+    leases: HashMap<u64, KvLease>,
+    last_lease: u64,
+}
+
 /// What the store holds, and its history.
 #[derive(Debug)]
 pub struct KvState {
+    /// How often the store has come back from a copy, counted from 1.
+    era: u32,
     revision: u64,
     items: BTreeMap<String, KvItem>,
     /// The items as they were, for calls that allow for old answers.
@@ -40,6 +51,10 @@
     forgotten: u64,
     leases: HashMap<u64, KvLease>,
     last_lease: u64,
+    /// Lease numbers that were granted in this era.
+    granted: HashSet<u64>,
+    /// Renewals of leases that weren't granted in this era.
+    stale_renewals: u32,
     /// Calls by kind.
     calls: BTreeMap<String, u64>,
 }
@@ -47,6 +62,7 @@
 impl Default for KvState {
     fn default() -> Self {
         Self {
+            era: 1,
             // The store's counter starts above 0.
             revision: 7,
             items: BTreeMap::new(),
@@ -56,6 +72,8 @@
             forgotten: 0,
             leases: HashMap::new(),
             last_lease: 70_000,
+            granted: HashSet::new(),
+            stale_renewals: 0,
             calls: BTreeMap::new(),
         }
     }
@@ -85,6 +103,59 @@
         self.expire();
     }
 
+    /// Returns how often a lease of an earlier era was renewed in this one.
+    pub const fn stale_renewals(&self) -> u32 {
+        self.stale_renewals
+    }
+
+    /// Returns the era, which every answer names.
+    pub const fn era(&self) -> u32 {
+        self.era
+    }
+
+    /// Copies what the store holds.
+    pub fn copy(&self) -> KvCopy {
+        KvCopy {
+            revision: self.revision,
+            items: self.items.clone(),
+            leases: self.leases.clone(),
+            last_lease: self.last_lease,
+        }
+    }
+
+    /// Comes back from a copy in a new era. Leases of the copy run anew; revisions and lease
+    /// numbers since are given out again. Returns what operators wrote since the copy, which
+    /// they write again.
+    pub fn come_back_from(&mut self, copy: KvCopy) -> Vec<(String, Vec<u8>)> {
+        let lost = self.items.iter().filter(|(key, item)| {
+            let before = copy.items.get(*key);
+            key.starts_with("op/") && before.map(|before| before.revision) != Some(item.revision)
+        });
+        let lost = lost.filter_map(|(key, _)| Some((key.clone(), self.value(key)?)));
+        let lost = lost.collect();
+        self.era += 1;
+        self.revision = copy.revision;
+        self.items = copy.items;
+        self.old_items = self.items.clone();
+        self.leases = copy.leases;
+        for lease in self.leases.values_mut() {
+            lease.ends_at = Instant::now() + lease.ttl;
+        }
+        self.last_lease = copy.last_lease;
+        self.granted.clear();
+        self.stale_renewals = 0;
+        let kept = copy.revision;
+        self.events.retain(|(revision, _, _)| *revision <= kept);
+        lost
+    }
+
+    /// Lets every lease end after `left`, unless it is renewed.
+    pub fn shorten_leases(&mut self, left: Duration) {
+        for lease in self.leases.values_mut() {
+            lease.ends_at = Instant::now() + left;
+        }
+    }
+
     /// Drops the history.
     pub fn compact(&mut self) {
         self.forgotten = self.revision;
@@ -158,7 +229,7 @@
     /// Returns the events after a revision; none yet means that the watch
     /// waits.
     pub(crate) fn watch(&self, prefix: &str, after: u64) -> Option<(u16, Value)> {
-        if after < self.forgotten {
+        if after < self.forgotten || after > self.revision {
             return Some((410, json!({"Error": "history gone"})));
         }
         let events = self.events.iter();
@@ -223,6 +294,7 @@
 
     pub(crate) fn grant(&mut self, ttl_s: f64) -> (u16, Value) {
         self.last_lease += 1;
+        self.granted.insert(self.last_lease);
         let ttl = Duration::from_secs_f64(ttl_s.max(0.1));
         let ends_at = Instant::now() + ttl;
         self.leases
@@ -231,6 +303,7 @@
     }
 
     pub(crate) fn keep(&mut self, id: u64) -> (u16, Value) {
+        self.stale_renewals += u32::from(!self.granted.contains(&id));
         match self.leases.get_mut(&id) {
             Some(lease) => {
                 lease.ends_at = Instant::now() + lease.ttl;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -28,7 +28,7 @@
 pub use heartbeat::{BeatState, Heartbeat, farewell_body, farewell_path};
 pub use kv_fault::KvFault;
 pub use kv_server::KvServer;
-pub use kv_state::KvState;
+pub use kv_state::{KvCopy, KvState};
 pub use machine::{Machine, MachineAddrs};
 pub use route_document::{CONFIG_KEY, RouteEntry, route_document};
 pub use run_record::RunRecord;
