Draw a store that comes back from a copy, and callers that resend crashing requests, in the soak

One caller sends a request that crashes what runs it, twelve times through one node after the other; crashed servers come back as other starts.

Servers that a fault makes slow or fail answered the request in place of crashing, and those runs were counted. Only runs that were cut short count.

--- a/crates/rig/src/demo/demo_run.rs
+++ b/crates/rig/src/demo/demo_run.rs
@@ -68,6 +68,7 @@
         nodes: callers.map(|node| node.machine().addrs.callers).collect(),
         rate: options.rate,
         seed: 1,
+        crashes: false,
     });
     sleep(step).await;
     println!("two nodes killed, one backend server crashes, one leaves");
--- a/crates/rig/src/load/call_record.rs
+++ b/crates/rig/src/load/call_record.rs
@@ -19,6 +19,8 @@
     File,
     /// Idempotent and long; its caller leaves early.
     Abandoned,
+    /// Idempotent; crashes each backend server that runs it, and is sent again at once.
+    Crash,
 }
 
 /// How a request ended for its caller.
--- a/crates/rig/src/load/caller_load.rs
+++ b/crates/rig/src/load/caller_load.rs
@@ -28,6 +28,12 @@
 const ABANDONED_WORK_MS: u64 = 3_000;
 /// Bytes of a file.
 const FILE_BYTES: u64 = 60_000;
+/// Time between requests that crash backend servers.
+const CRASH_GAP: Duration = Duration::from_secs(4);
+/// Times that each of them is sent.
+const CRASH_SENDS: usize = 12;
+/// Pause of their caller after an answer.
+const CRASH_PAUSE: Duration = Duration::from_millis(5);
 /// Time beyond the last request after which every record is there.
 const LAST_RECORDS: Duration = Duration::from_millis(4_200);
 
@@ -40,6 +46,8 @@
     pub rate: f64,
     /// Seed of gaps and kinds.
     pub seed: u64,
+    /// Whether one caller sends requests that crash what runs them.
+    pub crashes: bool,
 }
 
 /// A load that runs until it is ended.
@@ -60,7 +68,15 @@
         let stop = watch::Sender::new(false);
         let numbers = Arc::new(AtomicU64::new(0));
         let nodes = plan.nodes.iter().enumerate();
-        let tasks = nodes.map(|(node, addr)| {
+        let mut tasks: Vec<JoinHandle<()>> = Vec::new();
+        if plan.crashes {
+            let caller = CrashCaller {
+                senders: plan.nodes.iter().copied().map(CallSender::new).collect(),
+                records: Arc::clone(&records),
+            };
+            tasks.push(tokio::spawn(caller.run(stop.subscribe())));
+        }
+        let streams = nodes.map(|(node, addr)| {
             let stream = CallStream {
                 node,
                 sender: CallSender::new(*addr),
@@ -71,10 +87,11 @@
             };
             tokio::spawn(stream.run(stop.subscribe()))
         });
+        tasks.extend(streams);
         Self {
-            tasks: tasks.collect(),
             records,
             stop,
+            tasks,
         }
     }
 
@@ -147,12 +164,56 @@
     }
 }
 
+/// A caller that sends a request which crashes backend servers again and again, through one
+/// node after the other.
+struct CrashCaller {
+    senders: Vec<CallSender>,
+    records: Arc<Mutex<Vec<CallRecord>>>,
+}
+
+impl CrashCaller {
+    async fn run(self, mut stop: watch::Receiver<bool>) {
+        for request in 0_u64.. {
+            tokio::select! {
+                () = sleep(CRASH_GAP) => {}
+                _ = stop.wait_for(|stop| *stop) => return,
+            }
+            for turn in 0..CRASH_SENDS {
+                let node = turn % self.senders.len();
+                self.send(request, turn, node).await;
+                sleep(CRASH_PAUSE).await;
+            }
+        }
+    }
+
+    async fn send(&self, request: u64, turn: usize, node: usize) {
+        let call = CallerCall {
+            id: format!("crash-{request}-{turn}"),
+            path: format!("/p/crash-{request}"),
+            ..call_of(CallKind::Crash, request)
+        };
+        let sent = self.senders[node].send(&call, false, None).await;
+        let record = CallRecord {
+            id: call.id,
+            node,
+            kind: CallKind::Crash,
+            path: call.path,
+            kept: sent.kept,
+            sent: sent.sent,
+            ended: Instant::now(),
+            outcome: sent.outcome,
+        };
+        self.records.lock().expect("no holder panics").push(record);
+    }
+}
+
 fn call_of(kind: CallKind, number: u64) -> CallerCall {
     let (method, path) = match kind {
         CallKind::Lookup => (Method::GET, format!("/p/{number}")),
         CallKind::Order => (Method::POST, format!("/o/{number}")),
         CallKind::File => (Method::GET, format!("/f/{number}?bytes={FILE_BYTES}")),
         CallKind::Abandoned => (Method::GET, format!("/p/{number}?work={ABANDONED_WORK_MS}")),
+        CallKind::Crash => (Method::GET, format!("/p/crash-{number}")),
     };
     let id = format!("call-{number}");
     CallerCall {
--- a/crates/rig/src/rig_endpoint.rs
+++ b/crates/rig/src/rig_endpoint.rs
@@ -117,7 +117,7 @@
         let mut life = self.life();
         life.fault = fault;
         if let Some(server) = &life.server {
-            server.options().fault = fault;
+            server.options().fault = with_crashes(fault);
         }
     }
 
@@ -244,6 +244,14 @@
         self.server = Some(EndpointServer::start(machine.addrs.endpoint, options));
     }
 
+    /// Starts it again, as another start, if a request has crashed it.
+    fn restart_crashed(&mut self, machine: &Machine) {
+        if self.server.as_ref().is_some_and(EndpointServer::has_ended) {
+            self.name += 1;
+            self.begin(machine);
+        }
+    }
+
     fn instance(&self, machine: &Machine) -> String {
         let ip = machine.addrs.hop.ip().to_string().replace('.', "-");
         format!("i-{ip}-{}", self.name)
@@ -256,7 +264,7 @@
             work: self.work,
             answer_bytes: ANSWER_BYTES,
             healthy: true,
-            fault: self.fault,
+            fault: with_crashes(self.fault),
         }
     }
 
@@ -275,11 +283,21 @@
     }
 }
 
+/// Returns a fault, with crashes by requests that crash what runs them where there is none.
+fn with_crashes(fault: EndpointFault) -> EndpointFault {
+    if fault == EndpointFault::Sound {
+        EndpointFault::CrashesOnRequest
+    } else {
+        fault
+    }
+}
+
 /// Sends heartbeats while the backend server lives.
 async fn beat(machine: Machine, life: Arc<Mutex<EndpointLife>>) {
     loop {
         let beat = {
             let mut life = life.lock().expect("no holder panics");
+            life.restart_crashed(&machine);
             let lives = life.server.is_some();
             lives.then(|| life.beat(&machine))
         };
--- a/crates/rig/src/soak/breach.rs
+++ b/crates/rig/src/soak/breach.rs
@@ -24,6 +24,8 @@
     Drained,
     /// A request whose caller has left is cancelled.
     Cancelled,
+    /// A request that crashes backend servers reaches few of them.
+    FewCrashes,
     /// No process goes back to an older configuration.
     NeverOlder,
     /// Every node follows the version in force.
--- a/crates/rig/src/soak/fault_actor.rs
+++ b/crates/rig/src/soak/fault_actor.rs
@@ -1,11 +1,12 @@
 //! Carries out faults.
 
 use std::{
+    collections::VecDeque,
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use geranium_standins::{EndpointFault, KvFault};
+use geranium_standins::{EndpointFault, KvCopy, KvFault};
 use tokio::{task::JoinHandle, time::sleep};
 
 use super::{FaultKind, FaultSpan, PlannedFault, version_probe::ProbeBoard};
@@ -33,6 +34,10 @@
     br#"{"hop":7,"start":[],"service":null,"state":"odd"}"#,
     b"[[[[1]]]]",
 ];
+/// Time between copies of the store.
+const COPY_GAP: Duration = Duration::from_secs(1);
+/// Copies that are kept: the store comes back from one some seconds old.
+const COPIES_KEPT: usize = 4;
 /// Time between versions in a storm.
 const STORM_GAP: Duration = Duration::from_millis(200);
 
@@ -48,6 +53,9 @@
     held: Vec<u32>,
     storms: u32,
     stormed: Instant,
+    /// Copies of the store, the oldest first.
+    copies: VecDeque<KvCopy>,
+    copied: Instant,
 }
 
 impl FaultActor {
@@ -60,6 +68,8 @@
             held: vec![0; nodes],
             storms: 0,
             stormed: Instant::now(),
+            copies: VecDeque::new(),
+            copied: Instant::now(),
         }
     }
 
@@ -106,6 +116,13 @@
                 node.start_process()?;
             }
         }
+        if self.copies.is_empty() || self.copied.elapsed() >= COPY_GAP {
+            self.copied = now;
+            self.copies.push_back(fleet.store.state().copy());
+            if self.copies.len() > COPIES_KEPT {
+                self.copies.pop_front();
+            }
+        }
         if self.storms > 0 && self.stormed.elapsed() >= STORM_GAP {
             self.publish(fleet);
         }
@@ -156,6 +173,8 @@
             FaultKind::EndpointLeave if begins => self.leave(fleet, &fault.targets),
             FaultKind::ForeignWriter if begins => self.write_foreign(fleet, &fault.targets),
             FaultKind::NodeTerminate | FaultKind::EndpointLeave | FaultKind::ForeignWriter => {}
+            FaultKind::StoreCopy if begins => fleet.store.set_faults(KvFault::Reset),
+            FaultKind::StoreCopy => self.come_back(fleet),
             FaultKind::ConfigStorm => {
                 self.storms = self
                     .storms
@@ -168,6 +187,17 @@
         }
     }
 
+    /// Lets the store come back from its oldest copy. Operators write again what is missing.
+    fn come_back(&self, fleet: &RigFleet) {
+        if let Some(copy) = self.copies.front() {
+            let mut state = fleet.store.state();
+            for (key, value) in state.come_back_from(copy.clone()) {
+                state.operator_put(&key, &value);
+            }
+        }
+        fleet.store.set_faults(KvFault::Sound);
+    }
+
     fn hold(&mut self, fleet: &mut RigFleet, targets: &[usize], begins: bool) {
         for &target in targets {
             if begins {
--- a/crates/rig/src/soak/fault_kind.rs
+++ b/crates/rig/src/soak/fault_kind.rs
@@ -77,6 +77,8 @@
     /// Something else writes unreadable announcements to the store, in the place
     /// of members' and beside them, and posts heartbeats.
     ForeignWriter,
+    /// The store is away and comes back from a copy some seconds old.
+    StoreCopy,
 }
 
 impl FaultKind {
@@ -85,9 +87,13 @@
     /// seeds that once found a fault are played again as they were.
     pub const LAID_OVER: [Self; 2] = [Self::EndpointReturn, Self::ForeignWriter];
 
+    /// Kinds that are laid over both, drawn for themselves for the same reason.
+    pub const LAID_LAST: [Self; 1] = [Self::StoreCopy];
+
     /// Kinds of which a plan is drawn.
     pub fn drawn() -> &'static [Self] {
-        &Self::VARIANTS[..Self::VARIANTS.len() - Self::LAID_OVER.len()]
+        let laid = Self::LAID_OVER.len() + Self::LAID_LAST.len();
+        &Self::VARIANTS[..Self::VARIANTS.len() - laid]
     }
 
     /// Whether it concerns single instances, not the whole fleet.
@@ -103,9 +109,20 @@
                 | Self::StoreForgets
                 | Self::StoreGarbles
                 | Self::ConfigStorm
+                | Self::StoreCopy
         )
     }
 
+    /// Whether nodes may not hear of a crash of a backend server while it lasts, or may
+    /// forget it.
+    pub const fn hides_crashes(self) -> bool {
+        let restarts = matches!(
+            self,
+            Self::NodeKill | Self::NodeTerminate | Self::HerdKill | Self::EndpointReset
+        );
+        restarts || self.hides_leaving() || matches!(self, Self::HopReset)
+    }
+
     /// Whether a caller's leaving may go unheard while it lasts.
     pub const fn hides_leaving(self) -> bool {
         matches!(
--- a/crates/rig/src/soak/promise_check.rs
+++ b/crates/rig/src/soak/promise_check.rs
@@ -21,6 +21,14 @@
 /// request to count as lost.
 const TOUCH_TIME: Duration = Duration::from_millis(500);
 
+/// Crashes of one request while nodes hear of one another.
+const CRASHES_MAX: usize = 2;
+/// Crashes of one request under any faults: three, and three retries of nodes that don't
+/// know of them.
+const CRASHES_SURE: usize = 6;
+/// Time after a fault in which nodes that couldn't be told of a crash are told again.
+const TELL_TIME: Duration = Duration::from_secs(3);
+
 /// Returns every breach; those of promises with a time bound only if `timed`.
 pub fn check_promises(evidence: &SoakEvidence, timed: bool) -> Vec<Breach> {
     let runs = runs_by_request(&evidence.runs);
@@ -33,6 +41,7 @@
         breaches.extend(check_cancelled(evidence, call, ran));
     }
     breaches.extend(check_asked(evidence));
+    breaches.extend(check_crashes(evidence, timed));
     breaches.extend(check_drains(evidence, timed));
     breaches.extend(check_processes(evidence));
     breaches
@@ -129,6 +138,39 @@
         .collect()
 }
 
+/// A request that crashes backend servers and is sent again and again: it may reach two of
+/// them, and a few more where faults keep nodes from hearing of it.
+fn check_crashes(evidence: &SoakEvidence, timed: bool) -> Vec<Breach> {
+    let calls = evidence.calls.iter();
+    let crashing = calls.filter(|call| call.kind == CallKind::Crash);
+    let mut sends: HashMap<&str, Vec<&CallRecord>> = HashMap::new();
+    for call in crashing {
+        sends.entry(&call.path).or_default().push(call);
+    }
+    let mut breaches = Vec::new();
+    for (path, sends) in sends {
+        let from = sends.iter().map(|call| call.sent).min();
+        let to = sends.iter().map(|call| call.ended).max();
+        let hidden = from.zip(to).is_none_or(|(from, to)| {
+            let mut faults = evidence.faults.iter();
+            faults.any(|fault| fault.kind.hides_crashes() && fault.overlaps(from, to, TELL_TIME))
+        });
+        let bound = if timed && !hidden {
+            CRASHES_MAX
+        } else {
+            CRASHES_SURE
+        };
+        // Servers with another fault don't crash: they answer.
+        let runs = evidence.runs.iter();
+        let runs = runs.filter(|run| run.path == path && run.cancelled).count();
+        if runs > bound {
+            let what = format!("{path} ran {runs} times");
+            breaches.push(Breach::new(Promise::FewCrashes, what));
+        }
+    }
+    breaches
+}
+
 fn check_drains(evidence: &SoakEvidence, timed: bool) -> Vec<Breach> {
     let bound = if timed {
         DRAIN_TIME + CLOCK_SLACK
--- a/crates/rig/src/soak/soak_plan.rs
+++ b/crates/rig/src/soak/soak_plan.rs
@@ -20,6 +20,12 @@
 const OVER_GAP_MS: u64 = 2_000;
 /// Mixed into the seed of these.
 const OVER_SEED: u64 = 0x6f76_6572;
+/// Mean time between the faults that are laid over all others.
+const LAST_GAP_MS: u64 = 6_000;
+/// Sets their draws apart from the others of the same seed.
+const LAST_SEED: u64 = 0x6c61_7374;
+/// Time for which the store is away before it comes back from a copy.
+const AWAY_MS: std::ops::Range<u64> = 100..1_500;
 
 /// One fault.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -119,6 +125,17 @@
             });
             start_ms += rng.random_range(0..2 * OVER_GAP_MS);
         }
+        let mut rng = StdRng::seed_from_u64(seed ^ LAST_SEED);
+        let mut start_ms = FIRST_MS + rng.random_range(0..LAST_GAP_MS);
+        while start_ms < seconds * 1_000 {
+            plan.faults.push(PlannedFault {
+                kind: FaultKind::LAID_LAST[rng.random_range(0..FaultKind::LAID_LAST.len())],
+                targets: Vec::new(),
+                start_ms,
+                end_ms: start_ms + rng.random_range(AWAY_MS),
+            });
+            start_ms += rng.random_range(0..2 * LAST_GAP_MS);
+        }
         plan.faults.sort_by_key(|fault| fault.start_ms);
         plan
     }
--- a/crates/rig/src/soak/soak_run.rs
+++ b/crates/rig/src/soak/soak_run.rs
@@ -79,6 +79,7 @@
         nodes: callers.map(|node| node.machine().addrs.callers).collect(),
         rate: options.rate,
         seed: plan.seed,
+        crashes: !options.plain,
     });
     let mut actor = FaultActor::new(options.nodes, Arc::clone(&board));
     carry_out(plan, &mut fleet, &mut actor, &board).await?;
--- a/crates/rig/tests/all/promises.rs
+++ b/crates/rig/tests/all/promises.rs
@@ -175,3 +175,18 @@
     let story = Story::new().event(10, NodeEventKind::Ended);
     assert_eq!(story.broken(), [Promise::KeepsRunning]);
 }
+
+/// Guards against a soak that overlooks a request which crashes server after server.
+#[test]
+fn a_request_that_crashes_many_servers_is_found() {
+    let crashes = |runs: u32| {
+        let story = Story::new().call(CallKind::Crash, CallOutcome::Closed);
+        (0..runs).fold(story, |story, run| story.run(run, true))
+    };
+    let found = |story: &Story| story.broken().contains(&Promise::FewCrashes);
+    assert!(!found(&crashes(2)));
+    assert!(found(&crashes(3)));
+    let cut = |runs| crashes(runs).fault(FaultKind::HopCut, 0, 40);
+    assert!(!found(&cut(6)));
+    assert!(found(&cut(7)));
+}
