Put an activation above the versions that the store may have lost with its latest seconds

Cause: an activation that the store acknowledged and then lost, with an older copy, is in force on the nodes. The next one got the number after the copy's version, which may be that of the lost one with other content: nodes that hold the lost one don't take it, and nodes that start later do.

Change: the history says in which era an activation was acknowledged. The first one in a later era skips 1,000 versions; more than that aren't written in the seconds that a copy is old. Reports show the era where the store tells one.

Ruled out: asking all nodes for their versions, as those that can't be reached may hold the lost one.

Test: store_copies::the_next_version_is_above_those_that_were_lost; without the step the next version equals the lost one.

--- a/crates/ctl/src/presets/activation.rs
+++ b/crates/ctl/src/presets/activation.rs
@@ -2,7 +2,7 @@
 
 use geranium_node::{
     config::ConfigVersion,
-    store::{MetaStore, ReadAge, Revision, StoreWrite},
+    store::{MetaStore, ReadAge, Revision, StoreEra, StoreWrite},
 };
 use snafu::ResultExt;
 
@@ -27,6 +27,9 @@
     pub stamp: WriteStamp,
 }
 
+/// Step over the versions that a store may have lost with its latest seconds.
+const LOST_VERSIONS: u64 = 1_000;
+
 /// An activation that took effect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Activation {
@@ -64,11 +67,13 @@
     {
         return Err(lost(store, in_force).await);
     }
-    let version = ConfigVersion(in_force.0 + 1);
+    let era = revision.era();
+    let version = next_version(store, in_force, era).await?;
     let own = ActivationRecord {
         version,
         preset: preset.name,
         stamp: request.stamp.clone(),
+        era,
     };
     let place = place_of(store, version).await?;
     let entry = record::bytes(&own);
@@ -99,6 +104,25 @@
     }
 }
 
+/// Returns the version of the next activation, in the store's era `era`.
+///
+/// A store that has come back from an older copy since the last one may have lost later
+/// versions. Nodes hold those and take none that isn't higher.
+async fn next_version(
+    store: &impl MetaStore,
+    in_force: ConfigVersion,
+    era: StoreEra,
+) -> Result<ConfigVersion, CtlError> {
+    let last = place_of(store, in_force).await?.record;
+    let last = last.filter(|record| record.version == in_force);
+    let step = if last.is_some_and(|record| record.era < era) {
+        LOST_VERSIONS
+    } else {
+        1
+    };
+    Ok(ConfigVersion(in_force.0 + step))
+}
+
 /// Finds out whether an activation that was refused after a lost answer had
 /// been done before, unheard. While the store can't tell, nobody knows.
 async fn stands(store: &impl MetaStore, own: &ActivationRecord) -> Result<bool, CtlError> {
--- a/crates/ctl/src/presets/activation_record.rs
+++ b/crates/ctl/src/presets/activation_record.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use geranium_node::config::ConfigVersion;
+use geranium_node::{config::ConfigVersion, store::StoreEra};
 use serde::{Deserialize, Serialize};
 
 use super::PresetName;
@@ -17,6 +17,9 @@
     pub preset: PresetName,
     /// Who did it, and when.
     pub stamp: WriteStamp,
+    /// Era of the store in which it was acknowledged; 0 when that wasn't told.
+    #[serde(default, skip_serializing_if = "StoreEra::is_none")]
+    pub era: StoreEra,
 }
 
 impl fmt::Display for ActivationRecord {
@@ -25,6 +28,10 @@
             f,
             "version {}: {}, {}",
             self.version, self.preset, self.stamp
-        )
+        )?;
+        if !self.era.is_none() {
+            write!(f, ", store era {}", self.era)?;
+        }
+        Ok(())
     }
 }
--- a/crates/ctl/tests/all/main.rs
+++ b/crates/ctl/tests/all/main.rs
@@ -8,4 +8,5 @@
 mod explain;
 mod fleet;
 mod messages;
+mod store_copies;
 mod support;
--- a/crates/ctl/tests/all/support/memory_store.rs
+++ b/crates/ctl/tests/all/support/memory_store.rs
@@ -28,8 +28,16 @@
 #[derive(Debug, Default)]
 pub struct MemoryStore(Mutex<MemoryState>);
 
+/// A copy of what a store in memory holds.
+#[derive(Debug)]
+pub struct MemoryCopy {
+    items: BTreeMap<String, (Revision, Vec<u8>)>,
+    revision: u64,
+}
+
 #[derive(Debug, Default)]
 struct MemoryState {
+    era: StoreEra,
     items: BTreeMap<String, (Revision, Vec<u8>)>,
     revision: u64,
     calls: u64,
@@ -69,6 +77,27 @@
         self.state().down_from = None;
     }
 
+    /// Copies what it holds.
+    pub fn copy(&self) -> MemoryCopy {
+        let state = self.state();
+        MemoryCopy {
+            items: state.items.clone(),
+            revision: state.revision,
+        }
+    }
+
+    /// Comes back from a copy, in a new era.
+    pub fn come_back_from(&self, copy: MemoryCopy) {
+        let mut state = self.state();
+        state.era = StoreEra(state.era.0 + 1);
+        let (era, items) = (state.era, copy.items.into_iter());
+        let moved = |revision: Revision| Revision::in_era(era, revision.number());
+        state.items = items
+            .map(|(key, (revision, value))| (key, (moved(revision), value)))
+            .collect();
+        state.revision = copy.revision;
+    }
+
     /// Forgets the faults that didn't come to pass.
     pub fn mend(&self) {
         self.state().faults.clear();
@@ -109,7 +138,7 @@
             }
         }
         self.revision += 1;
-        let revision = Revision(self.revision);
+        let revision = Revision::in_era(self.era, self.revision);
         for write in writes {
             match &write.value {
                 Some(value) => {
@@ -147,7 +176,7 @@
         }
         Ok(StoreRead {
             item: state.item(key),
-            revision: Revision(state.revision),
+            revision: Revision::in_era(state.era, state.revision),
         })
     }
 
@@ -159,7 +188,7 @@
         let keys = state.items.keys().filter(|key| key.starts_with(prefix));
         Ok(StoreList {
             items: keys.filter_map(|key| state.item(key)).collect(),
-            revision: Revision(state.revision),
+            revision: Revision::in_era(state.era, state.revision),
         })
     }
 
--- a/crates/node/src/store/store_era.rs
+++ b/crates/node/src/store/store_era.rs
@@ -14,6 +14,13 @@
 )]
 pub struct StoreEra(pub u32);
 
+impl StoreEra {
+    /// Whether the store didn't tell its era.
+    pub const fn is_none(&self) -> bool {
+        self.0 == 0
+    }
+}
+
 impl std::fmt::Display for StoreEra {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         self.0.fmt(f)
