--- a/crates/node/src/door/door_flow.rs
+++ b/crates/node/src/door/door_flow.rs
@@ -8,14 +8,12 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http::Response;
 use hyper::body::Body;
 use snafu::Snafu;
 use tokio::{
     sync::{Semaphore, oneshot},
-    time::{timeout, timeout_at},
+    time::timeout_at,
 };
 
 use super::{
@@ -25,8 +23,8 @@
 use crate::{
     answer_body::AnswerBody,
     crash::{BreakFinding, BrokenRuns, CrashBook},
-    header_set::{HeaderSet, header_text},
-    hop::{ConnectionPool, ExchangeError, PoolSettings},
+    header_set::HeaderSet,
+    hop::{ConnectionPool, PoolSettings},
     link::LinkLine,
     member::{AnswerSizes, EndpointStart, LoadReport},
     node_clock::NodeClock,
@@ -45,9 +43,6 @@
 /// Time beyond the caller's after which the backend server is given up on;
 /// usually the sender's cancel comes first.
 const OVERTIME: Duration = Duration::from_millis(100);
-/// Longest time for a health check; it takes a millisecond when a slot is
-/// free. The next heartbeat comes within a second and a half.
-const HEALTH_TIME: Duration = Duration::from_secs(1);
 /// Advice after a refusal that isn't about load: another node is asked at once.
 pub(super) const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
@@ -82,15 +77,6 @@
     },
 }
 
-/// What the backend server said when its health was checked.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct HealthAnswer {
-    /// Whether it is healthy and not leaving.
-    pub healthy: bool,
-    /// Start that it says it is.
-    pub instance: Option<String>,
-}
-
 /// State of the door.
 #[derive(Debug)]
 pub(super) struct DoorInner {
@@ -242,44 +228,6 @@
         self.inner.endpoints.sweep();
     }
 
-    /// Asks the backend server whether it is healthy and not leaving, and
-    /// returns the start that says so.
-    pub async fn health(&self, path: &str) -> Option<String> {
-        let asked = timeout(HEALTH_TIME, self.ask_health(path)).await;
-        let answer = asked.ok()?.ok()?;
-        answer.instance.filter(|_| answer.healthy)
-    }
-
-    /// Sends a health check to the backend server.
-    ///
-    /// # Errors
-    ///
-    /// When there is no answer.
-    pub async fn ask_health(&self, path: &str) -> Result<HealthAnswer, ExchangeError> {
-        let mut request = Request::new(Full::new(Bytes::new()));
-        *request.uri_mut() = path.parse().unwrap_or_default();
-        if let Ok(host) = HeaderValue::from_str(&self.settings.endpoint.to_string()) {
-            request.headers_mut().insert(header::HOST, host);
-        }
-        let endpoints = &self.inner.endpoints;
-        let exchange = endpoints.exchange(self.settings.endpoint, request, IDLE_ONCE);
-        let (response, sender) = exchange.await?;
-        let answer = HealthAnswer {
-            healthy: response.status() == StatusCode::OK,
-            instance: header_text(response.headers(), &self.headers.instance)
-                .map(ToOwned::to_owned),
-        };
-        if response.into_body().collect().await.is_ok() {
-            endpoints.give_back(sender);
-        }
-        Ok(answer)
-    }
-
-    /// Whether the backend server runs nothing for this node.
-    pub fn is_idle(&self) -> bool {
-        self.inner.queue.borrow().running() == 0
-    }
-
     /// Runs a request at the backend server.
     ///
     /// Dropping the future withdraws the request from the queue, or closes the
--- /dev/null
+++ b/crates/node/src/door/endpoint_health.rs
@@ -0,0 +1,63 @@
+//! Health checks of the backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use tokio::time::timeout;
+
+use super::{DoorFlow, door_flow::IDLE_ONCE};
+use crate::{header_set::header_text, hop::ExchangeError};
+
+/// Longest time for a health check; it takes a millisecond when a slot is
+/// free. The next heartbeat comes within a second and a half.
+const HEALTH_TIME: Duration = Duration::from_secs(1);
+/// What the backend server said when its health was checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HealthAnswer {
+    /// Whether it is healthy and not leaving.
+    pub healthy: bool,
+    /// Start that it says it is.
+    pub instance: Option<String>,
+}
+
+impl DoorFlow {
+    /// Asks the backend server whether it is healthy and not leaving, and
+    /// returns the start that says so.
+    pub async fn health(&self, path: &str) -> Option<String> {
+        let asked = timeout(HEALTH_TIME, self.ask_health(path)).await;
+        let answer = asked.ok()?.ok()?;
+        answer.instance.filter(|_| answer.healthy)
+    }
+
+    /// Sends a health check to the backend server.
+    ///
+    /// # Errors
+    ///
+    /// When there is no answer.
+    pub async fn ask_health(&self, path: &str) -> Result<HealthAnswer, ExchangeError> {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        if let Ok(host) = HeaderValue::from_str(&self.settings.endpoint.to_string()) {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        let endpoints = &self.inner.endpoints;
+        let exchange = endpoints.exchange(self.settings.endpoint, request, IDLE_ONCE);
+        let (response, sender) = exchange.await?;
+        let answer = HealthAnswer {
+            healthy: response.status() == StatusCode::OK,
+            instance: header_text(response.headers(), &self.headers.instance)
+                .map(ToOwned::to_owned),
+        };
+        if response.into_body().collect().await.is_ok() {
+            endpoints.give_back(sender);
+        }
+        Ok(answer)
+    }
+
+    /// Whether the backend server runs nothing for this node.
+    pub fn is_idle(&self) -> bool {
+        self.inner.queue.borrow().running() == 0
+    }
+}
--- /dev/null
+++ b/crates/node/src/front/failed_try.rs
@@ -0,0 +1,79 @@
+//! What follows from a try that ended without an answer.
+
+use super::{
+    TryFailure,
+    try_flow::{NextTry, TryFlow},
+    try_record::TryRecord,
+};
+use crate::{
+    door::{DoorRefusal, RefusalReason},
+    member::TryEnd,
+};
+
+impl TryFlow<'_> {
+    /// Takes in how a try ended without an answer.
+    pub(super) fn note_failure(
+        self,
+        tries: &mut TryRecord<'_>,
+        asked: &NextTry,
+        failure: TryFailure,
+    ) {
+        tries.under_way -= 1;
+        let record = &asked.record;
+        match failure {
+            TryFailure::Refused(refusal) if refusal.reason == RefusalReason::Busy => {
+                tries.was_busy(asked.key);
+                tries.never_arrived();
+            }
+            TryFailure::Refused(refusal) => {
+                if let Some(end) = end_of(refusal) {
+                    self.judge(asked, end);
+                }
+                if !refusal.reason.reached_endpoint() {
+                    tries.never_arrived();
+                }
+                tries.crashes_servers |= refusal.reason == RefusalReason::Poisoned;
+                tries.refusal = Some(refusal);
+                self.core.note_refusal(self.request, record, &refusal);
+            }
+            TryFailure::Unreachable(reason) => {
+                self.judge(asked, TryEnd::Unreachable);
+                tries.never_arrived();
+                self.core.note_unreachable(self.request, record, &reason);
+            }
+            TryFailure::Broke { reason, finding } => {
+                self.judge(asked, TryEnd::Broke);
+                if let Some(finding) = finding {
+                    tries.crashes_servers |= finding.is_suspicious();
+                    self.core.note_finding(self.request.print, finding);
+                }
+                self.core.note_broke(self.request, record, &reason);
+                tries.ran = true;
+                tries.broke = Some(reason);
+            }
+        }
+    }
+
+    fn judge(self, asked: &NextTry, end: TryEnd) {
+        let now = self.core.clock.now();
+        let mut fleet = self.core.fleet.borrow_mut();
+        fleet.judged(now, asked.key, end);
+    }
+}
+
+/// Returns what a refusal says of the member; nothing where it concerns the request alone.
+const fn end_of(refusal: DoorRefusal) -> Option<TryEnd> {
+    let retry_after = refusal.retry_after;
+    match refusal.reason {
+        RefusalReason::LinkFull => Some(TryEnd::LinkRefused { retry_after }),
+        RefusalReason::Busy | RefusalReason::Full | RefusalReason::EndpointRefused => {
+            Some(TryEnd::Refused { retry_after })
+        }
+        RefusalReason::Shut
+        | RefusalReason::Leaving
+        | RefusalReason::OtherInstance
+        | RefusalReason::EndpointDown
+        | RefusalReason::Stopping => Some(TryEnd::Shut),
+        RefusalReason::Poisoned => None,
+    }
+}
--- a/crates/node/src/front/mod.rs
+++ b/crates/node/src/front/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod caller_input;
 mod deadline_book;
+mod failed_try;
 mod front_answer;
 mod front_flow;
 mod front_request;
--- a/crates/node/src/front/try_flow.rs
+++ b/crates/node/src/front/try_flow.rs
@@ -23,17 +23,17 @@
 
 /// A member to be asked.
 #[derive(Debug, Clone)]
-struct NextTry {
-    key: MemberKey,
-    record: MemberRecord,
+pub(super) struct NextTry {
+    pub(super) key: MemberKey,
+    pub(super) record: MemberRecord,
     may_wait: bool,
 }
 
 /// The tries of one request at members.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct TryFlow<'a> {
-    core: &'a Rc<NodeCore>,
-    request: &'a FrontRequest,
+    pub(super) core: &'a Rc<NodeCore>,
+    pub(super) request: &'a FrontRequest,
 }
 
 impl<'a> TryFlow<'a> {
@@ -93,55 +93,6 @@
         None
     }
 
-    /// Takes in how a try ended without an answer.
-    fn note_failure(self, tries: &mut TryRecord<'_>, asked: &NextTry, failure: TryFailure) {
-        tries.under_way -= 1;
-        let now = self.core.clock.now();
-        let mut fleet = self.core.fleet.borrow_mut();
-        let (key, record) = (asked.key, &asked.record);
-        match failure {
-            TryFailure::Refused(refusal) if refusal.reason == RefusalReason::Busy => {
-                drop(fleet);
-                tries.was_busy(key);
-                tries.never_arrived();
-            }
-            TryFailure::Refused(refusal) if refusal.reason == RefusalReason::Poisoned => {
-                // It says nothing of the member.
-                drop(fleet);
-                tries.never_arrived();
-                tries.refusal = Some(refusal);
-                tries.crashes_servers = true;
-                self.core.note_refusal(self.request, record, &refusal);
-            }
-            TryFailure::Refused(refusal) => {
-                fleet.judged(now, key, end_of(refusal));
-                drop(fleet);
-                if !refusal.reason.reached_endpoint() {
-                    tries.never_arrived();
-                }
-                tries.refusal = Some(refusal);
-                self.core.note_refusal(self.request, record, &refusal);
-            }
-            TryFailure::Unreachable(reason) => {
-                fleet.judged(now, key, TryEnd::Unreachable);
-                drop(fleet);
-                tries.never_arrived();
-                self.core.note_unreachable(self.request, record, &reason);
-            }
-            TryFailure::Broke { reason, finding } => {
-                fleet.judged(now, key, TryEnd::Broke);
-                drop(fleet);
-                if let Some(finding) = finding {
-                    tries.crashes_servers |= finding.is_suspicious();
-                    self.core.note_finding(self.request.print, finding);
-                }
-                self.core.note_broke(self.request, record, &reason);
-                tries.ran = true;
-                tries.broke = Some(reason);
-            }
-        }
-    }
-
     /// Sends a try, and watches whether its member lives. Returns the try that the
     /// outcome is of.
     ///
@@ -332,19 +283,3 @@
         }
     }
 }
-
-const fn end_of(refusal: DoorRefusal) -> TryEnd {
-    let retry_after = refusal.retry_after;
-    match refusal.reason {
-        RefusalReason::LinkFull => TryEnd::LinkRefused { retry_after },
-        RefusalReason::Busy
-        | RefusalReason::Full
-        | RefusalReason::Poisoned
-        | RefusalReason::EndpointRefused => TryEnd::Refused { retry_after },
-        RefusalReason::Shut
-        | RefusalReason::Leaving
-        | RefusalReason::OtherInstance
-        | RefusalReason::EndpointDown
-        | RefusalReason::Stopping => TryEnd::Shut,
-    }
-}
