--- a/crates/node/src/crash/broken_runs.rs
+++ b/crates/node/src/crash/broken_runs.rs
@@ -10,10 +10,10 @@
 use super::{BreakCause, BreakFinding, CrashRow, crash_news::CRASH_LEASE};
 use crate::member::EndpointStart;
 
-/// Time for which a run that broke is held against the end of its backend server. The
-/// platform restarts one within seconds.
+/// Time for which a broken run is remembered. If another start replaces its backend server
+/// within it, the run counts as a crash. The platform restarts a server within seconds.
 const RECENT_TIME: Duration = Duration::from_secs(10);
-/// Most runs that are remembered so: those of a backend server that breaks every run for
+/// Maximum number of remembered runs, enough for a backend server that breaks every run for
 /// some seconds.
 const RECENT_MAX: usize = 1_024;
 
@@ -24,7 +24,7 @@
     pub(super) found: oneshot::Sender<BreakFinding>,
 }
 
-/// A run that broke lately and isn't counted as a crash.
+/// A recent broken run that isn't counted as a crash.
 #[derive(Debug)]
 struct RecentRun {
     at: Duration,
@@ -37,12 +37,12 @@
 pub struct BrokenRuns {
     waiting: RefCell<Vec<BrokenRun>>,
     recent: RefCell<Vec<RecentRun>>,
-    /// Rows of starts that turned out to have crashed after their runs were settled.
+    /// Rows of starts that were found to have crashed after their runs were settled.
     late: RefCell<Vec<CrashRow>>,
-    /// Batches of such rows that other nodes are being told of.
+    /// Number of batches of such rows that are being sent to other nodes.
     late_open: Cell<u32>,
     late_told: Notify,
-    /// Crashes that were written to the store lately, with the time of that.
+    /// Crashes that were written to the store, with the time of the write.
     written: RefCell<Vec<(Duration, Vec<CrashRow>)>>,
     /// Crashes to be written to the store again.
     unwritten: RefCell<Vec<Vec<CrashRow>>>,
@@ -50,7 +50,8 @@
 }
 
 impl BrokenRuns {
-    /// Notes that the connection of a run broke, and returns where the cause will be told.
+    /// Records that the connection of a run broke. The receiver gets the cause once it is
+    /// known.
     pub fn push(&self, start: EndpointStart, print: u64) -> oneshot::Receiver<BreakFinding> {
         let (found, finding) = oneshot::channel();
         let row = CrashRow {
@@ -62,12 +63,11 @@
         finding
     }
 
-    /// Takes in that `instance` has taken the place of a start that didn't say that it
-    /// leaves.
+    /// Records that `instance` has replaced a start that didn't announce its end.
     ///
-    /// A backend server that is restarted within milliseconds listens again before anyone
-    /// could notice that it was gone, perhaps under the identifier that it had. What broke
-    /// shortly before counts as a crash, unless the earlier start was seen to live after it.
+    /// A backend server that is restarted within milliseconds listens again before a probe
+    /// finds it gone, possibly under its old identifier. Runs that broke shortly before count
+    /// as crashes, unless the earlier start answered a probe after they broke.
     pub fn replaced(&self, now: Duration, ended: &EndpointStart, instance: &str) {
         let mut recent = self.recent.borrow_mut();
         let crashed = |run: &RecentRun| {
@@ -83,14 +83,14 @@
         }
     }
 
-    /// Remembers crashes that were written to the store.
+    /// Records crashes that were written to the store.
     pub(super) fn remember_written(&self, now: Duration, rows: Vec<CrashRow>) {
         let mut written = self.written.borrow_mut();
         written.retain(|(at, _)| now < *at + CRASH_LEASE);
         written.push((now, rows));
     }
 
-    /// Has the crashes written again that the store may have lost.
+    /// Queues the crashes that the store may have lost, to be written again.
     pub fn write_again(&self, now: Duration) {
         let written = self.written.take();
         let lasting = written
@@ -106,7 +106,7 @@
         self.unwritten.take()
     }
 
-    /// Remembers a run that isn't counted as a crash, as `cause` says.
+    /// Records a broken run that isn't counted as a crash.
     pub(super) fn remember(&self, now: Duration, cause: BreakCause, row: CrashRow) {
         let mut recent = self.recent.borrow_mut();
         recent.retain(|run| now < run.at + RECENT_TIME);
@@ -137,8 +137,7 @@
         self.late_told.notify_waiters();
     }
 
-    /// Waits until other nodes know of the crashes that showed as another start took the
-    /// place of the one that crashed.
+    /// Waits until other nodes have been told of the crashes found by [`Self::replaced`].
     pub async fn until_late_told(&self) {
         while self.late_open.get() > 0 || !self.late.borrow().is_empty() {
             self.late_told.notified().await;
--- a/crates/node/src/crash/crash_news.rs
+++ b/crates/node/src/crash/crash_news.rs
@@ -24,8 +24,7 @@
 const STORE_PAUSE: Duration = Duration::from_secs(1);
 /// Time after which a crash isn't written any more: callers' automatic resends end by then.
 const STORE_TIME: Duration = Duration::from_secs(600);
-
-/// Longest wait for the nodes that are told of a crash. Those who sent what broke wait for
+/// Longest wait for the nodes that are told of a crash. The senders of broken runs wait for
 /// it.
 const TELL_TIME: Duration = Duration::from_millis(100);
 /// Pauses before nodes that couldn't be told are told again.
--- a/crates/node/src/crash/crash_port.rs
+++ b/crates/node/src/crash/crash_port.rs
@@ -16,8 +16,8 @@
 
 /// Path at which a node is told of crashes.
 pub const CRASH_PATH: &str = "/.geranium/crash";
-/// Longest news of a crash: a row is some 80 bytes, and a server runs a few dozen requests.
-const BODY_MAX: usize = 64 * 1024;
+/// Maximum size of a message: a thousand rows of some 80 bytes, with room to spare.
+const BODY_MAX: usize = 256 * 1024;
 
 /// Takes in what other nodes tell of crashes.
 #[derive(Debug, Clone)]
--- a/crates/node/src/crash/crash_watch.rs
+++ b/crates/node/src/crash/crash_watch.rs
@@ -23,7 +23,7 @@
 /// Time after a break in which further ones gather: a process that crashes drops all its
 /// connections within a millisecond or two.
 const GATHER: Duration = Duration::from_millis(5);
-/// Longest probe of a backend server. The senders of what broke wait for it.
+/// Longest probe of a backend server. The senders of broken runs wait for it.
 const PROBE_TIME: Duration = Duration::from_millis(250);
 /// Pause after a probe whose connection broke as well: the process is ending.
 const PROBE_PAUSE: Duration = Duration::from_millis(5);
