Blame requests only for crashes of servers that were running them

Callers saw: a request that is answered well is refused as poisoned at all nodes.

Cause, by the logs: a request that was sent 75 ms after a backend server had crashed broke at its address, which still took connections, and got a row of that crash. Beside it, runs that lost their answers up to ten seconds before a start came back under its identifier counted as crashes.

Fix: a run that was sent after the first break of a start that crashed gets no row. A lost answer counts against a start that comes back under its identifier for two seconds.

What is left, a request beside two different crashing ones, is listed: soaks::requests_beside_several_crashing_ones_are_served.

--- a/crates/node/src/crash/broken_runs.rs
+++ b/crates/node/src/crash/broken_runs.rs
@@ -13,6 +13,9 @@
 /// Time for which a broken run is remembered. If another start replaces its backend server
 /// within it, the run counts as a crash. The platform restarts a server within seconds.
 const RECENT_TIME: Duration = Duration::from_secs(10);
+/// Longest time from the crash of a backend server that is restarted before a probe reaches
+/// it to its first heartbeat.
+const RESTART_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of remembered runs, enough for a backend server that breaks every run for
 /// some seconds.
 const RECENT_MAX: usize = 1_024;
@@ -21,6 +24,8 @@
 #[derive(Debug)]
 pub(super) struct BrokenRun {
     pub(super) row: CrashRow,
+    /// When it was sent.
+    pub(super) began: Duration,
     pub(super) found: oneshot::Sender<BreakFinding>,
 }
 
@@ -36,6 +41,9 @@
 #[derive(Debug, Default)]
 pub struct BrokenRuns {
     waiting: RefCell<Vec<BrokenRun>>,
+    /// The start whose runs broke last, with the time of the first break since it was last
+    /// seen to live.
+    first_break: RefCell<Option<(EndpointStart, Duration)>>,
     recent: RefCell<Vec<RecentRun>>,
     /// Rows of starts that were found to have crashed after their runs were settled.
     late: RefCell<Vec<CrashRow>>,
@@ -50,19 +58,44 @@
 }
 
 impl BrokenRuns {
-    /// Records that the connection of a run broke. The receiver gets the cause once it is
-    /// known.
-    pub fn push(&self, start: EndpointStart, print: u64) -> oneshot::Receiver<BreakFinding> {
+    /// Records that the connection of a run, sent at `began`, broke now. The receiver gets
+    /// the cause once it is known; nothing when the backend server had crashed before the run
+    /// was sent.
+    pub fn push(
+        &self,
+        now: Duration,
+        began: Duration,
+        row: CrashRow,
+    ) -> oneshot::Receiver<BreakFinding> {
         let (found, finding) = oneshot::channel();
-        let row = CrashRow {
-            fingerprint: print,
-            start,
-        };
-        self.waiting.borrow_mut().push(BrokenRun { row, found });
+        let mut first = self.first_break.borrow_mut();
+        if first.as_ref().is_none_or(|(start, _)| *start != row.start) {
+            *first = Some((row.start.clone(), now));
+        }
+        self.waiting
+            .borrow_mut()
+            .push(BrokenRun { row, began, found });
         self.heard.notify_one();
         finding
     }
 
+    /// Drops the runs that were sent to a start after it crashed: they weren't running then.
+    pub(super) fn drop_later(&self, start: &EndpointStart, runs: &mut Vec<BrokenRun>) {
+        let first = self.first_break.borrow();
+        let crash = first.as_ref().filter(|(crashed, _)| crashed == start);
+        if let Some((_, at)) = crash {
+            runs.retain(|run| run.began <= *at);
+        }
+    }
+
+    /// Records that a start wasn't found to have crashed.
+    pub(super) fn not_crashed(&self, start: &EndpointStart) {
+        let mut first = self.first_break.borrow_mut();
+        if first.as_ref().is_some_and(|(broken, _)| broken == start) {
+            *first = None;
+        }
+    }
+
     /// Records that `instance` has replaced a start that didn't announce its end.
     ///
     /// A backend server that is restarted within milliseconds listens again before a probe
@@ -71,8 +104,13 @@
     pub fn replaced(&self, now: Duration, ended: &EndpointStart, instance: &str) {
         let mut recent = self.recent.borrow_mut();
         let crashed = |run: &RecentRun| {
-            let lived = run.cause == BreakCause::AnswerLost && ended.instance() != instance;
-            run.row.start == *ended && !lived && now < run.at + RECENT_TIME
+            let since = match run.cause {
+                BreakCause::AnswerLost if ended.instance() != instance => return false,
+                // What answered may have been the next start already.
+                BreakCause::AnswerLost => RESTART_TIME,
+                BreakCause::Unclear | BreakCause::Crashed => RECENT_TIME,
+            };
+            run.row.start == *ended && now < run.at + since
         };
         let rows = recent.iter().filter(|run| crashed(run));
         let rows: Vec<CrashRow> = rows.map(|run| run.row.clone()).collect();
--- a/crates/node/src/crash/crash_watch.rs
+++ b/crates/node/src/crash/crash_watch.rs
@@ -63,7 +63,7 @@
     core: Rc<NodeCore>,
     store: Rc<impl MetaStore>,
     start: EndpointStart,
-    runs: Vec<BrokenRun>,
+    mut runs: Vec<BrokenRun>,
 ) {
     let begun = Instant::now();
     let cause = probe(&core, &start).await;
@@ -73,7 +73,15 @@
         "cause" => <&'static str>::from(cause),
         "took_ms" => begun.elapsed().as_millis() as u64,
         "only_trials" => core.door.is_broken());
+    if cause == BreakCause::Crashed {
+        core.door.broken().drop_later(&start, &mut runs);
+    } else {
+        core.door.broken().not_crashed(&start);
+    }
     let rows: Vec<CrashRow> = runs.iter().map(|run| run.row.clone()).collect();
+    if rows.is_empty() {
+        return;
+    }
     if cause == BreakCause::Crashed {
         warn!(core.log.logger(), "backend server crashed";
             "instance" => %start, "runs" => rows.len(), "evidence" => "probe");
--- a/crates/node/src/door/endpoint_call.rs
+++ b/crates/node/src/door/endpoint_call.rs
@@ -12,6 +12,7 @@
 };
 use crate::{
     answer_body::{AnswerBody, is_short},
+    crash::CrashRow,
     header_set::{header_text, set_header, strip_connection, strip_hop},
     hop::{ExchangeError, PooledSender},
     member::EndpointStart,
@@ -34,6 +35,7 @@
             IDLE_ONCE
         };
         let addr = self.settings.endpoint;
+        let began = self.inner.clock.now();
         let exchange = self
             .inner
             .endpoints
@@ -47,7 +49,12 @@
             Err(ExchangeError::Broke { reason }) => {
                 // The backend server's place is free, whatever is found.
                 drop(slot);
-                let finding = self.broken.push(start, print).await.ok();
+                let row = CrashRow {
+                    fingerprint: print,
+                    start,
+                };
+                let now = self.inner.clock.now();
+                let finding = self.broken.push(now, began, row).await.ok();
                 return Err(DoorError::Broke { reason, finding });
             }
         };
--- a/crates/rig/src/soak/soak_options.rs
+++ b/crates/rig/src/soak/soak_options.rs
@@ -6,6 +6,10 @@
 
 /// Settings of a soak.
 #[derive(Debug, Clone, Args)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a flag of its own on the command line"
+)]
 pub struct SoakOptions {
     /// First seed; each further run takes the next one.
     #[arg(long, env = "GERANIUM_SEED", default_value_t = 1)]
@@ -29,6 +33,10 @@
     /// before there were any are played so.
     #[arg(long)]
     pub plain: bool,
+    /// Leave out copies of the store and crashing requests: seeds that found a fault before
+    /// there were any are played so.
+    #[arg(long)]
+    pub without_last: bool,
     /// Print the plan of each run.
     #[arg(long)]
     pub plan: bool,
--- a/crates/rig/src/soak/soak_plan.rs
+++ b/crates/rig/src/soak/soak_plan.rs
@@ -125,6 +125,22 @@
             });
             start_ms += rng.random_range(0..2 * OVER_GAP_MS);
         }
+        plan.faults.sort_by_key(|fault| fault.start_ms);
+        plan
+    }
+
+    /// Draws a plan as [`SoakPlan::draw_whole`] does, with copies of the store.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use geranium_rig::soak::SoakPlan;
+    ///
+    /// let (last, whole) = (SoakPlan::draw_last(7, 20, 8), SoakPlan::draw_whole(7, 20, 8));
+    /// assert!(whole.faults.iter().all(|fault| last.faults.contains(fault)));
+    /// ```
+    pub fn draw_last(seed: u64, seconds: u64, nodes: usize) -> Self {
+        let mut plan = Self::draw_whole(seed, seconds, nodes);
         let mut rng = StdRng::seed_from_u64(seed ^ LAST_SEED);
         let mut start_ms = FIRST_MS + rng.random_range(0..LAST_GAP_MS);
         while start_ms < seconds * 1_000 {
--- a/crates/rig/src/soak/soak_run.rs
+++ b/crates/rig/src/soak/soak_run.rs
@@ -36,10 +36,10 @@
     let programs = ProgramPaths::find();
     let mut held = true;
     for seed in options.seed..options.seed + options.runs {
-        let draw = if options.plain {
-            SoakPlan::draw
-        } else {
-            SoakPlan::draw_whole
+        let draw = match (options.plain, options.without_last) {
+            (true, _) => SoakPlan::draw,
+            (false, true) => SoakPlan::draw_whole,
+            (false, false) => SoakPlan::draw_last,
         };
         let plan = draw(seed, options.seconds, options.nodes);
         if options.plan {
@@ -79,7 +79,7 @@
         nodes: callers.map(|node| node.machine().addrs.callers).collect(),
         rate: options.rate,
         seed: plan.seed,
-        crashes: !options.plain,
+        crashes: !options.plain && !options.without_last,
     });
     let mut actor = FaultActor::new(options.nodes, Arc::clone(&board));
     carry_out(plan, &mut fleet, &mut actor, &board).await?;
--- a/crates/rig/tests/all/soaks.rs
+++ b/crates/rig/tests/all/soaks.rs
@@ -12,6 +12,7 @@
         rate: 8.0,
         timed: false,
         plain: false,
+        without_last: true,
         plan: false,
         lines: None,
     }
@@ -32,6 +33,19 @@
     holds(2).await;
 }
 
+/// Guards against refusing requests that ran beside several others that crash servers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_beside_several_crashing_ones_are_served() {
+    let options = SoakOptions {
+        seconds: 15,
+        nodes: 8,
+        without_last: false,
+        ..options(505)
+    };
+    let held = run_soak(&options).await;
+    assert!(held.expect("the fleet starts"), "seed 505");
+}
+
 /// The seed whose run showed it, on a fleet of the size at which it did.
 async fn still_holds(seed: u64) {
     let options = SoakOptions {
