--- a/crates/standins/src/http_server.rs
+++ b/crates/standins/src/http_server.rs
@@ -2,9 +2,11 @@
 
 use std::{
     convert::Infallible,
+    io::ErrorKind,
     net::{SocketAddr, TcpListener},
     sync::Arc,
     thread::{self, JoinHandle},
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -14,6 +16,11 @@
 use hyper_util::rt::TokioIo;
 use tokio::sync::watch;
 
+/// Longest time until an address that was in use can be bound.
+const BIND_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between tries to bind an address.
+const BIND_RETRY_PAUSE: Duration = Duration::from_millis(1);
+
 /// What a handler does with a request.
 #[derive(Debug)]
 pub(crate) enum Reply {
@@ -94,11 +101,27 @@
 
 /// Opens a listener on `addr`.
 ///
+/// A process that another thread is just starting holds a copy of each open socket until it runs
+/// its own program. An address whose listener was closed meanwhile stays in use for that time.
+///
 /// # Panics
 ///
-/// Panics if the address is in use.
+/// Panics if the address can't be bound, or is still in use after five seconds.
+pub fn bind_listener(addr: SocketAddr) -> TcpListener {
+    let until = Instant::now() + BIND_TIMEOUT;
+    loop {
+        match TcpListener::bind(addr) {
+            Err(cause) if cause.kind() == ErrorKind::AddrInUse && Instant::now() < until => {
+                thread::sleep(BIND_RETRY_PAUSE);
+            }
+            bound => return bound.expect("the address can be bound"),
+        }
+    }
+}
+
+/// Opens a listener on `addr`, like [`bind_listener`], for use with an async runtime.
 pub(crate) fn listen(addr: SocketAddr) -> TcpListener {
-    let listener = TcpListener::bind(addr).expect("the address can be bound");
+    let listener = bind_listener(addr);
     listener
         .set_nonblocking(true)
         .expect("a listener can be set to nonblocking");
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -25,6 +25,7 @@
 pub use endpoint_fault::EndpointFault;
 pub use endpoint_server::{EndpointOptions, EndpointServer};
 pub use heartbeat::{Heartbeat, HeartbeatState, deregistration_body, deregistration_path};
+pub use http_server::bind_listener;
 pub use kv_fault::KvFault;
 pub use kv_server::KvServer;
 pub use kv_state::{KvCopy, KvState};
