Start no new request beside a suspect of a crash

Cause: suspects ran one at a time, but beside requests that weren't suspects yet. One of these crashed the server, and the innocent suspect had two crashes. From the records alone the two can't be told apart.

A request that crashes a server does so as it starts, so it is enough that none starts beside a suspect; what already runs may go on. Starts are paused only while nothing waits in the queue, so that no slot stands idle in a shortage. Nested calls still start: the suspect may be waiting for one.

Ruled out: clearing a request whose crashes others explain. It contradicts the property that every node decides by the number of distinct crashes.

--- a/crates/node/src/inbound/admission_queue.rs
+++ b/crates/node/src/inbound/admission_queue.rs
@@ -87,10 +87,14 @@
 /// until the other has caught up (`RouteStatistics`). The expected wait follows the actual waits,
 /// as queued requests are overtaken. A queued request is refused as soon as starting it is of no
 /// use.
+///
+/// While starts are paused, new requests wait even if slots are free. Nested calls still start: the
+/// request for which starts are paused may itself be waiting for one.
 #[derive(Debug)]
 pub struct AdmissionQueue {
     slots: u32,
     running: u32,
+    starts_paused: bool,
     order: u64,
     waiting: BTreeMap<QueueKey, QueuedRequest>,
     statistics: RouteStatistics,
@@ -112,6 +116,7 @@
         Self {
             slots: slots.max(1),
             running: 0,
+            starts_paused: false,
             order: 0,
             waiting: BTreeMap::new(),
             statistics: RouteStatistics::default(),
@@ -124,6 +129,25 @@
         self.grant(now)
     }
 
+    /// Pauses starts of new requests, and returns whether it did.
+    ///
+    /// Starts aren't paused while requests wait: the slots that become free are then needed.
+    pub fn pause_starts(&mut self) -> bool {
+        self.starts_paused = self.waiting.is_empty();
+        self.starts_paused
+    }
+
+    /// Resumes starts and returns the requests that start now.
+    pub fn resume_starts(&mut self, now: Duration) -> Vec<QueueKey> {
+        self.starts_paused = false;
+        self.grant(now)
+    }
+
+    /// Returns whether a new request or a nested call may start now.
+    const fn may_start(&self, is_nested: bool) -> bool {
+        self.running < self.slots && (is_nested || !self.starts_paused)
+    }
+
     /// Returns the number of requests that hold a slot.
     pub const fn running(&self) -> u32 {
         self.running
@@ -170,13 +194,14 @@
             rank: request.rank,
             route_hash: request.route_hash,
         };
-        if self.running >= self.slots && !request.may_wait {
+        let may_start = self.may_start(request.is_nested);
+        if !may_start && !request.may_wait {
             return AdmissionDecision::Busy;
         }
         self.statistics.record_request(now, route);
         let run_time = self.statistics.mean_run_time_of(route);
         let late = !request.is_nested && now + run_time > request.target_deadline;
-        if self.running < self.slots {
+        if may_start {
             self.running += 1;
             self.record_decision(route, late, true);
             return AdmissionDecision::Run;
@@ -307,6 +332,9 @@
             let Some((&key, &queued)) = next else {
                 break;
             };
+            if !self.may_start(!key.is_new) {
+                break;
+            }
             self.record_decision(queued.route, queued.late, true);
             self.record_wait(queued, now.saturating_sub(queued.requested_at));
             self.waiting.remove(&key);
--- a/crates/node/src/inbound/crash_admission.rs
+++ b/crates/node/src/inbound/crash_admission.rs
@@ -1,14 +1,26 @@
 //! Admission of requests that are suspected of crashing backend servers.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use tokio::{sync::SemaphorePermit, time::timeout_at};
 
 use super::{
     InboundError, InboundProxy, InboundRequest, RefusalReason,
-    inbound_proxy::{RETRY_OTHER_NODE_AFTER, refused},
+    inbound_proxy::{InboundState, RETRY_OTHER_NODE_AFTER, refused},
 };
 
+/// Pause of starts at the backend server, which ends when this value is dropped.
+#[derive(Debug)]
+pub(super) struct StartPause {
+    inner: Rc<InboundState>,
+}
+
+impl Drop for StartPause {
+    fn drop(&mut self) {
+        self.inner.resume_starts();
+    }
+}
+
 impl InboundProxy {
     /// Refuses a request that has crashed backend servers. A suspect, which was running at a crash,
     /// waits for a permit, which it holds while it runs.
@@ -44,6 +56,18 @@
         Ok(permit)
     }
 
+    /// Pauses starts of other requests until the returned guard is dropped.
+    ///
+    /// A request that crashes the backend server does so when it starts. Had another one started
+    /// beside the suspect, the suspect would be counted at that crash as well. `None` if other
+    /// requests are waiting for slots, which are then needed.
+    pub(super) fn pause_starts(&self) -> Option<StartPause> {
+        let paused = self.inner.queue.borrow_mut().pause_starts();
+        paused.then(|| StartPause {
+            inner: Rc::clone(&self.inner),
+        })
+    }
+
     fn refuse_poisoned(&self, fingerprint: u64) -> Result<(), InboundError> {
         let now = self.inner.clock.now();
         let retry_after: Option<Duration> = self.crashes.borrow().refusal(now, fingerprint);
--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -98,6 +98,12 @@
         self.wake(granted);
     }
 
+    /// Resumes starts and wakes the requests that start next.
+    pub(super) fn resume_starts(&self) {
+        let granted = self.queue.borrow_mut().resume_starts(self.clock.now());
+        self.wake(granted);
+    }
+
     fn wake(&self, granted: Vec<QueueKey>) {
         for key in granted {
             let waiter = self.waiters.borrow_mut().remove(&key);
@@ -245,10 +251,11 @@
         let slot = self.wait_for_slot(&request).await?;
         // While this request waited, it may have become a suspect of a crash on another node, or
         // the local backend server may have begun to leave.
-        let _permit = match permit {
+        let permit = match permit {
             Some(permit) => Some(permit),
             None => self.admit_fingerprint(&request).await?,
         };
+        let _pause = permit.as_ref().and_then(|_| self.pause_starts());
         self.admit(&request)?;
         self.admit_by_breaker()?;
         let ends_at = request.ends_at + RESPONSE_GRACE_TIME;
--- a/crates/node/tests/all/queue.rs
+++ b/crates/node/tests/all/queue.rs
@@ -198,3 +198,35 @@
     let next = expect_wait(queue.admit(at(0), request(1, 1, 1_000)));
     assert_eq!(queue.finish(at(100), 1, Some(at(100))), [next]);
 }
+
+/// Guards against a suspect of a crash that is counted at a second one: another request that crashes
+/// the backend server must not start beside it.
+#[test]
+fn new_requests_do_not_start_beside_a_suspect() {
+    let mut queue = warmed_up(4);
+    queue.admit(at(0), request(1, 1, 1_000));
+    assert!(queue.pause_starts());
+    let waiting = expect_wait(queue.admit(at(0), request(1, 1, 1_000)));
+    let nested = AdmissionRequest {
+        is_nested: true,
+        ..request(1, 1, 1_000)
+    };
+    assert_eq!(queue.admit(at(1), nested), AdmissionDecision::Run);
+    let probe = AdmissionRequest {
+        may_wait: false,
+        ..request(1, 1, 1_000)
+    };
+    assert_eq!(queue.admit(at(1), probe), AdmissionDecision::Busy);
+    assert_eq!(queue.finish(at(10), 1, Some(at(10))), []);
+    assert_eq!(queue.resume_starts(at(20)), [waiting]);
+}
+
+/// Guards against slots that stand idle for a suspect while requests wait for them.
+#[test]
+fn starts_are_not_paused_while_requests_wait() {
+    let mut queue = warmed_up(1);
+    queue.admit(at(0), request(1, 1, 1_000));
+    let waiting = expect_wait(queue.admit(at(0), request(1, 1, 1_000)));
+    assert!(!queue.pause_starts());
+    assert_eq!(queue.finish(at(10), 1, Some(at(10))), [waiting]);
+}
