Roll versions of a service out, or back, by the nodes

The version in heartbeats reaches the announcement. One node, the relay that saw the order first, decides: it asks the nodes beside both versions' backend servers how runs end, compares the versions by cumulative sums of log-likelihood ratios, and writes each change conditionally, with the operator's status. Each node keeps the new version's share for what it sends itself. Nodes beside a version that was rolled back, or is no longer in force, refuse its requests.

--- a/crates/node/src/discovery/announcer.rs
+++ b/crates/node/src/discovery/announcer.rs
@@ -299,6 +299,8 @@
         start: report.start.clone(),
         service: report.service.clone(),
         data_centre: core.settings.data_centre.clone(),
+        version: report.version.clone(),
+        suspended: core.inbound.is_suspended(),
         slots: report.slots,
         state: if leaving {
             MemberState::Leaving
--- a/crates/node/src/discovery/apply_updates.rs
+++ b/crates/node/src/discovery/apply_updates.rs
@@ -13,7 +13,7 @@
     store::Revision,
 };
 
-/// Applies the configuration, crashes and members of a response to a request for updates.
+/// Applies the configuration, crashes, rollouts and members of a response to a request for updates.
 pub(super) fn apply_updates(core: &NodeCore, from: SocketAddr, response: UpdateResponse) {
     if let Some(update) = response.config {
         apply_config(core, from, update);
@@ -21,6 +21,9 @@
     for (revision, record) in response.crashes {
         core.record_crash(record, Revision(revision));
     }
+    for (revision, record) in response.rollouts {
+        core.record_rollout(record, Revision(revision));
+    }
     apply_members(core, response.members);
 }
 
--- a/crates/node/src/discovery/member_watcher.rs
+++ b/crates/node/src/discovery/member_watcher.rs
@@ -1,4 +1,4 @@
-//! Watches the announcements and crashes in the store.
+//! Watches the announcements, crashes and rollouts in the store.
 
 use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -19,7 +19,8 @@
     crash::CRASH_PREFIX,
     member::MemberRecord,
     node_core::NodeCore,
-    store::{MetaStore, ReadConsistency, Revision, StoreError, StoreEvent, StoreItem},
+    rollout::{ROLLOUT_PREFIX, rollout_key},
+    store::{MetaStore, ReadConsistency, Revision, StoreError, StoreEvent, StoreItem, StoreList},
 };
 
 /// Longest wait of one watch call; the store allows 30 s. A connection that has gone
@@ -99,6 +100,7 @@
         .list(NODE_PREFIX, core.first_read_consistency())
         .await?;
     let present: HashSet<SocketAddr> = apply_items(core, &list.items).into_iter().collect();
+    mark_missing_rollouts(core, &list);
     let now = core.clock.now();
     let mut fleet = core.fleet.borrow_mut();
     fleet.apply_list(now, list.revision, |peer_addr| present.contains(peer_addr));
@@ -109,6 +111,26 @@
     Ok(())
 }
 
+/// Has rollouts written again that the store doesn't hold. It was restored from an older copy.
+fn mark_missing_rollouts(core: &NodeCore, list: &StoreList) {
+    let mut rollouts = core.rollouts.borrow_mut();
+    let is_missing = |service: &str| {
+        let key = rollout_key(service);
+        rollouts.revision(service) <= list.revision && list.items.iter().all(|item| item.key != key)
+    };
+    let services = rollouts.records().map(|record| &record.service);
+    let missing: Vec<String> = services
+        .filter(|service| is_missing(service))
+        .cloned()
+        .collect();
+    for service in &missing {
+        rollouts.mark_missing(service);
+    }
+    if !missing.is_empty() {
+        core.rollouts_changed.notify_one();
+    }
+}
+
 /// Waits for a change, or until this node doesn't have to watch any more. Lists the members
 /// when the store no longer has the history after `after`.
 async fn watch_step(
@@ -159,6 +181,10 @@
         apply_crashes(core, item);
         return None;
     }
+    if item.key.starts_with(ROLLOUT_PREFIX) {
+        core.record_rollout_item(item);
+        return None;
+    }
     let cause = match parse_record(item) {
         Ok(record) if key_of(&record).as_str() == item.key => {
             let peer_addr = record.peer_addr;
--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -30,7 +30,7 @@
 pub use announcement_key::{AnnouncementKey, MEMBER_PREFIX};
 pub use announcer::keep_announced;
 pub use config_source::ConfigSource;
-pub use config_watcher::watch_config;
+pub use config_watcher::{OperatorSource, watch_config};
 pub use era_watch::watch_eras;
 pub use member_watcher::watch_members;
 pub use store_probe::probe_store;
--- a/crates/node/src/discovery/update_handler.rs
+++ b/crates/node/src/discovery/update_handler.rs
@@ -55,7 +55,10 @@
             // centre. They don't count as an update.
             let members = &response.members;
             let no_members = members.is_empty() || members.revision == 0;
-            let empty = response.config.is_none() && no_members && response.crashes.is_empty();
+            let empty = response.config.is_none()
+                && no_members
+                && response.crashes.is_empty()
+                && response.rollouts.is_empty();
             let changed = response.store_lost != request.knows_store_lost;
             if !empty || changed || Instant::now() >= until {
                 return response;
@@ -73,6 +76,7 @@
             store_lost: relay_selector.has_lost_store(),
             config: self.config_update(request.version),
             crashes: self.core.crashes.borrow().records_since(request.members),
+            rollouts: self.core.rollouts.borrow().records_since(request.members),
             members: self.core.fleet.borrow().update_since(request.members),
         }
     }
--- a/crates/node/src/distribution/update_message.rs
+++ b/crates/node/src/distribution/update_message.rs
@@ -3,7 +3,7 @@
 use std::{num::ParseIntError, rc::Rc, str::FromStr, time::Duration};
 
 use super::PackedConfig;
-use crate::crash::CrashRecord;
+use crate::{crash::CrashRecord, rollout::RolloutRecord};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -96,6 +96,9 @@
     pub config: Option<ConfigUpdate>,
     /// Crashes of backend servers, with the revisions of their records in the store.
     pub crashes: Vec<(u64, CrashRecord)>,
+    /// States of rollouts, with the revisions of their records in the store.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<(u64, RolloutRecord)>,
     /// Update of the members since the requested revision.
     pub members: MemberUpdate,
 }
--- a/crates/node/src/inbound/endpoint_confirm.rs
+++ b/crates/node/src/inbound/endpoint_confirm.rs
@@ -43,6 +43,7 @@
             start: record.start,
             service: record.service,
             data_centre: record.data_centre,
+            version: record.version,
             slots: record.slots,
             state: ReportState::Ready,
             cold: Duration::ZERO,
--- a/crates/node/src/inbound/endpoint_report.rs
+++ b/crates/node/src/inbound/endpoint_report.rs
@@ -4,7 +4,7 @@
 
 use strum::{Display, IntoStaticStr};
 
-use crate::member::EndpointStart;
+use crate::member::{EndpointStart, EndpointVersion};
 
 /// State that a backend server reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, IntoStaticStr)]
@@ -25,6 +25,8 @@
     pub service: String,
     /// Name of the data centre in which the backend server runs.
     pub data_centre: String,
+    /// Version of the backend server's software; none if it reports none.
+    pub version: Option<EndpointVersion>,
     /// Number of requests that the backend server runs at a time.
     pub slots: u32,
     /// Whether the backend server accepts requests or is leaving.
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -33,6 +33,8 @@
     pub announced_sequence: u64,
     /// Slow-start time that was left at the first report.
     pub cold: Duration,
+    /// End of the slow start.
+    pub cold_until: Duration,
     /// Time at which the start began to leave; `None` if it isn't leaving.
     pub leaving_since: Option<Duration>,
     /// Whether the start has been ready during the lifetime of this process.
@@ -123,6 +125,7 @@
             start: record.start.clone(),
             service: record.service.clone(),
             data_centre: record.data_centre.clone(),
+            version: record.version.clone(),
             slots: record.slots,
             state: ReportState::Leaving,
             cold: Duration::ZERO,
@@ -176,6 +179,7 @@
         let next = CurrentStart {
             announced_sequence: report.sequence,
             cold: report.cold,
+            cold_until: now + report.cold,
             report,
             leaving_since: leaving.then_some(now),
             was_ready: !leaving,
--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -13,7 +13,7 @@
 use snafu::Snafu;
 use tokio::{
     sync::{Semaphore, oneshot},
-    time::timeout_at,
+    time::{Instant, timeout_at},
 };
 
 use super::{
@@ -27,6 +27,7 @@
     member::{EndpointStart, LoadReport, ResponseSizes},
     node_clock::NodeClock,
     response_body::ResponseBody,
+    rollout::RunLedger,
     transport::{ConnectionPool, PoolSettings},
 };
 
@@ -86,6 +87,8 @@
     pub(super) response_sizes: RefCell<ResponseSizes>,
     pub(super) queue: RefCell<AdmissionQueue>,
     pub(super) waiters: RefCell<HashMap<QueueKey, oneshot::Sender<()>>>,
+    /// Number of slots in use, and of long responses in transfer.
+    pub(super) open_slots: Cell<u32>,
 }
 
 impl InboundState {
@@ -129,6 +132,9 @@
     pub(super) breaker: RefCell<EndpointBreaker>,
     pub(super) nested_call_detector: RefCell<NestedCallDetector>,
     stopping_since: Cell<Option<Duration>>,
+    /// Time from which a rollout has requests refused; none if it doesn't.
+    pub(super) suspended_from: Cell<Option<Duration>>,
+    pub(super) ledger: RefCell<RunLedger>,
 }
 
 impl InboundProxy {
@@ -151,6 +157,7 @@
             response_sizes: RefCell::default(),
             queue: RefCell::new(AdmissionQueue::new(settings.slots)),
             waiters: RefCell::default(),
+            open_slots: Cell::new(0),
         };
         Self {
             inner: Rc::new(inner),
@@ -163,6 +170,8 @@
             breaker: RefCell::default(),
             nested_call_detector: RefCell::default(),
             stopping_since: Cell::new(None),
+            suspended_from: Cell::new(None),
+            ledger: RefCell::default(),
         }
     }
 
@@ -261,10 +270,13 @@
         let ends_at = request.ends_at + RESPONSE_GRACE_TIME;
         let (route_hash, fingerprint) = (request.route_hash, request.fingerprint);
         let unscheduled = self.unscheduled_response(&request);
-        let response = timeout_at(ends_at, self.call(request, idempotent, slot, start)).await;
+        let began = Instant::now();
+        let running = self.call(request, idempotent, slot, start.clone());
+        let response = timeout_at(ends_at, running).await;
         if let Ok(result) = &response {
             self.record_run(result);
         }
+        self.count_run(&start, route_hash, began, response.as_ref().ok());
         let response = response.unwrap_or_else(|_elapsed| response_lost("no answer in time"))?;
         if response.status().is_success() {
             self.crashes.borrow_mut().record_completion(fingerprint);
@@ -296,6 +308,9 @@
     }
 
     fn admit(&self, request: &InboundRequest) -> Result<EndpointStart, InboundError> {
+        if self.refuses_by_rollout() {
+            return refused(RefusalReason::Leaving, RETRY_OTHER_NODE_AFTER);
+        }
         let tracker = self.tracker.borrow();
         let grace = self.settings.leaving_grace;
         let now = self.inner.clock.now();
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -19,6 +19,7 @@
 mod inbound_request;
 mod link_admission;
 mod nested_call_detector;
+mod rollout_admission;
 mod route_statistics;
 mod run_slot;
 mod slot_wait;
--- a/crates/node/src/inbound/run_slot.rs
+++ b/crates/node/src/inbound/run_slot.rs
@@ -26,6 +26,7 @@
 
 impl RunSlot {
     pub(super) fn new(inner: Rc<InboundState>, route_hash: u64) -> Self {
+        inner.open_slots.set(inner.open_slots.get() + 1);
         Self {
             inner,
             route_hash,
@@ -58,6 +59,8 @@
 
 impl Drop for RunSlot {
     fn drop(&mut self) {
+        let open_slots = &self.inner.open_slots;
+        open_slots.set(open_slots.get().saturating_sub(1));
         if !self.released {
             self.inner.finish(self.route_hash, None);
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,7 +7,8 @@
 //! backend server and returns the response. [`discovery`] keeps configuration
 //! and members up to date from the metadata [`store`], and announces the local
 //! backend server there. A node that can't reach the store has another node
-//! make the call ([`delegation`]).
+//! make the call ([`delegation`]). Traffic moves to a new version of a service by
+//! a [`rollout`].
 //!
 //! One thread with one event loop serves all requests, so that no decision
 //! needs a lock and no request moves between threads. A second thread only
@@ -39,5 +40,6 @@
 pub mod response_body;
 pub mod result_code;
 pub mod retry;
+pub mod rollout;
 pub mod store;
 pub mod transport;
--- a/crates/node/src/member/endpoint_start.rs
+++ b/crates/node/src/member/endpoint_start.rs
@@ -72,6 +72,11 @@
         &self.instance
     }
 
+    /// Returns the Unix time of the start in milliseconds; none if it wasn't reported.
+    pub const fn born_ms(&self) -> Option<u64> {
+        self.born_ms
+    }
+
     /// Compares the times of this start and `other`.
     ///
     /// Where a time is unknown, starts with the same identifier count as the same.
--- a/crates/node/src/member/member_choice.rs
+++ b/crates/node/src/member/member_choice.rs
@@ -238,6 +238,7 @@
         let keys = pool.keys.iter().copied();
         let untried = keys.filter(|key| !query.tried.contains(key));
         let views = untried.filter_map(|key| Some((key, self.get(key)?)));
-        views.filter(|(_, member)| member.takes_requests())
+        let ready = views.filter(|(_, member)| member.takes_requests());
+        ready.filter(|&(key, member)| query.versions.admits(key, &member.record))
     }
 }
--- a/crates/node/src/member/member_record.rs
+++ b/crates/node/src/member/member_record.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
 
-use super::EndpointStart;
+use super::{EndpointStart, EndpointVersion};
 
 /// Whether a backend server takes new requests.
 #[derive(
@@ -33,6 +33,12 @@
     pub service: String,
     /// Name of the data centre in which the instance runs.
     pub data_centre: String,
+    /// Version of the backend server's software; none if it reports none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<EndpointVersion>,
+    /// Whether a rollout keeps new requests away from the backend server.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub suspended: bool,
     /// Number of requests that the backend server runs at a time.
     pub slots: u32,
     /// Whether the backend server takes new requests.
--- a/crates/node/src/member/member_view.rs
+++ b/crates/node/src/member/member_view.rs
@@ -52,6 +52,8 @@
     /// Revision of the last change of the announcement.
     pub(super) revision: Revision,
     cold_until: Duration,
+    /// When the present start was first announced to this node.
+    announced_at: Duration,
     /// Number of this node's requests in flight at the member.
     outstanding: u32,
     load: Option<ObservedLoad>,
@@ -101,6 +103,7 @@
             lapsed_at: None,
             revision: Revision(0),
             cold_until,
+            announced_at: now,
             outstanding: 0,
             load: None,
             runs: SmallVec::new(),
@@ -142,6 +145,16 @@
         true
     }
 
+    /// Returns when the present start was first announced to this node.
+    pub(super) const fn announced_at(&self) -> Duration {
+        self.announced_at
+    }
+
+    /// Whether the backend server is still slow after its start.
+    pub(super) fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
     /// Whether the member's announcement is missing from the store.
     pub const fn has_lapsed(&self) -> bool {
         self.lapsed_at.is_some()
@@ -164,7 +177,7 @@
 
     /// Whether the member is announced as taking requests.
     pub(super) fn takes_requests(&self) -> bool {
-        self.record.state == MemberState::Ready
+        self.record.state == MemberState::Ready && !self.record.suspended
     }
 
     /// Whether the member is neither ejected nor in the pause after a refusal.
@@ -210,7 +223,7 @@
             || mean * self.run_time_ratio.get().unwrap_or(1.0),
             |(_, run)| *run,
         );
-        if now < self.cold_until {
+        if self.is_cold(now) {
             run * COLD_FACTOR
         } else {
             run
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -6,6 +6,7 @@
 //! time is an argument.
 
 mod endpoint_start;
+mod endpoint_version;
 mod fleet_view;
 mod load_report;
 mod member_choice;
@@ -20,8 +21,11 @@
 mod pick_query;
 mod response_sizes;
 mod service_pool;
+mod version_filter;
+mod version_view;
 
 pub use endpoint_start::{EndpointStart, StartError, StartInput, StartOrder};
+pub use endpoint_version::{EndpointVersion, VersionError};
 pub use fleet_view::{FleetView, TryOutcome};
 pub use load_report::LoadReport;
 pub use member_key::MemberKey;
@@ -31,3 +35,5 @@
 pub use moving_mean::MovingMean;
 pub use pick_query::PickQuery;
 pub use response_sizes::ResponseSizes;
+pub use version_filter::VersionFilter;
+pub use version_view::VersionSlots;
--- a/crates/node/src/member/pick_query.rs
+++ b/crates/node/src/member/pick_query.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::MemberKey;
+use super::{MemberKey, VersionFilter};
 use crate::response_body::SHORT_RESPONSE_MAX_BYTES;
 
 /// Criteria by which a member is picked for a request.
@@ -20,6 +20,8 @@
     pub probed: &'a [MemberKey],
     /// Mean response size of the route in bytes; 0 if unknown.
     pub response_bytes: u64,
+    /// Restriction by the versions of members.
+    pub versions: VersionFilter<'a>,
 }
 
 impl PickQuery<'_> {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -16,8 +16,8 @@
     crash::watch_crashes,
     delegation::run_delegated_calls,
     discovery::{
-        ConfigSource, fetch_newer_config, follow_relay, keep_announced, probe_store, watch_config,
-        watch_eras, watch_members,
+        OperatorSource, fetch_newer_config, follow_relay, keep_announced, probe_store,
+        watch_config, watch_eras, watch_members,
     },
     http_listener::{BindError, ConnectionLimits, bind_listener, serve_listener},
     inbound::confirm_endpoint,
@@ -27,6 +27,7 @@
     peer_handler::PeerHandler,
     request_origin::RequestOrigin,
     response_body::ResponseBody,
+    rollout::decide_rollouts,
     store::MetaStore,
 };
 
@@ -101,7 +102,7 @@
     listeners: NodeListeners,
     platform: impl PlatformHandler,
     store: Rc<impl MetaStore>,
-    source: ConfigSource,
+    source: OperatorSource,
 ) {
     info!(core.log.logger(), "started";
         "hop" => %core.settings.peer_addr,
@@ -140,6 +141,13 @@
     spawn_local(probe_store(Rc::clone(core), Rc::clone(&store)));
     spawn_local(watch_eras(Rc::clone(core)));
     spawn_local(watch_crashes(Rc::clone(core), Rc::clone(&store)));
+    if let Some(rollouts) = source.rollouts {
+        spawn_local(decide_rollouts(
+            Rc::clone(core),
+            Rc::clone(&store),
+            rollouts,
+        ));
+    }
     spawn_local(run_delegated_calls(Rc::clone(core), Rc::clone(&store)));
     spawn_local(keep_announced(Rc::clone(core), store));
     spawn_local(fetch_newer_config(Rc::clone(core)));
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -41,6 +41,7 @@
         }
         if matches!(outcome, ReportOutcome::Adopted | ReportOutcome::Changed) {
             self.inbound.set_slots(slots);
+            self.update_suspension();
             self.announcement_outdated.set(true);
             self.announcement_changed.notify_one();
             info!(self.log.logger(), "backend server reported";
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -5,10 +5,12 @@
 mod endpoint_reports;
 mod open_request_guard;
 mod request_outcomes;
+mod rollouts;
 mod store_contact;
 
 use std::{
     cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -20,6 +22,7 @@
 
 pub use connection_guard::ConnectionGuard;
 pub use open_request_guard::OpenRequestGuard;
+pub use rollouts::VersionPlan;
 
 use crate::{
     config::{ConfigVersion, MeshConfig},
@@ -37,6 +40,7 @@
     outbound::{DeadlineTracker, ResendTracker},
     request_origin::RequestOrigin,
     retry::RetryBudget,
+    rollout::{OrderBook, RolloutRegistry, TrafficSplit},
     store::{EraTracker, LeaseId},
     transport::{ConnectionPool, PoolSettings},
 };
@@ -119,6 +123,16 @@
     pub relay_selector: RefCell<RelaySelector>,
     /// Recent configurations, from which deltas for other nodes are computed.
     pub history: RefCell<ConfigHistory>,
+    /// Rollouts of all services that this node knows.
+    pub rollouts: RefCell<RolloutRegistry>,
+    /// Operators' orders of rollouts, while this node watches the store.
+    pub orders: RefCell<OrderBook>,
+    /// Services about whose rollouts this node decides.
+    pub decided_rollouts: RefCell<HashSet<String>>,
+    /// Wakes the task that decides about rollouts.
+    pub rollouts_changed: Notify,
+    /// Division of this node's requests between versions by service.
+    splits: RefCell<HashMap<String, TrafficSplit>>,
     /// Number of open requests from callers and other nodes.
     pub open_requests: Cell<u32>,
     /// Number of open incoming connections and listeners.
@@ -199,6 +213,11 @@
             delegated_calls: DelegatedCallQueue::default(),
             relay_selector: RefCell::new(RelaySelector::new(settings.peer_addr)),
             history: RefCell::default(),
+            rollouts: RefCell::default(),
+            orders: RefCell::default(),
+            decided_rollouts: RefCell::default(),
+            rollouts_changed: Notify::new(),
+            splits: RefCell::default(),
             open_requests: Cell::new(0),
             open_sockets: Cell::new(0),
             closing: watch::Sender::new(false),
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -47,6 +47,8 @@
     pub shutdown_timeout: Duration,
     /// Bandwidth of the instance's network link, in megabits per second.
     pub link_mbps: f64,
+    /// Whether operators order rollouts. Versions without an order are held back then.
+    pub has_rollouts: bool,
     /// Limits on the retries of all nodes together.
     pub retries: RetryLimits,
 }
--- a/crates/node/src/outbound/failed_try.rs
+++ b/crates/node/src/outbound/failed_try.rs
@@ -43,6 +43,9 @@
                 self.core.record_unreachable(self.request, record, &reason);
             }
             TryFailure::ResponseLost { reason, diagnosis } => {
+                if tries.versions.is_trial {
+                    self.core.record_trial(&self.request.service, true);
+                }
                 self.record_outcome(sent_try, TryOutcome::ResponseLost);
                 if let Some(diagnosis) = diagnosis {
                     tries.crashes_servers |= diagnosis.is_suspicious();
--- a/crates/node/src/outbound/try_flow.rs
+++ b/crates/node/src/outbound/try_flow.rs
@@ -16,7 +16,7 @@
 use crate::{
     inbound::{InboundRefusal, RefusalReason},
     member::{MemberKey, MemberRecord, PickQuery, TryOutcome},
-    node_core::NodeCore,
+    node_core::{NodeCore, VersionPlan},
     response_body::ResponseBody,
     retry::RetryQuery,
 };
@@ -84,6 +84,9 @@
         let failed = response.status().is_server_error();
         let now = self.core.clock.now();
         let outcome = TryOutcome::Answered { failed };
+        if tries.versions.is_trial {
+            self.core.record_trial(&self.request.service, failed);
+        }
         self.core
             .fleet
             .borrow_mut()
@@ -229,6 +232,7 @@
             return None;
         }
         let now = self.core.clock.now();
+        tries.versions = self.plan_versions(tries);
         let query = self.query(tries);
         let fleet = self.core.fleet.borrow();
         // All members that could be tried have just reported that their links are full. Further
@@ -272,6 +276,16 @@
         Some(next)
     }
 
+    /// Returns the members that the next try may go to, as rollouts restrict them.
+    fn plan_versions(self, tries: &TryRecord<'_>) -> VersionPlan {
+        let service = &self.request.service;
+        if tries.count() > 0 {
+            return self.core.plan_retry(service);
+        }
+        let route_hash = self.request.route.route_hash;
+        self.core.plan_first_try(service, route_hash)
+    }
+
     /// Withdraws another arrival at a backend server from the retry budget.
     ///
     /// Returns false if the route's `attempts` or the budget are used up.
@@ -299,6 +313,7 @@
             tried: &tries.tried,
             probed: &tries.probed,
             response_bytes: self.core.response_bytes(self.request.route.route_hash),
+            versions: tries.versions.filter(),
         }
     }
 }
--- a/crates/node/src/outbound/try_record.rs
+++ b/crates/node/src/outbound/try_record.rs
@@ -9,7 +9,7 @@
 use crate::{
     inbound::{InboundRefusal, RefusalReason},
     member::{MemberKey, MemberRecord},
-    node_core::NodeCore,
+    node_core::{NodeCore, VersionPlan},
     response_body::ResponseBody,
     result_code::ResultCode,
 };
@@ -53,6 +53,8 @@
     pub(super) failure_cause: Option<String>,
     /// Whether the request crashes backend servers, or may do so. No other member is tried then.
     pub(super) crashes_servers: bool,
+    /// Members that the present try may go to, as rollouts restrict them.
+    pub(super) versions: VersionPlan,
     /// A backend server's failure response, which is used if no other try succeeds.
     pub(super) fallback_response: Option<Box<Response<ResponseBody>>>,
 }
@@ -72,6 +74,7 @@
             refusal: None,
             failure_cause: None,
             crashes_servers: false,
+            versions: VersionPlan::default(),
             fallback_response: None,
         }
     }
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -22,6 +22,7 @@
     node_core::NodeCore,
     request_origin::RequestOrigin,
     response_body::{ResponseBody, empty_response},
+    rollout::{ROLLOUT_PATH, RolloutHandler},
     transport::PeerRequestHeader,
 };
 
@@ -52,6 +53,9 @@
         } else if incoming.uri().path() == CRASH_PATH {
             let handler = CrashHandler::new(Rc::clone(&self.core));
             handler.handle(incoming).await
+        } else if incoming.uri().path() == ROLLOUT_PATH {
+            let handler = RolloutHandler::new(Rc::clone(&self.core));
+            handler.handle(incoming).await
         } else {
             self.run(incoming).await
         };
--- /dev/null
+++ b/crates/node/src/rollout/mod.rs
@@ -0,0 +1,48 @@
+//! Rollouts: a service's traffic is moved to a new version of its backend servers.
+//!
+//! An operator orders a rollout ([`RolloutOrder`]), and the platform starts backend servers of
+//! the target version beside those of the current one. One node decides about it
+//! ([`decide_rollouts`]): the relay that saw the order first, and another one if that node
+//! fails. It keeps the state in the store as a [`RolloutRecord`], which reaches every node like
+//! an announcement ([`RolloutRegistry`]). Each change is one conditional write, together with
+//! the status that operators read.
+//!
+//! A rollout passes through the stages of [`RolloutStage`]. At first the target version gets a
+//! small share of the requests, concentrated on a few backend servers, so that these are as
+//! busy as the others ([`TrafficSplit`]). The share is kept by each node for the requests that
+//! it sends itself, so the sum holds whichever nodes run. The nodes beside the backend servers
+//! count how runs end ([`RunLedger`]), and the deciding node compares the two versions
+//! ([`VersionComparison`]). A bad version is rolled back: the nodes beside its backend servers
+//! refuse at once. A good one gets growing shares and at last all requests. The nodes beside
+//! the backend servers of the earlier version then refuse new requests, and the rollout is
+//! complete when nothing runs there any more.
+//!
+//! Apart from [`decide_rollouts`] and [`RolloutHandler`], nothing here does I/O.
+
+mod decide_rollouts;
+mod order_book;
+mod rollout_handler;
+mod rollout_messages;
+mod rollout_order;
+mod rollout_record;
+mod rollout_registry;
+mod rollout_source;
+mod rollout_stage;
+mod run_counts;
+mod run_ledger;
+mod traffic_split;
+mod version_comparison;
+
+pub use decide_rollouts::decide_rollouts;
+pub use order_book::OrderBook;
+pub use rollout_handler::{ROLLOUT_PATH, RolloutHandler};
+pub use rollout_messages::{RolloutProbe, RolloutReport};
+pub use rollout_order::{OrderInput, RolloutOrder, RolloutOrderError};
+pub use rollout_record::{ROLLOUT_PREFIX, RolloutPhase, RolloutRecord, rollout_key};
+pub use rollout_registry::RolloutRegistry;
+pub use rollout_source::{RolloutSource, RolloutStatus};
+pub use rollout_stage::{RolloutInputs, RolloutStage, StageChange};
+pub use run_counts::RunCounts;
+pub use run_ledger::{RunLedger, RunOutcome};
+pub use traffic_split::{SplitDecision, TrafficSplit, first_targets};
+pub use version_comparison::{ComparisonSide, ComparisonVerdict, VersionComparison};
--- /dev/null
+++ b/crates/node/src/rollout/rollout_stage.rs
@@ -0,0 +1,319 @@
+//! Stages of a rollout.
+
+use std::time::Duration;
+
+use super::{ComparisonVerdict, RolloutPhase};
+
+/// Share of the requests for the target version while it is on trial.
+const CANARY_SHARE: f64 = 0.06;
+/// Shares of the requests in the ramp, one after the other.
+const RAMP_SHARES: [f64; 2] = [0.25, 0.5];
+/// End of the trial, as a share of the rollout's duration. Faults that show only some time after
+/// the start of a version have to show by then.
+const CANARY_END: f64 = 0.45;
+/// Shortest trial after the target version's first backend server is known, as a share of the
+/// rollout's duration.
+const CANARY_MIN: f64 = 0.25;
+/// Time of each step of the ramp, as a share of the rollout's duration.
+const RAMP_STEP: f64 = 0.07;
+/// Longest duration from which the times of the stages are taken.
+const DURATION_MAX: Duration = Duration::from_secs(120);
+/// Runs of the target version before the ramp, unless the trial has lasted for
+/// [`CANARY_END_FEW_RUNS`].
+const CANARY_RUNS_MIN: u64 = 40;
+/// End of a trial with few runs, as a share of the rollout's duration.
+const CANARY_END_FEW_RUNS: f64 = 0.6;
+/// Slots of the target version before it gets all requests, relative to those of the current one.
+const FULL_SLOTS_SHARE: f64 = 0.9;
+/// Multiple of the duration after which a rollout whose backend servers are missing is rolled
+/// back.
+const OVERDUE_FACTOR: f64 = 2.0;
+
+/// What is known about a rollout at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct RolloutInputs {
+    /// Slots of the target version's ready backend servers.
+    pub target_slots: u32,
+    /// Those of them that aren't in their slow start.
+    pub warm_target_slots: u32,
+    /// Slots of the current version's ready backend servers.
+    pub current_slots: u32,
+    /// Comparison of the two versions.
+    pub verdict: ComparisonVerdict,
+    /// Whether the backend servers of the earlier version refuse requests and run none.
+    pub is_drained: bool,
+    /// Whether the order has been deleted.
+    pub is_cancelled: bool,
+}
+
+/// Change of a rollout that is to be written to the store.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StageChange {
+    /// Next phase.
+    pub phase: RolloutPhase,
+    /// Share of the requests for the target version in that phase.
+    pub share: f64,
+    /// Why the phase is entered.
+    pub reason: String,
+}
+
+/// No backend server of the target version is known.
+#[derive(Debug, Clone, Copy)]
+pub struct Ordered;
+
+/// The target version is on trial.
+#[derive(Debug, Clone, Copy)]
+pub struct Canary {
+    since: Duration,
+}
+
+/// The target version's share grows.
+#[derive(Debug, Clone, Copy)]
+pub struct Ramp {
+    since: Duration,
+    step: usize,
+}
+
+/// What runs at the earlier version ends.
+#[derive(Debug, Clone, Copy)]
+pub struct Drain;
+
+/// A rollout in one stage. Times are on the clock of the deciding node.
+#[derive(Debug, Clone, Copy)]
+pub struct Rollout<S> {
+    ordered_at: Duration,
+    duration: Duration,
+    stage: S,
+}
+
+impl<S> Rollout<S> {
+    fn enter<T>(self, stage: T) -> Rollout<T> {
+        Rollout {
+            ordered_at: self.ordered_at,
+            duration: self.duration,
+            stage,
+        }
+    }
+
+    /// Returns the time at which a share of the rollout's duration has passed.
+    fn time_at(&self, share: f64) -> Duration {
+        self.ordered_at + self.span(share)
+    }
+
+    fn span(&self, share: f64) -> Duration {
+        self.duration.min(DURATION_MAX).mul_f64(share)
+    }
+
+    /// Returns a roll-back for reasons that hold in every stage.
+    fn roll_back(&self, inputs: &RolloutInputs) -> Option<StageChange> {
+        let verdict = &inputs.verdict;
+        let reason = if verdict.is_bad {
+            format!(
+                "{} of {} backend servers fail, {} of {} runs were bad",
+                verdict.failing, verdict.judged, verdict.target_bad, verdict.target_runs
+            )
+        } else if inputs.is_cancelled {
+            "the order was deleted".to_owned()
+        } else {
+            return None;
+        };
+        Some(rolled_back(reason))
+    }
+
+    /// Returns a roll-back if backend servers have been missing for too long.
+    fn give_up(&self, now: Duration) -> Option<StageChange> {
+        let overdue = now >= self.ordered_at + self.duration.mul_f64(OVERDUE_FACTOR);
+        overdue.then(|| rolled_back("backend servers of the version are missing".to_owned()))
+    }
+}
+
+fn rolled_back(reason: String) -> StageChange {
+    StageChange {
+        phase: RolloutPhase::RolledBack,
+        share: 0.0,
+        reason,
+    }
+}
+
+fn change(phase: RolloutPhase, share: f64, reason: &str) -> StageChange {
+    StageChange {
+        phase,
+        share,
+        reason: reason.to_owned(),
+    }
+}
+
+impl Rollout<Ordered> {
+    fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+        if inputs.target_slots > 0 {
+            let reason = "a backend server of the version is ready";
+            return Some(change(RolloutPhase::Canary, CANARY_SHARE, reason));
+        }
+        self.give_up(now)
+    }
+
+    fn start_canary(self, now: Duration) -> Rollout<Canary> {
+        self.enter(Canary { since: now })
+    }
+}
+
+impl Rollout<Canary> {
+    fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+        let share = RAMP_SHARES[0];
+        let lasted =
+            now >= self.time_at(CANARY_END) && now >= self.stage.since + self.span(CANARY_MIN);
+        let sampled = inputs.verdict.target_runs >= CANARY_RUNS_MIN
+            || now >= self.time_at(CANARY_END_FEW_RUNS);
+        if lasted && sampled && !inputs.verdict.is_suspicious && has_slots(inputs, share) {
+            return Some(change(
+                RolloutPhase::Ramp,
+                share,
+                "the trial showed no fault",
+            ));
+        }
+        self.give_up(now)
+    }
+
+    fn start_ramp(self, now: Duration) -> Rollout<Ramp> {
+        self.enter(Ramp {
+            since: now,
+            step: 0,
+        })
+    }
+}
+
+impl Rollout<Ramp> {
+    fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+        let next_share = RAMP_SHARES.get(self.stage.step + 1).copied();
+        let needed = next_share.unwrap_or(FULL_SLOTS_SHARE);
+        let lasted = now >= self.stage.since + self.span(RAMP_STEP);
+        if !lasted || inputs.verdict.is_suspicious || !has_slots(inputs, needed) {
+            return self.give_up(now);
+        }
+        let reason = "the last step showed no fault";
+        Some(match next_share {
+            Some(share) => change(RolloutPhase::Ramp, share, reason),
+            None => change(RolloutPhase::Drain, 1.0, reason),
+        })
+    }
+
+    fn raise(self, now: Duration) -> Self {
+        let step = self.stage.step + 1;
+        self.enter(Ramp { since: now, step })
+    }
+
+    fn start_drain(self) -> Rollout<Drain> {
+        self.enter(Drain)
+    }
+}
+
+impl Rollout<Drain> {
+    fn next(inputs: &RolloutInputs) -> Option<StageChange> {
+        let reason = "nothing runs at the earlier version";
+        let complete = || change(RolloutPhase::Completed, 1.0, reason);
+        inputs.is_drained.then(complete)
+    }
+}
+
+/// Whether the target version has warm slots for a share of the current version's requests.
+fn has_slots(inputs: &RolloutInputs, share: f64) -> bool {
+    f64::from(inputs.warm_target_slots) >= f64::from(inputs.current_slots) * share
+}
+
+/// A rollout in its present stage, as the deciding node holds it.
+///
+/// The load that the trial answers: the target version may be good or bad, and until that is known
+/// every request that it gets may be lost. All the time it gets no more than a small share of what
+/// the service gets in the whole rollout, and each larger share only after a smaller one showed no
+/// fault.
+#[derive(Debug, Clone, Copy)]
+pub enum RolloutStage {
+    /// No backend server of the target version is known.
+    Ordered(Rollout<Ordered>),
+    /// The target version is on trial.
+    Canary(Rollout<Canary>),
+    /// The target version's share grows.
+    Ramp(Rollout<Ramp>),
+    /// What runs at the earlier version ends.
+    Drain(Rollout<Drain>),
+}
+
+impl RolloutStage {
+    /// Creates the stage of a rollout whose order was seen at `ordered_at`.
+    pub const fn new(ordered_at: Duration, duration: Duration) -> Self {
+        Self::Ordered(Rollout {
+            ordered_at,
+            duration,
+            stage: Ordered,
+        })
+    }
+
+    /// Creates the stage of a rollout that another node has decided about so far.
+    ///
+    /// A trial and a step of the ramp begin anew, since the evidence of the other node is gone.
+    /// Returns none for a rollout that has ended.
+    pub fn resume(
+        now: Duration,
+        ordered_at: Duration,
+        duration: Duration,
+        phase: RolloutPhase,
+        share: f64,
+    ) -> Option<Self> {
+        let ordered = Rollout {
+            ordered_at,
+            duration,
+            stage: Ordered,
+        };
+        let canary = ordered.start_canary(now);
+        match phase {
+            RolloutPhase::Ordered => Some(Self::Ordered(ordered)),
+            RolloutPhase::Canary => Some(Self::Canary(canary)),
+            RolloutPhase::Ramp => {
+                let ramp = canary.start_ramp(now);
+                let step = RAMP_SHARES.iter().rposition(|&step| step <= share);
+                let stage = Ramp {
+                    since: now,
+                    step: step.unwrap_or(0),
+                };
+                Some(Self::Ramp(ramp.enter(stage)))
+            }
+            RolloutPhase::Drain => Some(Self::Drain(canary.enter(Drain))),
+            RolloutPhase::Completed | RolloutPhase::RolledBack => None,
+        }
+    }
+
+    /// Returns the change that is due; none while the stage goes on.
+    pub fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+        match self {
+            Self::Ordered(rollout) => rollout
+                .roll_back(inputs)
+                .or_else(|| rollout.next(now, inputs)),
+            Self::Canary(rollout) => rollout
+                .roll_back(inputs)
+                .or_else(|| rollout.next(now, inputs)),
+            Self::Ramp(rollout) => rollout
+                .roll_back(inputs)
+                .or_else(|| rollout.next(now, inputs)),
+            Self::Drain(rollout) => rollout
+                .roll_back(inputs)
+                .or_else(|| Rollout::<Drain>::next(inputs)),
+        }
+    }
+
+    /// Enters the stage of `phase`, which the store holds now; none when the rollout has ended.
+    #[must_use]
+    pub fn enter(self, now: Duration, phase: RolloutPhase) -> Option<Self> {
+        match (self, phase) {
+            (Self::Ordered(rollout), RolloutPhase::Canary) => {
+                Some(Self::Canary(rollout.start_canary(now)))
+            }
+            (Self::Canary(rollout), RolloutPhase::Ramp) => {
+                Some(Self::Ramp(rollout.start_ramp(now)))
+            }
+            (Self::Ramp(rollout), RolloutPhase::Ramp) => Some(Self::Ramp(rollout.raise(now))),
+            (Self::Ramp(rollout), RolloutPhase::Drain) => Some(Self::Drain(rollout.start_drain())),
+            (_, RolloutPhase::Completed | RolloutPhase::RolledBack) => None,
+            (stage, _) => Some(stage),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/rollout/version_comparison.rs
@@ -0,0 +1,225 @@
+//! Comparison of two versions of a service.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use super::RunCounts;
+
+/// Run time from which a run counts as slow, as a multiple of the current version's mean on the
+/// same route.
+const SLOW_FACTOR: f64 = 3.0;
+/// Smallest assumed share of bad runs of the current version.
+const BAD_SHARE_MIN: f64 = 0.02;
+/// Largest assumed share of bad runs of the target version.
+const BAD_SHARE_MAX: f64 = 0.95;
+/// Difference between the shares of bad runs by which a bad version is assumed to differ.
+const BAD_SHARE_DIFFERENCE: f64 = 0.2;
+/// Runs that the prior weighs, one of them bad.
+const PRIOR_RUNS: f64 = 20.0;
+/// Log-likelihood ratio from which on a backend server counts as failing.
+const FAILING_SCORE: f64 = 6.0;
+/// Upper bound of the score, so that a server whose fault has ended is cleared soon.
+const SCORE_MAX: f64 = 12.0;
+/// Runs after which a server that isn't failing counts as working.
+const JUDGED_RUNS: u64 = 30;
+/// Share of failing servers, above that of the current version, from which on the cause is the
+/// version and not single servers.
+const FAILING_SHARE: f64 = 0.25;
+/// Factor on the weight of the current version's earlier runs in each round.
+const BASELINE_DECAY: f64 = 0.85;
+/// Weight of the current version's runs below which they don't decay.
+const BASELINE_RUNS_MIN: f64 = 50.0;
+
+/// Version that a backend server runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ComparisonSide {
+    /// The version in force.
+    Current,
+    /// The version that is rolled out.
+    Target,
+}
+
+/// Result of a comparison so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ComparisonVerdict {
+    /// Whether the target version is worse than the current one.
+    pub is_bad: bool,
+    /// Whether a server of the target version fails, though that may have another cause.
+    pub is_suspicious: bool,
+    /// Number of runs of the target version.
+    pub target_runs: u64,
+    /// Number of these that failed or were slow.
+    pub target_bad: u64,
+    /// Number of failing servers of the target version.
+    pub failing: usize,
+    /// Number of servers of the target version that are failing or known to work.
+    pub judged: usize,
+}
+
+/// Recent runs of the current version on one route.
+#[derive(Debug, Default)]
+struct RouteBaseline {
+    runs: f64,
+    failures: f64,
+    times: BTreeMap<u64, f64>,
+}
+
+impl RouteBaseline {
+    fn add(&mut self, counts: &RunCounts) {
+        self.runs += counts.runs as f64;
+        self.failures += counts.failures as f64;
+        for (&millis, &count) in &counts.times {
+            *self.times.entry(millis).or_default() += count as f64;
+        }
+    }
+
+    fn decay(&mut self) {
+        if self.runs < BASELINE_RUNS_MIN {
+            return;
+        }
+        self.runs *= BASELINE_DECAY;
+        self.failures *= BASELINE_DECAY;
+        for count in self.times.values_mut() {
+            *count *= BASELINE_DECAY;
+        }
+    }
+
+    /// Returns the run time in milliseconds from which a run is slow; none without runs.
+    fn slow_ms(&self) -> Option<f64> {
+        let (sum, count) = self.times.iter().fold((0.0, 0.0), |(sum, count), entry| {
+            (sum + *entry.0 as f64 * entry.1, count + entry.1)
+        });
+        (count > 0.0).then(|| sum / count * SLOW_FACTOR)
+    }
+
+    /// Returns the share of bad runs.
+    fn bad_share(&self) -> f64 {
+        let slow_ms = self.slow_ms().unwrap_or(f64::INFINITY);
+        let slow = self
+            .times
+            .iter()
+            .filter(|&(&millis, _)| millis as f64 > slow_ms);
+        let bad = self.failures + slow.map(|(_, count)| count).sum::<f64>();
+        ((bad + 1.0) / (self.runs + PRIOR_RUNS)).clamp(BAD_SHARE_MIN, BAD_SHARE_MAX)
+    }
+
+    /// Returns the number of bad runs in `counts`.
+    fn bad_runs(&self, counts: &RunCounts) -> u64 {
+        let slow = self
+            .slow_ms()
+            .map_or(0, |slow_ms| counts.slower_than(slow_ms));
+        counts.failures + slow
+    }
+
+    /// Returns the log-likelihood ratio of `bad` bad runs of `runs`: that of a server that is
+    /// worse than the current version to that of one that isn't.
+    fn log_likelihood_ratio(&self, runs: u64, bad: u64) -> f64 {
+        let usual = self.bad_share();
+        let worse = (usual + BAD_SHARE_DIFFERENCE).min(BAD_SHARE_MAX.max(usual));
+        let good = runs.saturating_sub(bad) as f64;
+        bad as f64 * (worse / usual).ln() + good * ((1.0 - worse) / (1.0 - usual)).ln()
+    }
+}
+
+/// Evidence against one backend server: cumulative sums, by which a change is found soon after
+/// it happened.
+#[derive(Debug, Default)]
+struct ServerScore {
+    runs: u64,
+    total: f64,
+    routes: HashMap<u64, f64>,
+}
+
+impl ServerScore {
+    fn add(&mut self, route_hash: u64, runs: u64, ratio: f64) {
+        self.runs += runs;
+        let route = self.routes.entry(route_hash).or_default();
+        for score in [&mut self.total, route] {
+            *score = (*score + ratio).clamp(0.0, SCORE_MAX);
+        }
+    }
+
+    fn is_failing(&self) -> bool {
+        let mut scores = self.routes.values().chain([&self.total]);
+        scores.any(|&score| score >= FAILING_SCORE)
+    }
+
+    fn is_judged(&self) -> bool {
+        self.is_failing() || self.runs >= JUDGED_RUNS
+    }
+}
+
+/// Compares the target version of a rollout with the current one.
+///
+/// A version may fail a share of its requests, be several times slower, only under load, on one
+/// route only, or only some time after its start. Meanwhile single backend servers of either
+/// version fail or turn slow for other reasons. So each server is compared with the current
+/// version in the same seconds, over all routes and on each: a cumulative sum of log-likelihood
+/// ratios (Page 1954) grows with bad runs and falls with good ones. The version is bad if many
+/// of its servers fail, and clearly more than of the current version.
+#[derive(Debug, Default)]
+pub struct VersionComparison {
+    baselines: HashMap<u64, RouteBaseline>,
+    current: HashMap<SocketAddr, ServerScore>,
+    target: HashMap<SocketAddr, ServerScore>,
+    target_runs: u64,
+    target_bad: u64,
+}
+
+impl VersionComparison {
+    /// Starts a round of observations; those of earlier rounds lose weight.
+    pub fn start_round(&mut self) {
+        self.baselines.values_mut().for_each(RouteBaseline::decay);
+    }
+
+    /// Adds the runs of one route at one server since the last round.
+    pub fn observe(
+        &mut self,
+        side: ComparisonSide,
+        server: SocketAddr,
+        route_hash: u64,
+        counts: &RunCounts,
+    ) {
+        let baseline = self.baselines.entry(route_hash).or_default();
+        let bad = baseline.bad_runs(counts);
+        let ratio = baseline.log_likelihood_ratio(counts.runs, bad);
+        let servers = match side {
+            ComparisonSide::Current => {
+                baseline.add(counts);
+                &mut self.current
+            }
+            ComparisonSide::Target => {
+                self.target_runs += counts.runs;
+                self.target_bad += bad;
+                &mut self.target
+            }
+        };
+        let score = servers.entry(server).or_default();
+        score.add(route_hash, counts.runs, ratio);
+    }
+
+    /// Returns the result of the comparison so far.
+    pub fn verdict(&self) -> ComparisonVerdict {
+        let (failing, judged) = failing_and_judged(&self.target);
+        let (current_failing, current_judged) = failing_and_judged(&self.current);
+        let current_share = current_failing as f64 / current_judged.max(1) as f64;
+        let share = (current_share + FAILING_SHARE).min(1.0);
+        let needed = (judged as f64 * share).ceil() as usize;
+        ComparisonVerdict {
+            is_bad: failing > 0 && failing >= needed.max(self.target.len().min(2)),
+            is_suspicious: failing > 0,
+            target_runs: self.target_runs,
+            target_bad: self.target_bad,
+            failing,
+            judged,
+        }
+    }
+}
+
+fn failing_and_judged(servers: &HashMap<SocketAddr, ServerScore>) -> (usize, usize) {
+    let failing = servers.values().filter(|server| server.is_failing());
+    let judged = servers.values().filter(|server| server.is_judged());
+    (failing.count(), judged.count())
+}
--- a/crates/node/tests/all/config.rs
+++ b/crates/node/tests/all/config.rs
@@ -237,6 +237,7 @@
         leaving_time: Duration::from_secs(2),
         shutdown_timeout: Duration::from_secs(6),
         link_mbps: 100.0,
+        has_rollouts: false,
         retries: RetryLimits {
             ratio: 0.2,
             slack: 60.0,
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -3,7 +3,10 @@
 use std::{collections::HashMap, time::Duration};
 
 use geranium_node::{
-    member::{FleetView, LoadReport, MemberKey, MemberRecord, MemberState, PickQuery, TryOutcome},
+    member::{
+        FleetView, LoadReport, MemberKey, MemberRecord, MemberState, PickQuery, TryOutcome,
+        VersionFilter,
+    },
     store::Revision,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -45,6 +48,7 @@
     tried: &[],
     probed: &[],
     response_bytes: 5_000,
+    versions: VersionFilter::ANY,
 };
 
 /// Creates a load report in which every run takes `run`.
@@ -339,6 +343,8 @@
     fleet.announce(
         at(0),
         MemberRecord {
+            version: None,
+            suspended: false,
             slots: 3,
             ..record(2, "hofdi")
         },
--- a/crates/node/tests/all/fleet_load.rs
+++ b/crates/node/tests/all/fleet_load.rs
@@ -7,7 +7,10 @@
 
 use geranium_node::{
     inbound::{AdmissionDecision, AdmissionQueue, AdmissionRequest, QueueKey},
-    member::{FleetView, LoadReport, MemberKey, MemberRecord, MemberState, PickQuery, TryOutcome},
+    member::{
+        FleetView, LoadReport, MemberKey, MemberRecord, MemberState, PickQuery, TryOutcome,
+        VersionFilter,
+    },
     store::Revision,
 };
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
@@ -119,6 +122,8 @@
         start: start(format!("i-{receiver}")),
         service: "orders".to_owned(),
         data_centre: data_centre_name(receiver, data_centres),
+        version: None,
+        suspended: false,
         slots: SLOTS,
         state: MemberState::Ready,
         link_mbps: 100,
@@ -414,6 +419,7 @@
         tried,
         probed,
         response_bytes: 2_000,
+        versions: VersionFilter::ANY,
     }
 }
 
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -19,6 +19,7 @@
         start: start(instance),
         service: "prices".to_owned(),
         data_centre: "hofdi".to_owned(),
+        version: None,
         slots: 12,
         state,
         cold: Duration::ZERO,
--- a/crates/node/tests/all/link_shortage.rs
+++ b/crates/node/tests/all/link_shortage.rs
@@ -4,7 +4,9 @@
 
 use geranium_node::{
     link::{LinkDecision, LinkSchedule, ReservationRequest, TransferKey},
-    member::{FleetView, LoadReport, MemberKey, MemberRecord, PickQuery, TryOutcome},
+    member::{
+        FleetView, LoadReport, MemberKey, MemberRecord, PickQuery, TryOutcome, VersionFilter,
+    },
     store::Revision,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -29,6 +31,7 @@
     tried: &[],
     probed: &[],
     response_bytes: FILE_BYTES,
+    versions: VersionFilter::ANY,
 };
 
 /// Guards against repeated requests to remote members whose links are full, and against
--- a/crates/node/tests/all/starts.rs
+++ b/crates/node/tests/all/starts.rs
@@ -4,7 +4,7 @@
 
 use geranium_node::{
     crash::{CrashHistory, CrashRecord},
-    member::{EndpointStart, FleetView, MemberRecord, StartInput, StartOrder},
+    member::{EndpointStart, FleetView, MemberRecord, StartInput, StartOrder, VersionFilter},
     store::Revision,
 };
 use proptest::prelude::*;
@@ -52,6 +52,7 @@
         tried: &[],
         probed: &[],
         response_bytes: 400,
+        versions: VersionFilter::ANY,
     };
     assert!(!fleet.has_available(NOW, &query));
     fleet.announce(NOW, record(born("i-1", 9_000)), Revision(2));
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -32,6 +32,8 @@
         start: start(format!("i-{number}")),
         service: "prices".to_owned(),
         data_centre: "hofdi".to_owned(),
+        version: None,
+        suspended: false,
         slots: 12,
         state: MemberState::Ready,
         link_mbps: 100,
