Compare versions without what isn't theirs, and move the trial before a verdict

By evidence of each server and route, added to the log: (1) a fresh node hasn't learned which requests are nested calls, they are refused in a shortage, and runs fail: such runs are left out for both versions; (2) runs that begin in the slow start end after it: left out by their beginning; (3) the two servers on trial turn slow by a fault of their own: the trial moves to others, and four must fail. The record holds the time since the order, for a decider that is restarted.

--- a/crates/node/src/inbound/endpoint_call.rs
+++ b/crates/node/src/inbound/endpoint_call.rs
@@ -21,6 +21,10 @@
     transport::{ExchangeError, PooledConnection},
 };
 
+/// Marks a failure response of a run whose nested call was probably refused.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct NestedCallRefused;
+
 impl InboundProxy {
     /// Runs a request on the backend server in a slot, and returns the checked response.
     pub(super) async fn call(
@@ -45,7 +49,7 @@
             .endpoint_pool
             .exchange(addr, outgoing, idle_timeout)
             .await;
-        let (response, sender) = match exchange {
+        let (mut response, sender) = match exchange {
             Ok(received) => received,
             Err(ExchangeError::NotSent { .. } | ExchangeError::Refused { .. }) => {
                 return refused(RefusalReason::EndpointDown, RETRY_OTHER_NODE_AFTER);
@@ -62,9 +66,10 @@
         self.check_response(&response, id.as_ref())?;
         if response.status().is_server_error() {
             let now = self.inner.clock.now();
-            self.nested_call_detector
-                .borrow_mut()
-                .record_failed_run(now);
+            let mut detector = self.nested_call_detector.borrow_mut();
+            if detector.record_failed_run(now) {
+                response.extensions_mut().insert(NestedCallRefused);
+            }
         }
         deliver(response, slot, sender).await
     }
--- a/crates/node/src/inbound/nested_call_detector.rs
+++ b/crates/node/src/inbound/nested_call_detector.rs
@@ -70,17 +70,20 @@
         self.newly_detected.take()
     }
 
-    /// Records that a run of the backend server failed.
-    pub fn record_failed_run(&mut self, now: Duration) {
+    /// Records that a run of the backend server failed. Returns whether the cause is likely a
+    /// refused request from this machine, which was a nested call of the run.
+    pub fn record_failed_run(&mut self, now: Duration) -> bool {
         self.evaluate_pending(now);
         let last = self
             .pending
             .iter_mut()
             .rev()
             .find(|refused| !refused.followed_by_failure);
-        if let Some(refused) = last {
-            refused.followed_by_failure = true;
-        }
+        let Some(refused) = last else {
+            return false;
+        };
+        refused.followed_by_failure = true;
+        true
     }
 
     /// Whether requests of a route from this machine are nested calls.
--- a/crates/node/src/inbound/rollout_admission.rs
+++ b/crates/node/src/inbound/rollout_admission.rs
@@ -5,7 +5,7 @@
 use http::Response;
 use tokio::time::Instant;
 
-use super::{InboundError, InboundProxy};
+use super::{InboundError, InboundProxy, endpoint_call::NestedCallRefused};
 use crate::{
     member::EndpointStart,
     response_body::ResponseBody,
@@ -74,8 +74,12 @@
     ) {
         let outcome = match result {
             Some(Err(InboundError::Refused { .. })) => return,
+            // The cause is a shortage of another service and not this version.
+            Some(Ok(response)) if response.extensions().get::<NestedCallRefused>().is_some() => {
+                return;
+            }
             Some(Ok(response)) if !response.status().is_server_error() => {
-                if self.is_cold() {
+                if self.was_cold(began) {
                     RunOutcome::SucceededCold
                 } else {
                     RunOutcome::Succeeded(began.elapsed())
@@ -86,9 +90,10 @@
         self.ledger.borrow_mut().record(start, route_hash, outcome);
     }
 
-    fn is_cold(&self) -> bool {
+    /// Whether the backend server was in its slow start at `began`.
+    fn was_cold(&self, began: Instant) -> bool {
         let tracker = self.tracker.borrow();
         let current = tracker.current();
-        current.is_some_and(|current| self.inner.clock.now() < current.cold_until)
+        current.is_some_and(|current| self.inner.clock.time_of(began) < current.cold_until)
     }
 }
--- a/crates/node/src/member/version_view.rs
+++ b/crates/node/src/member/version_view.rs
@@ -17,6 +17,8 @@
     pub target: u32,
     /// Slots of the target version outside the slow start of its backend servers.
     pub warm_target: u32,
+    /// Number of the target version's backend servers.
+    pub target_servers: usize,
     /// Slots of other versions.
     pub current: u32,
 }
@@ -76,6 +78,7 @@
                 slots.current += own;
                 continue;
             }
+            slots.target_servers += 1;
             slots.target += own;
             if !member.is_cold(now) {
                 slots.warm_target += own;
--- a/crates/node/src/node_core/rollouts.rs
+++ b/crates/node/src/node_core/rollouts.rs
@@ -159,7 +159,7 @@
         let targets = || fleet.ready_members(service, &record.target);
         let members = match decision {
             SplitDecision::Current => Vec::new(),
-            SplitDecision::FirstTargets => first_targets(targets(), record.share),
+            SplitDecision::FirstTargets => first_targets(targets(), record.share, record.first),
             SplitDecision::AnyTarget => targets().map(|(key, _)| key).collect(),
         };
         match VersionPlan::among(members) {
--- a/crates/node/src/rollout/decide_rollouts.rs
+++ b/crates/node/src/rollout/decide_rollouts.rs
@@ -13,12 +13,13 @@
 use tokio::{task::JoinSet, time::timeout};
 
 use super::{
-    ComparisonSide, ROLLOUT_PATH, RolloutInputs, RolloutPhase, RolloutProbe, RolloutRecord,
-    RolloutReport, RolloutSource, RolloutStage, RunCounts, StageChange, VersionComparison,
-    order_book::KnownOrder, rollout_key,
+    ComparisonSide, ComparisonVerdict, ROLLOUT_PATH, RolloutInputs, RolloutPhase, RolloutProbe,
+    RolloutRecord, RolloutReport, RolloutSource, RolloutStage, RunCounts, StageChange,
+    VersionComparison, first_targets, order_book::KnownOrder, rollout_key,
 };
 use crate::{
     member::EndpointStart,
+    node_clock::NodeClock,
     node_core::NodeCore,
     store::{MetaStore, ReadConsistency, Revision, StoreError, StoreWrite},
     transport::PeerCall,
@@ -41,8 +42,8 @@
 #[derive(Debug)]
 struct DecidedRollout {
     stage: RolloutStage,
-    /// Phase and share in the store when the stage was entered.
-    entered: (RolloutPhase, f64),
+    /// Record in the store when the stage was entered.
+    entered: RolloutRecord,
     comparison: VersionComparison,
     /// Counts of runs in the last report of each node.
     counts: HashMap<SocketAddr, (Option<EndpointStart>, HashMap<u64, RunCounts>)>,
@@ -165,7 +166,8 @@
             return;
         }
         let own_addr = self.core.settings.peer_addr;
-        let ordered = RolloutRecord::ordered(&known.order, known.revision, own_addr);
+        let ordered =
+            RolloutRecord::ordered(&known.order, known.revision, NodeClock::unix_ms(), own_addr);
         let record = if self
             .core
             .fleet
@@ -227,18 +229,19 @@
     /// Gathers evidence and makes the decision that is due, if any.
     async fn decide(&mut self, service: &str, order: Option<KnownOrder>, record: RolloutRecord) {
         let now = self.core.clock.now();
-        let Some(mut decided) = self.decided.remove(service).or_else(|| {
-            let ordered_at = order.as_ref().map_or(now, |known| known.seen_at);
-            resumed(now, ordered_at, &record)
-        }) else {
+        let Some(mut decided) = self
+            .decided
+            .remove(service)
+            .or_else(|| resumed(now, order.as_ref().map(|known| known.seen_at), &record))
+        else {
             return;
         };
-        if decided.entered != (record.phase, record.share) {
-            let Some(stage) = decided.stage.enter(now, record.phase) else {
+        if decided.entered != record {
+            let Some(stage) = decided.stage.enter(now, &record) else {
                 return;
             };
             decided.stage = stage;
-            decided.entered = (record.phase, record.share);
+            decided.entered = record.clone();
         }
         let reports = self.gather(&record).await;
         decided.compare(&self.core, &record, &reports);
@@ -270,9 +273,12 @@
             "judged" => inputs.verdict.judged,
             "target_slots" => inputs.target_slots,
             "current_slots" => inputs.current_slots);
+        let elapsed = record.elapsed(NodeClock::unix_ms());
         let next = RolloutRecord {
+            elapsed_ms: elapsed.as_millis() as u64,
             phase: change.phase,
             share: change.share,
+            first: change.first,
             reason: change.reason,
             ..record
         };
@@ -376,7 +382,8 @@
             target_slots: slots.target,
             warm_target_slots: slots.warm_target,
             current_slots: slots.current,
-            verdict: decided.comparison.verdict(),
+            target_servers: slots.target_servers,
+            verdict: decided.verdict(&self.core, record),
             is_drained: record.phase == RolloutPhase::Drain
                 && current.all(|peer_addr| drained.contains(&peer_addr)),
             is_cancelled,
@@ -443,18 +450,37 @@
 }
 
 /// Returns the rollout that this node decides about from now on; none if it has ended.
-fn resumed(now: Duration, ordered_at: Duration, record: &RolloutRecord) -> Option<DecidedRollout> {
-    let duration = Duration::from_millis(record.duration_ms);
-    let stage = RolloutStage::resume(now, ordered_at, duration, record.phase, record.share)?;
+///
+/// `seen_at` is the time at which this node saw the order, if it did.
+fn resumed(
+    now: Duration,
+    seen_at: Option<Duration>,
+    record: &RolloutRecord,
+) -> Option<DecidedRollout> {
+    let recorded_at = now.saturating_sub(record.elapsed(NodeClock::unix_ms()));
+    let ordered_at = seen_at.map_or(recorded_at, |seen_at| seen_at.min(recorded_at));
+    let stage = RolloutStage::resume(now, ordered_at, record)?;
     Some(DecidedRollout {
         stage,
-        entered: (record.phase, record.share),
+        entered: record.clone(),
         comparison: VersionComparison::default(),
         counts: HashMap::new(),
     })
 }
 
 impl DecidedRollout {
+    /// Returns the result of the comparison so far.
+    fn verdict(&self, core: &NodeCore, record: &RolloutRecord) -> ComparisonVerdict {
+        let fleet = core.fleet.borrow();
+        let targets = || fleet.ready_members(&record.service, &record.target);
+        let on_trial = first_targets(targets(), record.share, record.first);
+        let is_on_trial = |server: &SocketAddr| {
+            let key = fleet.key_of(*server);
+            key.is_some_and(|key| on_trial.contains(&key))
+        };
+        self.comparison.verdict(targets().count(), is_on_trial)
+    }
+
     /// Compares the runs since the last round.
     fn compare(
         &mut self,
@@ -483,15 +509,16 @@
                     .observe(*side, *peer_addr, *route_hash, &since);
             }
         }
-        if self.comparison.verdict().is_suspicious {
-            let verdict = self.comparison.verdict();
+        let verdict = self.verdict(core, record);
+        if verdict.is_suspicious {
             info!(core.log.logger(), "rollout suspicious";
                 "service" => &*record.service,
                 "target" => %record.target,
                 "runs" => verdict.target_runs,
                 "bad" => verdict.target_bad,
                 "failing" => verdict.failing,
-                "judged" => verdict.judged);
+                "judged" => verdict.judged,
+                "evidence" => %self.comparison);
         }
     }
 }
--- a/crates/node/src/rollout/mod.rs
+++ b/crates/node/src/rollout/mod.rs
@@ -44,5 +44,5 @@
 pub use rollout_stage::{RolloutInputs, RolloutStage, StageChange};
 pub use run_counts::RunCounts;
 pub use run_ledger::{RunLedger, RunOutcome};
-pub use traffic_split::{SplitDecision, TrafficSplit, first_targets};
+pub use traffic_split::{SplitDecision, TrafficSplit, first_target_count, first_targets};
 pub use version_comparison::{ComparisonSide, ComparisonVerdict, VersionComparison};
--- a/crates/node/src/rollout/rollout_record.rs
+++ b/crates/node/src/rollout/rollout_record.rs
@@ -1,6 +1,6 @@
 //! State of a rollout, as nodes share it.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumString, IntoStaticStr};
@@ -60,10 +60,18 @@
     pub target: EndpointVersion,
     /// Time in milliseconds in which the rollout is to be completed.
     pub duration_ms: u64,
+    /// Unix time in milliseconds at which the deciding node saw the order.
+    pub ordered_ms: u64,
+    /// Time in milliseconds from then to the last change of the record.
+    pub elapsed_ms: u64,
     /// Phase of the rollout.
     pub phase: RolloutPhase,
     /// Share of the service's requests for the target version, from 0 to 1.
     pub share: f64,
+    /// Position of the first backend server of the target version that is on trial, in the order
+    /// of [`first_targets`](super::first_targets).
+    #[serde(default)]
+    pub first: u32,
     /// Address of the node that decides about the rollout.
     pub decided_by: SocketAddr,
     /// Why the rollout entered its phase.
@@ -72,19 +80,39 @@
 
 impl RolloutRecord {
     /// Creates the record of a rollout that has just been ordered.
-    pub fn ordered(order: &RolloutOrder, revision: Revision, decided_by: SocketAddr) -> Self {
+    ///
+    /// `ordered_ms` is the Unix time in milliseconds.
+    pub fn ordered(
+        order: &RolloutOrder,
+        revision: Revision,
+        ordered_ms: u64,
+        decided_by: SocketAddr,
+    ) -> Self {
         Self {
             service: order.service.clone(),
             order: revision.0,
             target: order.target.clone(),
             duration_ms: order.duration.as_millis() as u64,
+            ordered_ms,
+            elapsed_ms: 0,
             phase: RolloutPhase::Ordered,
             share: 0.0,
+            first: 0,
             decided_by,
             reason: "ordered".to_owned(),
         }
     }
 
+    /// Returns the time since the order, at the Unix time `unix_ms`.
+    ///
+    /// The times of day of two nodes may differ, or jump. So the result is never less than the time
+    /// up to the record's last change, nor more than the rollout's duration beyond that.
+    pub fn elapsed(&self, unix_ms: u64) -> Duration {
+        let by_clock = unix_ms.saturating_sub(self.ordered_ms);
+        let latest = self.elapsed_ms.saturating_add(self.duration_ms);
+        Duration::from_millis(by_clock.clamp(self.elapsed_ms, latest))
+    }
+
     /// Whether the record is that of an order, and not of an earlier or later one.
     ///
     /// An order that is written again is the same order while its rollout goes on, and after it
--- a/crates/node/src/rollout/rollout_stage.rs
+++ b/crates/node/src/rollout/rollout_stage.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{ComparisonVerdict, RolloutPhase};
+use super::{ComparisonVerdict, RolloutPhase, RolloutRecord, traffic_split::first_target_count};
 
 /// Share of the requests for the target version while it is on trial.
 const CANARY_SHARE: f64 = 0.06;
@@ -10,10 +10,15 @@
 const RAMP_SHARES: [f64; 2] = [0.25, 0.5];
 /// End of the trial, as a share of the rollout's duration. Faults that show only some time after
 /// the start of a version have to show by then.
-const CANARY_END: f64 = 0.45;
+const CANARY_END: f64 = 0.4;
 /// Shortest trial after the target version's first backend server is known, as a share of the
 /// rollout's duration.
 const CANARY_MIN: f64 = 0.25;
+/// Shortest time of a trial at the same backend servers.
+const MOVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Shortest trial at the last backend servers before the ramp, as a share of the rollout's
+/// duration.
+const MOVED_MIN: f64 = 0.1;
 /// Time of each step of the ramp, as a share of the rollout's duration.
 const RAMP_STEP: f64 = 0.07;
 /// Longest duration from which the times of the stages are taken.
@@ -36,6 +41,8 @@
     pub target_slots: u32,
     /// Those of them that aren't in their slow start.
     pub warm_target_slots: u32,
+    /// Number of the target version's ready backend servers.
+    pub target_servers: usize,
     /// Slots of the current version's ready backend servers.
     pub current_slots: u32,
     /// Comparison of the two versions.
@@ -53,6 +60,8 @@
     pub phase: RolloutPhase,
     /// Share of the requests for the target version in that phase.
     pub share: f64,
+    /// Position of the first backend server on trial.
+    pub first: u32,
     /// Why the phase is entered.
     pub reason: String,
 }
@@ -65,6 +74,9 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Canary {
     since: Duration,
+    /// When the trial began at the present backend servers.
+    moved_at: Duration,
+    first: u32,
 }
 
 /// The target version's share grows.
@@ -131,6 +143,7 @@
     StageChange {
         phase: RolloutPhase::RolledBack,
         share: 0.0,
+        first: 0,
         reason,
     }
 }
@@ -139,6 +152,7 @@
     StageChange {
         phase,
         share,
+        first: 0,
         reason: reason.to_owned(),
     }
 }
@@ -153,18 +167,26 @@
     }
 
     fn start_canary(self, now: Duration) -> Rollout<Canary> {
-        self.enter(Canary { since: now })
+        self.enter(Canary {
+            since: now,
+            moved_at: now,
+            first: 0,
+        })
     }
 }
 
 impl Rollout<Canary> {
     fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+        if inputs.verdict.is_suspicious {
+            return self.move_trial(now, inputs).or_else(|| self.give_up(now));
+        }
         let share = RAMP_SHARES[0];
-        let lasted =
-            now >= self.time_at(CANARY_END) && now >= self.stage.since + self.span(CANARY_MIN);
+        let lasted = now >= self.time_at(CANARY_END)
+            && now >= self.stage.since + self.span(CANARY_MIN)
+            && now >= self.stage.moved_at + self.span(MOVED_MIN);
         let sampled = inputs.verdict.target_runs >= CANARY_RUNS_MIN
             || now >= self.time_at(CANARY_END_FEW_RUNS);
-        if lasted && sampled && !inputs.verdict.is_suspicious && has_slots(inputs, share) {
+        if lasted && sampled && has_slots(inputs, share) {
             return Some(change(
                 RolloutPhase::Ramp,
                 share,
@@ -174,6 +196,32 @@
         self.give_up(now)
     }
 
+    /// Returns the move of the trial to other backend servers. If those fail as well, the cause is
+    /// the version, and else a fault of the present ones.
+    fn move_trial(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+        let count = first_target_count(inputs.target_servers, CANARY_SHARE);
+        let first = self.stage.first + count as u32;
+        let has_others = (first as usize) < inputs.target_servers;
+        let lasted = now >= self.stage.moved_at + MOVE_INTERVAL;
+        (has_others && lasted).then(|| StageChange {
+            first,
+            ..change(
+                RolloutPhase::Canary,
+                CANARY_SHARE,
+                "the backend servers on trial fail",
+            )
+        })
+    }
+
+    fn moved(self, now: Duration, first: u32) -> Self {
+        let stage = Canary {
+            moved_at: now,
+            first,
+            ..self.stage
+        };
+        self.enter(stage)
+    }
+
     fn start_ramp(self, now: Duration) -> Rollout<Ramp> {
         self.enter(Ramp {
             since: now,
@@ -252,30 +300,23 @@
     ///
     /// A trial and a step of the ramp begin anew, since the evidence of the other node is gone.
     /// Returns none for a rollout that has ended.
-    pub fn resume(
-        now: Duration,
-        ordered_at: Duration,
-        duration: Duration,
-        phase: RolloutPhase,
-        share: f64,
-    ) -> Option<Self> {
+    pub fn resume(now: Duration, ordered_at: Duration, record: &RolloutRecord) -> Option<Self> {
         let ordered = Rollout {
             ordered_at,
-            duration,
+            duration: Duration::from_millis(record.duration_ms),
             stage: Ordered,
         };
-        let canary = ordered.start_canary(now);
-        match phase {
+        let canary = ordered.start_canary(ordered_at);
+        match record.phase {
             RolloutPhase::Ordered => Some(Self::Ordered(ordered)),
-            RolloutPhase::Canary => Some(Self::Canary(canary)),
+            RolloutPhase::Canary => Some(Self::Canary(canary.moved(now, record.first))),
             RolloutPhase::Ramp => {
-                let ramp = canary.start_ramp(now);
-                let step = RAMP_SHARES.iter().rposition(|&step| step <= share);
+                let step = RAMP_SHARES.iter().rposition(|&step| step <= record.share);
                 let stage = Ramp {
                     since: now,
                     step: step.unwrap_or(0),
                 };
-                Some(Self::Ramp(ramp.enter(stage)))
+                Some(Self::Ramp(canary.enter(stage)))
             }
             RolloutPhase::Drain => Some(Self::Drain(canary.enter(Drain))),
             RolloutPhase::Completed | RolloutPhase::RolledBack => None,
@@ -300,13 +341,16 @@
         }
     }
 
-    /// Enters the stage of `phase`, which the store holds now; none when the rollout has ended.
+    /// Enters the stage that the store holds now; none when the rollout has ended.
     #[must_use]
-    pub fn enter(self, now: Duration, phase: RolloutPhase) -> Option<Self> {
-        match (self, phase) {
+    pub fn enter(self, now: Duration, record: &RolloutRecord) -> Option<Self> {
+        match (self, record.phase) {
             (Self::Ordered(rollout), RolloutPhase::Canary) => {
                 Some(Self::Canary(rollout.start_canary(now)))
             }
+            (Self::Canary(rollout), RolloutPhase::Canary) => {
+                Some(Self::Canary(rollout.moved(now, record.first)))
+            }
             (Self::Canary(rollout), RolloutPhase::Ramp) => {
                 Some(Self::Ramp(rollout.start_ramp(now)))
             }
--- a/crates/node/src/rollout/traffic_split.rs
+++ b/crates/node/src/rollout/traffic_split.rs
@@ -9,6 +9,8 @@
 /// Share of the requests for the target version that go to any of its backend servers, and not
 /// to the first ones. Each of them is seen working before it has to carry its full load.
 const SPREAD_SHARE: f64 = 0.2;
+/// Smallest number of backend servers on trial.
+const FIRST_TARGETS_MIN: usize = 2;
 /// Failures of the target version in this node's own requests, less its successes, after which
 /// the node stops sending to it. A success counts a quarter of a failure.
 const OWN_FAILURES_MAX: f64 = 3.0;
@@ -101,17 +103,26 @@
 /// Returns the first of the target version's members, which get most of its requests.
 ///
 /// Their number is in proportion to `share`, so that each is as busy as one of the current
-/// version, and they are the same for all nodes. There are two at least, if there are as many: a
-/// fault of one backend server must be told from one of the version.
+/// version, and two at least. They are the same for all nodes: those from position `first` on, in
+/// an order by hash.
 pub fn first_targets<'a>(
     members: impl Iterator<Item = (MemberKey, &'a MemberRecord)>,
     share: f64,
+    first: u32,
 ) -> Vec<MemberKey> {
     let mut ordered: Vec<(u64, MemberKey)> = members
         .map(|(key, record)| (xxh3_64(record.peer_addr.to_string().as_bytes()), key))
         .collect();
     ordered.sort_unstable_by_key(|(hash, _)| *hash);
-    let count = (share * ordered.len() as f64).round() as usize;
-    ordered.truncate(count.max(2));
+    let count = first_target_count(ordered.len(), share);
+    let skipped = first as usize % ordered.len().max(1);
+    ordered.rotate_left(skipped);
+    ordered.truncate(count);
     ordered.into_iter().map(|(_, key)| key).collect()
 }
+
+/// Returns the number of the target version's members that get most of its requests.
+pub fn first_target_count(members: usize, share: f64) -> usize {
+    let in_proportion = (share * members as f64).round() as usize;
+    in_proportion.max(FIRST_TARGETS_MIN)
+}
--- a/crates/node/src/rollout/version_comparison.rs
+++ b/crates/node/src/rollout/version_comparison.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fmt,
     net::SocketAddr,
 };
 
@@ -25,8 +26,14 @@
 /// Runs after which a server that isn't failing counts as working.
 const JUDGED_RUNS: u64 = 30;
 /// Share of failing servers, above that of the current version, from which on the cause is the
-/// version and not single servers.
-const FAILING_SHARE: f64 = 0.25;
+/// version and not single servers. A bad version affects all of them.
+const BAD_FAILING_SHARE: f64 = 0.6;
+/// Share of failing servers, above that of the current version, from which on the version may be
+/// bad.
+const SUSPICIOUS_FAILING_SHARE: f64 = 0.35;
+/// Number of failing servers that condemn a version, if there are as many. Fewer may have a fault of
+/// their own at the same time.
+const FAILING_SERVERS_MIN: usize = 4;
 /// Factor on the weight of the current version's earlier runs in each round.
 const BASELINE_DECAY: f64 = 0.85;
 /// Weight of the current version's runs below which they don't decay.
@@ -46,7 +53,7 @@
 pub struct ComparisonVerdict {
     /// Whether the target version is worse than the current one.
     pub is_bad: bool,
-    /// Whether a server of the target version fails, though that may have another cause.
+    /// Whether so many of the servers on trial fail that the version may be bad.
     pub is_suspicious: bool,
     /// Number of runs of the target version.
     pub target_runs: u64,
@@ -105,12 +112,10 @@
         ((bad + 1.0) / (self.runs + PRIOR_RUNS)).clamp(BAD_SHARE_MIN, BAD_SHARE_MAX)
     }
 
-    /// Returns the number of bad runs in `counts`.
-    fn bad_runs(&self, counts: &RunCounts) -> u64 {
-        let slow = self
-            .slow_ms()
-            .map_or(0, |slow_ms| counts.slower_than(slow_ms));
-        counts.failures + slow
+    /// Returns the number of slow runs in `counts`.
+    fn slow_runs(&self, counts: &RunCounts) -> u64 {
+        let slow_ms = self.slow_ms();
+        slow_ms.map_or(0, |slow_ms| counts.slower_than(slow_ms))
     }
 
     /// Returns the log-likelihood ratio of `bad` bad runs of `runs`: that of a server that is
@@ -123,31 +128,62 @@
     }
 }
 
+/// Evidence about one route at one backend server, or about all of its routes.
+#[derive(Debug, Clone, Copy, Default)]
+struct RunScore {
+    runs: u64,
+    failures: u64,
+    slow: u64,
+    /// Cumulative sum of log-likelihood ratios.
+    score: f64,
+}
+
+impl RunScore {
+    fn add(&mut self, counts: &RunCounts, slow: u64, ratio: f64) {
+        self.runs += counts.runs;
+        self.failures += counts.failures;
+        self.slow += slow;
+        self.score = (self.score + ratio).clamp(0.0, SCORE_MAX);
+    }
+
+    const fn is_failing(&self) -> bool {
+        self.score >= FAILING_SCORE
+    }
+}
+
+impl fmt::Display for RunScore {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            runs,
+            failures,
+            slow,
+            score,
+        } = self;
+        write!(f, "{failures}+{slow}/{runs} {score:.1}")
+    }
+}
+
 /// Evidence against one backend server: cumulative sums, by which a change is found soon after
 /// it happened.
 #[derive(Debug, Default)]
 struct ServerScore {
-    runs: u64,
-    total: f64,
-    routes: HashMap<u64, f64>,
+    total: RunScore,
+    routes: HashMap<u64, RunScore>,
 }
 
 impl ServerScore {
-    fn add(&mut self, route_hash: u64, runs: u64, ratio: f64) {
-        self.runs += runs;
+    fn add(&mut self, route_hash: u64, counts: &RunCounts, slow: u64, ratio: f64) {
+        self.total.add(counts, slow, ratio);
         let route = self.routes.entry(route_hash).or_default();
-        for score in [&mut self.total, route] {
-            *score = (*score + ratio).clamp(0.0, SCORE_MAX);
-        }
+        route.add(counts, slow, ratio);
     }
 
     fn is_failing(&self) -> bool {
-        let mut scores = self.routes.values().chain([&self.total]);
-        scores.any(|&score| score >= FAILING_SCORE)
+        self.total.is_failing() || self.routes.values().any(RunScore::is_failing)
     }
 
     fn is_judged(&self) -> bool {
-        self.is_failing() || self.runs >= JUDGED_RUNS
+        self.is_failing() || self.total.runs >= JUDGED_RUNS
     }
 }
 
@@ -183,7 +219,8 @@
         counts: &RunCounts,
     ) {
         let baseline = self.baselines.entry(route_hash).or_default();
-        let bad = baseline.bad_runs(counts);
+        let slow = baseline.slow_runs(counts);
+        let bad = counts.failures + slow;
         let ratio = baseline.log_likelihood_ratio(counts.runs, bad);
         let servers = match side {
             ComparisonSide::Current => {
@@ -197,29 +234,76 @@
             }
         };
         let score = servers.entry(server).or_default();
-        score.add(route_hash, counts.runs, ratio);
+        score.add(route_hash, counts, slow, ratio);
     }
 
     /// Returns the result of the comparison so far.
-    pub fn verdict(&self) -> ComparisonVerdict {
-        let (failing, judged) = failing_and_judged(&self.target);
-        let (current_failing, current_judged) = failing_and_judged(&self.current);
-        let current_share = current_failing as f64 / current_judged.max(1) as f64;
-        let share = (current_share + FAILING_SHARE).min(1.0);
-        let needed = (judged as f64 * share).ceil() as usize;
+    ///
+    /// `servers` is the number of known servers of the target version, and `is_on_trial` tells
+    /// those that get most of its requests now.
+    pub fn verdict(
+        &self,
+        servers: usize,
+        is_on_trial: impl Fn(&SocketAddr) -> bool,
+    ) -> ComparisonVerdict {
+        let target = ServerCount::of(self.target.values());
+        let current = ServerCount::of(self.current.values());
+        let on_trial = self.target.iter().filter(|(server, _)| is_on_trial(server));
+        let on_trial = ServerCount::of(on_trial.map(|(_, score)| score));
+        let needed = servers.clamp(1, FAILING_SERVERS_MIN);
+        let usual_share = current.failing_share();
         ComparisonVerdict {
-            is_bad: failing > 0 && failing >= needed.max(self.target.len().min(2)),
-            is_suspicious: failing > 0,
+            is_bad: target.failing >= needed && target.exceeds(usual_share + BAD_FAILING_SHARE),
+            is_suspicious: on_trial.exceeds(usual_share + SUSPICIOUS_FAILING_SHARE),
             target_runs: self.target_runs,
             target_bad: self.target_bad,
-            failing,
-            judged,
+            failing: target.failing,
+            judged: target.judged,
         }
     }
 }
 
-fn failing_and_judged(servers: &HashMap<SocketAddr, ServerScore>) -> (usize, usize) {
-    let failing = servers.values().filter(|server| server.is_failing());
-    let judged = servers.values().filter(|server| server.is_judged());
-    (failing.count(), judged.count())
+impl fmt::Display for VersionComparison {
+    /// Writes the failing servers of the target version with their failed and slow runs of all,
+    /// and the current version's share of bad runs by route.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (server, score) in self.target.iter().filter(|(_, score)| score.is_failing()) {
+            write!(f, "{server} {}", score.total)?;
+            let routes = score.routes.iter().filter(|(_, route)| route.is_failing());
+            for (route_hash, route) in routes {
+                write!(f, " {route_hash:016x} {route}")?;
+            }
+            f.write_str("; ")?;
+        }
+        f.write_str("usual")?;
+        for (route_hash, baseline) in &self.baselines {
+            write!(f, " {route_hash:016x} {:.3}", baseline.bad_share())?;
+        }
+        Ok(())
+    }
+}
+
+/// Numbers of backend servers by their scores.
+#[derive(Debug, Clone, Copy, Default)]
+struct ServerCount {
+    failing: usize,
+    judged: usize,
+}
+
+impl ServerCount {
+    fn of<'a>(servers: impl Iterator<Item = &'a ServerScore>) -> Self {
+        servers.fold(Self::default(), |count, server| Self {
+            failing: count.failing + usize::from(server.is_failing()),
+            judged: count.judged + usize::from(server.is_judged()),
+        })
+    }
+
+    /// Returns the share of failing servers among those that are judged.
+    fn failing_share(self) -> f64 {
+        self.failing as f64 / self.judged.max(1) as f64
+    }
+
+    fn exceeds(self, share: f64) -> bool {
+        self.failing > 0 && self.failing_share() >= share.min(1.0)
+    }
 }
