--- a/crates/node/src/rollout/decide_rollouts.rs
+++ b/crates/node/src/rollout/decide_rollouts.rs
@@ -45,6 +45,8 @@
     /// Record in the store when the stage was entered.
     entered: RolloutRecord,
     comparison: VersionComparison,
+    /// Why the rollout last stayed in its stage.
+    waits_for: Option<WaitReason>,
     /// Counts of runs in the last report of each node.
     counts: HashMap<SocketAddr, (Option<EndpointStart>, HashMap<u64, RunCounts>)>,
 }
@@ -246,9 +248,12 @@
         let reports = self.gather(&record).await;
         decided.compare(&self.core, &record, &reports);
         let inputs = self.inputs(&decided, &record, &reports, order.is_none());
-        let change = decided.stage.next(self.core.clock.now(), &inputs);
+        let step = decided.stage.next(self.core.clock.now(), &inputs);
+        if let StageStep::Wait(reason) = &step {
+            decided.record_wait(&self.core, &record, *reason, &inputs);
+        }
         self.decided.insert(service.to_owned(), decided);
-        if let Some(change) = change {
+        if let StageStep::Change(change) = step {
             self.apply_change(service, record, change, &inputs).await;
         }
     }
@@ -464,6 +469,7 @@
         stage,
         entered: record.clone(),
         comparison: VersionComparison::default(),
+        waits_for: None,
         counts: HashMap::new(),
     })
 }
--- a/crates/node/src/rollout/mod.rs
+++ b/crates/node/src/rollout/mod.rs
@@ -41,7 +41,7 @@
 pub use rollout_record::{ROLLOUT_PREFIX, RolloutPhase, RolloutRecord, rollout_key};
 pub use rollout_registry::RolloutRegistry;
 pub use rollout_source::{RolloutSource, RolloutStatus};
-pub use rollout_stage::{RolloutInputs, RolloutStage, StageChange};
+pub use rollout_stage::{RolloutInputs, RolloutStage, StageChange, StageStep, WaitReason};
 pub use run_counts::RunCounts;
 pub use run_ledger::{RunLedger, RunOutcome};
 pub use traffic_split::{SplitDecision, TrafficSplit, first_target_count, first_targets};
--- a/crates/node/src/rollout/rollout_stage.rs
+++ b/crates/node/src/rollout/rollout_stage.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use strum::{Display, IntoStaticStr};
+
 use super::{ComparisonVerdict, RolloutPhase, RolloutRecord, traffic_split::first_target_count};
 
 /// Share of the requests for the target version while it is on trial.
@@ -66,6 +68,33 @@
     pub reason: String,
 }
 
+/// Why a rollout stays in its stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum WaitReason {
+    /// No backend server of the target version is ready.
+    NoServer,
+    /// The backend servers on trial fail, and the trial can't move to others now.
+    ServersFail,
+    /// The trial, or the step of the ramp, hasn't lasted long enough.
+    TooShort,
+    /// The target version has run too few requests.
+    TooFewRuns,
+    /// The target version has too few slots outside its slow start.
+    TooFewSlots,
+    /// Requests still run at the earlier version, or its nodes didn't respond.
+    NotDrained,
+}
+
+/// What is due in a rollout.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StageStep {
+    /// The rollout stays in its stage.
+    Wait(WaitReason),
+    /// The rollout changes.
+    Change(StageChange),
+}
+
 /// No backend server of the target version is known.
 #[derive(Debug, Clone, Copy)]
 pub struct Ordered;
@@ -119,23 +148,22 @@
     /// Returns a roll-back for reasons that hold in every stage.
     fn roll_back(&self, inputs: &RolloutInputs) -> Option<StageChange> {
         let verdict = &inputs.verdict;
-        let reason = if verdict.is_bad {
-            format!(
+        if verdict.is_bad {
+            return Some(rolled_back(format!(
                 "{} of {} backend servers fail, {} of {} runs were bad",
                 verdict.failing, verdict.judged, verdict.target_bad, verdict.target_runs
-            )
-        } else if inputs.is_cancelled {
-            "the order was deleted".to_owned()
-        } else {
-            return None;
-        };
-        Some(rolled_back(reason))
+            )));
+        }
+        let cancelled = inputs.is_cancelled;
+        cancelled.then(|| rolled_back("the order was deleted".to_owned()))
     }
 
-    /// Returns a roll-back if backend servers have been missing for too long.
-    fn give_up(&self, now: Duration) -> Option<StageChange> {
-        let overdue = now >= self.ordered_at + self.duration.mul_f64(OVERDUE_FACTOR);
-        overdue.then(|| rolled_back("backend servers of the version are missing".to_owned()))
+    /// Waits, or rolls back if the rollout has taken far longer than its duration.
+    fn wait(&self, now: Duration, reason: WaitReason) -> StageStep {
+        if now < self.ordered_at + self.duration.mul_f64(OVERDUE_FACTOR) {
+            return StageStep::Wait(reason);
+        }
+        StageStep::Change(rolled_back(format!("overdue: {reason}")))
     }
 }
 
@@ -158,12 +186,12 @@
 }
 
 impl Rollout<Ordered> {
-    fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
-        if inputs.target_slots > 0 {
-            let reason = "a backend server of the version is ready";
-            return Some(change(RolloutPhase::Canary, CANARY_SHARE, reason));
+    fn next(&self, now: Duration, inputs: &RolloutInputs) -> StageStep {
+        if inputs.target_slots == 0 {
+            return self.wait(now, WaitReason::NoServer);
         }
-        self.give_up(now)
+        let reason = "a backend server of the version is ready";
+        StageStep::Change(change(RolloutPhase::Canary, CANARY_SHARE, reason))
     }
 
     fn start_canary(self, now: Duration) -> Rollout<Canary> {
@@ -176,24 +204,29 @@
 }
 
 impl Rollout<Canary> {
-    fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+    fn next(&self, now: Duration, inputs: &RolloutInputs) -> StageStep {
         if inputs.verdict.is_suspicious {
-            return self.move_trial(now, inputs).or_else(|| self.give_up(now));
+            let moved = self.move_trial(now, inputs);
+            let wait = || self.wait(now, WaitReason::ServersFail);
+            return moved.map_or_else(wait, StageStep::Change);
         }
-        let share = RAMP_SHARES[0];
         let lasted = now >= self.time_at(CANARY_END)
             && now >= self.stage.since + self.span(CANARY_MIN)
             && now >= self.stage.moved_at + self.span(MOVED_MIN);
+        if !lasted {
+            return self.wait(now, WaitReason::TooShort);
+        }
         let sampled = inputs.verdict.target_runs >= CANARY_RUNS_MIN
             || now >= self.time_at(CANARY_END_FEW_RUNS);
-        if lasted && sampled && has_slots(inputs, share) {
-            return Some(change(
-                RolloutPhase::Ramp,
-                share,
-                "the trial showed no fault",
-            ));
+        if !sampled {
+            return self.wait(now, WaitReason::TooFewRuns);
         }
-        self.give_up(now)
+        let share = RAMP_SHARES[0];
+        if !has_slots(inputs, share) {
+            return self.wait(now, WaitReason::TooFewSlots);
+        }
+        let reason = "the trial showed no fault";
+        StageStep::Change(change(RolloutPhase::Ramp, share, reason))
     }
 
     /// Returns the move of the trial to other backend servers. If those fail as well, the cause is
@@ -231,15 +264,19 @@
 }
 
 impl Rollout<Ramp> {
-    fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+    fn next(&self, now: Duration, inputs: &RolloutInputs) -> StageStep {
+        if inputs.verdict.is_suspicious {
+            return self.wait(now, WaitReason::ServersFail);
+        }
+        if now < self.stage.since + self.span(RAMP_STEP) {
+            return self.wait(now, WaitReason::TooShort);
+        }
         let next_share = RAMP_SHARES.get(self.stage.step + 1).copied();
-        let needed = next_share.unwrap_or(FULL_SLOTS_SHARE);
-        let lasted = now >= self.stage.since + self.span(RAMP_STEP);
-        if !lasted || inputs.verdict.is_suspicious || !has_slots(inputs, needed) {
-            return self.give_up(now);
+        if !has_slots(inputs, next_share.unwrap_or(FULL_SLOTS_SHARE)) {
+            return self.wait(now, WaitReason::TooFewSlots);
         }
         let reason = "the last step showed no fault";
-        Some(match next_share {
+        StageStep::Change(match next_share {
             Some(share) => change(RolloutPhase::Ramp, share, reason),
             None => change(RolloutPhase::Drain, 1.0, reason),
         })
@@ -256,10 +293,12 @@
 }
 
 impl Rollout<Drain> {
-    fn next(inputs: &RolloutInputs) -> Option<StageChange> {
+    fn next(inputs: &RolloutInputs) -> StageStep {
+        if !inputs.is_drained {
+            return StageStep::Wait(WaitReason::NotDrained);
+        }
         let reason = "nothing runs at the earlier version";
-        let complete = || change(RolloutPhase::Completed, 1.0, reason);
-        inputs.is_drained.then(complete)
+        StageStep::Change(change(RolloutPhase::Completed, 1.0, reason))
     }
 }
 
@@ -323,21 +362,22 @@
         }
     }
 
-    /// Returns the change that is due; none while the stage goes on.
-    pub fn next(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+    /// Returns what is due.
+    pub fn next(&self, now: Duration, inputs: &RolloutInputs) -> StageStep {
+        let roll_back = match self {
+            Self::Ordered(rollout) => rollout.roll_back(inputs),
+            Self::Canary(rollout) => rollout.roll_back(inputs),
+            Self::Ramp(rollout) => rollout.roll_back(inputs),
+            Self::Drain(rollout) => rollout.roll_back(inputs),
+        };
+        if let Some(change) = roll_back {
+            return StageStep::Change(change);
+        }
         match self {
-            Self::Ordered(rollout) => rollout
-                .roll_back(inputs)
-                .or_else(|| rollout.next(now, inputs)),
-            Self::Canary(rollout) => rollout
-                .roll_back(inputs)
-                .or_else(|| rollout.next(now, inputs)),
-            Self::Ramp(rollout) => rollout
-                .roll_back(inputs)
-                .or_else(|| rollout.next(now, inputs)),
-            Self::Drain(rollout) => rollout
-                .roll_back(inputs)
-                .or_else(|| Rollout::<Drain>::next(inputs)),
+            Self::Ordered(rollout) => rollout.next(now, inputs),
+            Self::Canary(rollout) => rollout.next(now, inputs),
+            Self::Ramp(rollout) => rollout.next(now, inputs),
+            Self::Drain(_) => Rollout::<Drain>::next(inputs),
         }
     }
 
