--- a/crates/node/src/rollout/decide_rollouts.rs
+++ b/crates/node/src/rollout/decide_rollouts.rs
@@ -14,8 +14,8 @@
 
 use super::{
     ComparisonSide, ComparisonVerdict, ROLLOUT_PATH, RolloutInputs, RolloutPhase, RolloutProbe,
-    RolloutRecord, RolloutReport, RolloutSource, RolloutStage, RunCounts, StageChange,
-    VersionComparison, first_targets, order_book::KnownOrder, rollout_key,
+    RolloutRecord, RolloutReport, RolloutSource, RolloutStage, RunCounts, StageChange, StageStep,
+    VersionComparison, WaitReason, first_targets, order_book::KnownOrder, rollout_key,
 };
 use crate::{
     member::EndpointStart,
@@ -487,6 +487,27 @@
         self.comparison.verdict(targets().count(), is_on_trial)
     }
 
+    /// Logs why the rollout stays in its stage, when that changes.
+    fn record_wait(
+        &mut self,
+        core: &NodeCore,
+        record: &RolloutRecord,
+        reason: WaitReason,
+        inputs: &RolloutInputs,
+    ) {
+        if self.waits_for.replace(reason) == Some(reason) {
+            return;
+        }
+        info!(core.log.logger(), "rollout waits";
+            "service" => &*record.service,
+            "phase" => %record.phase,
+            "reason" => %reason,
+            "elapsed_ms" => record.elapsed(NodeClock::unix_ms()).as_millis() as u64,
+            "runs" => inputs.verdict.target_runs,
+            "warm_target_slots" => inputs.warm_target_slots,
+            "current_slots" => inputs.current_slots);
+    }
+
     /// Compares the runs since the last round.
     fn compare(
         &mut self,
