--- a/crates/node/src/rollout/decide_rollouts.rs
+++ b/crates/node/src/rollout/decide_rollouts.rs
@@ -462,9 +462,9 @@
     seen_at: Option<Duration>,
     record: &RolloutRecord,
 ) -> Option<DecidedRollout> {
-    let recorded_at = now.saturating_sub(record.elapsed(NodeClock::unix_ms()));
-    let ordered_at = seen_at.map_or(recorded_at, |seen_at| seen_at.min(recorded_at));
-    let stage = RolloutStage::resume(now, ordered_at, record)?;
+    let seen = seen_at.map_or(Duration::ZERO, |seen_at| now.saturating_sub(seen_at));
+    let elapsed = record.elapsed(NodeClock::unix_ms()).max(seen);
+    let stage = RolloutStage::resume(now, elapsed, record)?;
     Some(DecidedRollout {
         stage,
         entered: record.clone(),
--- a/crates/node/src/rollout/rollout_stage.rs
+++ b/crates/node/src/rollout/rollout_stage.rs
@@ -102,7 +102,8 @@
 /// The target version is on trial.
 #[derive(Debug, Clone, Copy)]
 pub struct Canary {
-    since: Duration,
+    /// When the trial began; none if another node began it.
+    since: Option<Duration>,
     /// When the trial began at the present backend servers.
     moved_at: Duration,
     first: u32,
@@ -122,7 +123,10 @@
 /// A rollout in one stage. Times are on the clock of the deciding node.
 #[derive(Debug, Clone, Copy)]
 pub struct Rollout<S> {
-    ordered_at: Duration,
+    /// When this node began to decide about the rollout.
+    taken_at: Duration,
+    /// Time since the order at `taken_at`. The order may be older than this node's process.
+    elapsed: Duration,
     duration: Duration,
     stage: S,
 }
@@ -130,15 +134,21 @@
 impl<S> Rollout<S> {
     fn enter<T>(self, stage: T) -> Rollout<T> {
         Rollout {
-            ordered_at: self.ordered_at,
+            taken_at: self.taken_at,
+            elapsed: self.elapsed,
             duration: self.duration,
             stage,
         }
     }
 
-    /// Returns the time at which a share of the rollout's duration has passed.
-    fn time_at(&self, share: f64) -> Duration {
-        self.ordered_at + self.span(share)
+    /// Returns the time since the order.
+    fn elapsed(&self, now: Duration) -> Duration {
+        self.elapsed + now.saturating_sub(self.taken_at)
+    }
+
+    /// Whether a share of the rollout's duration has passed.
+    fn has_passed(&self, now: Duration, share: f64) -> bool {
+        self.elapsed(now) >= self.span(share)
     }
 
     fn span(&self, share: f64) -> Duration {
@@ -160,7 +170,7 @@
 
     /// Waits, or rolls back if the rollout has taken far longer than its duration.
     fn wait(&self, now: Duration, reason: WaitReason) -> StageStep {
-        if now < self.ordered_at + self.duration.mul_f64(OVERDUE_FACTOR) {
+        if self.elapsed(now) < self.duration.mul_f64(OVERDUE_FACTOR) {
             return StageStep::Wait(reason);
         }
         StageStep::Change(rolled_back(format!("overdue: {reason}")))
@@ -196,7 +206,7 @@
 
     fn start_canary(self, now: Duration) -> Rollout<Canary> {
         self.enter(Canary {
-            since: now,
+            since: Some(now),
             moved_at: now,
             first: 0,
         })
@@ -210,14 +220,15 @@
             let wait = || self.wait(now, WaitReason::ServersFail);
             return moved.map_or_else(wait, StageStep::Change);
         }
-        let lasted = now >= self.time_at(CANARY_END)
-            && now >= self.stage.since + self.span(CANARY_MIN)
+        let is_new = |since| now < since + self.span(CANARY_MIN);
+        let lasted = self.has_passed(now, CANARY_END)
+            && !self.stage.since.is_some_and(is_new)
             && now >= self.stage.moved_at + self.span(MOVED_MIN);
         if !lasted {
             return self.wait(now, WaitReason::TooShort);
         }
         let sampled = inputs.verdict.target_runs >= CANARY_RUNS_MIN
-            || now >= self.time_at(CANARY_END_FEW_RUNS);
+            || self.has_passed(now, CANARY_END_FEW_RUNS);
         if !sampled {
             return self.wait(now, WaitReason::TooFewRuns);
         }
@@ -326,29 +337,35 @@
 }
 
 impl RolloutStage {
-    /// Creates the stage of a rollout whose order was seen at `ordered_at`.
-    pub const fn new(ordered_at: Duration, duration: Duration) -> Self {
+    /// Creates the stage of a rollout that was ordered at `now`.
+    pub const fn new(now: Duration, duration: Duration) -> Self {
         Self::Ordered(Rollout {
-            ordered_at,
+            taken_at: now,
+            elapsed: Duration::ZERO,
             duration,
             stage: Ordered,
         })
     }
 
-    /// Creates the stage of a rollout that another node has decided about so far.
+    /// Creates the stage of a rollout that was ordered before `elapsed`.
     ///
-    /// A trial and a step of the ramp begin anew, since the evidence of the other node is gone.
-    /// Returns none for a rollout that has ended.
-    pub fn resume(now: Duration, ordered_at: Duration, record: &RolloutRecord) -> Option<Self> {
+    /// Another node has decided about it so far, or an earlier process of this one. A step of the
+    /// ramp begins anew, since their evidence is gone. Returns none for a rollout that has ended.
+    pub fn resume(now: Duration, elapsed: Duration, record: &RolloutRecord) -> Option<Self> {
         let ordered = Rollout {
-            ordered_at,
+            taken_at: now,
+            elapsed,
             duration: Duration::from_millis(record.duration_ms),
             stage: Ordered,
         };
-        let canary = ordered.start_canary(ordered_at);
+        let canary = ordered.enter(Canary {
+            since: None,
+            moved_at: now,
+            first: record.first,
+        });
         match record.phase {
             RolloutPhase::Ordered => Some(Self::Ordered(ordered)),
-            RolloutPhase::Canary => Some(Self::Canary(canary.moved(now, record.first))),
+            RolloutPhase::Canary => Some(Self::Canary(canary)),
             RolloutPhase::Ramp => {
                 let step = RAMP_SHARES.iter().rposition(|&step| step <= record.share);
                 let stage = Ramp {
