Test rollouts: drawn ones, stages, records, splits, and real processes

Drawn rollouts of every kind on the product's own decisions. They showed: a server that fails by itself hides the same fault of the version (left out of the comparison), servers on trial carried half of the usual load (share 0.08, fewer servers), and moves forgot what they found. Process tests showed that the stand-in gives each key of a write its own revision: the record is written last.

--- a/crates/node/src/rollout/decide_rollouts.rs
+++ b/crates/node/src/rollout/decide_rollouts.rs
@@ -414,9 +414,10 @@
         for _ in 0..2 {
             let expected = self.core.rollouts.borrow().revision(service);
             let status_expected = self.status_revisions.get(service).copied();
+            // The store's response tells the revision of the last write.
             let writes = [
-                StoreWrite::put(&key, &value, expected),
                 StoreWrite::put(&status_key, &status, status_expected.unwrap_or_default()),
+                StoreWrite::put(&key, &value, expected),
             ];
             self.core.metrics.record_store_call("rollout");
             match self.store.commit(&writes).await {
@@ -429,7 +430,9 @@
                 Err(StoreError::Conflict { key, current }) if key == status_key => {
                     self.status_revisions.insert(service.to_owned(), current);
                 }
-                Err(StoreError::Conflict { .. }) => {
+                Err(StoreError::Conflict { current, .. }) => {
+                    info!(self.core.log.logger(), "rollout changed by another node";
+                        "service" => service, "expected" => expected.0, "current" => current.0);
                     self.read_record(service, &key).await;
                     return;
                 }
--- a/crates/node/src/rollout/rollout_stage.rs
+++ b/crates/node/src/rollout/rollout_stage.rs
@@ -7,7 +7,7 @@
 use super::{ComparisonVerdict, RolloutPhase, RolloutRecord, traffic_split::first_target_count};
 
 /// Share of the requests for the target version while it is on trial.
-const CANARY_SHARE: f64 = 0.06;
+const CANARY_SHARE: f64 = 0.08;
 /// Shares of the requests in the ramp, one after the other.
 const RAMP_SHARES: [f64; 2] = [0.25, 0.5];
 /// End of the trial, as a share of the rollout's duration. Faults that show only some time after
@@ -18,9 +18,11 @@
 const CANARY_MIN: f64 = 0.25;
 /// Shortest time of a trial at the same backend servers.
 const MOVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Shortest trial at the last backend servers before the ramp, as a share of the rollout's
+/// Shortest trial at the same backend servers before the ramp, as a share of the rollout's
 /// duration.
 const MOVED_MIN: f64 = 0.1;
+/// Shortest trial after others have failed, like [`MOVED_MIN`].
+const MOVED_AFTER_FAILURES_MIN: f64 = 0.2;
 /// Time of each step of the ramp, as a share of the rollout's duration.
 const RAMP_STEP: f64 = 0.07;
 /// Longest duration from which the times of the stages are taken.
@@ -114,6 +116,9 @@
 pub struct Ramp {
     since: Duration,
     step: usize,
+    /// When the step began at the present backend servers.
+    moved_at: Duration,
+    first: u32,
 }
 
 /// What runs at the earlier version ends.
@@ -155,19 +160,6 @@
         self.duration.min(DURATION_MAX).mul_f64(share)
     }
 
-    /// Returns a roll-back for reasons that hold in every stage.
-    fn roll_back(&self, inputs: &RolloutInputs) -> Option<StageChange> {
-        let verdict = &inputs.verdict;
-        if verdict.is_bad {
-            return Some(rolled_back(format!(
-                "{} of {} backend servers fail, {} of {} runs were bad",
-                verdict.failing, verdict.judged, verdict.target_bad, verdict.target_runs
-            )));
-        }
-        let cancelled = inputs.is_cancelled;
-        cancelled.then(|| rolled_back("the order was deleted".to_owned()))
-    }
-
     /// Waits, or rolls back if the rollout has taken far longer than its duration.
     fn wait(&self, now: Duration, reason: WaitReason) -> StageStep {
         if self.elapsed(now) < self.duration.mul_f64(OVERDUE_FACTOR) {
@@ -177,6 +169,19 @@
     }
 }
 
+/// Returns a roll-back for reasons that hold in every stage.
+fn roll_back(inputs: &RolloutInputs) -> Option<StageChange> {
+    let verdict = &inputs.verdict;
+    if verdict.is_bad {
+        return Some(rolled_back(format!(
+            "{} of {} backend servers fail, {} of {} runs were bad",
+            verdict.failing, verdict.judged, verdict.target_bad, verdict.target_runs
+        )));
+    }
+    let cancelled = inputs.is_cancelled;
+    cancelled.then(|| rolled_back("the order was deleted".to_owned()))
+}
+
 fn rolled_back(reason: String) -> StageChange {
     StageChange {
         phase: RolloutPhase::RolledBack,
@@ -186,6 +191,13 @@
     }
 }
 
+fn moved_to(first: u32, phase: RolloutPhase, share: f64) -> StageChange {
+    StageChange {
+        first,
+        ..change(phase, share, "the backend servers on trial fail")
+    }
+}
+
 fn change(phase: RolloutPhase, share: f64, reason: &str) -> StageChange {
     StageChange {
         phase,
@@ -220,10 +232,15 @@
             let wait = || self.wait(now, WaitReason::ServersFail);
             return moved.map_or_else(wait, StageStep::Change);
         }
+        let moved_min = if self.stage.first == 0 {
+            MOVED_MIN
+        } else {
+            MOVED_AFTER_FAILURES_MIN
+        };
         let is_new = |since| now < since + self.span(CANARY_MIN);
         let lasted = self.has_passed(now, CANARY_END)
             && !self.stage.since.is_some_and(is_new)
-            && now >= self.stage.moved_at + self.span(MOVED_MIN);
+            && now >= self.stage.moved_at + self.span(moved_min);
         if !lasted {
             return self.wait(now, WaitReason::TooShort);
         }
@@ -236,8 +253,10 @@
         if !has_slots(inputs, share) {
             return self.wait(now, WaitReason::TooFewSlots);
         }
-        let reason = "the trial showed no fault";
-        StageStep::Change(change(RolloutPhase::Ramp, share, reason))
+        StageStep::Change(StageChange {
+            first: self.stage.first,
+            ..change(RolloutPhase::Ramp, share, "the trial showed no fault")
+        })
     }
 
     /// Returns the move of the trial to other backend servers. If those fail as well, the cause is
@@ -247,14 +266,8 @@
         let first = self.stage.first + count as u32;
         let has_others = (first as usize) < inputs.target_servers;
         let lasted = now >= self.stage.moved_at + MOVE_INTERVAL;
-        (has_others && lasted).then(|| StageChange {
-            first,
-            ..change(
-                RolloutPhase::Canary,
-                CANARY_SHARE,
-                "the backend servers on trial fail",
-            )
-        })
+        let moved = || moved_to(first, RolloutPhase::Canary, CANARY_SHARE);
+        (has_others && lasted).then(moved)
     }
 
     fn moved(self, now: Duration, first: u32) -> Self {
@@ -267,9 +280,12 @@
     }
 
     fn start_ramp(self, now: Duration) -> Rollout<Ramp> {
+        let first = self.stage.first;
         self.enter(Ramp {
             since: now,
             step: 0,
+            moved_at: now,
+            first,
         })
     }
 }
@@ -277,7 +293,9 @@
 impl Rollout<Ramp> {
     fn next(&self, now: Duration, inputs: &RolloutInputs) -> StageStep {
         if inputs.verdict.is_suspicious {
-            return self.wait(now, WaitReason::ServersFail);
+            let moved = self.move_step(now, inputs);
+            let wait = || self.wait(now, WaitReason::ServersFail);
+            return moved.map_or_else(wait, StageStep::Change);
         }
         if now < self.stage.since + self.span(RAMP_STEP) {
             return self.wait(now, WaitReason::TooShort);
@@ -288,14 +306,40 @@
         }
         let reason = "the last step showed no fault";
         StageStep::Change(match next_share {
-            Some(share) => change(RolloutPhase::Ramp, share, reason),
+            Some(share) => StageChange {
+                first: self.stage.first,
+                ..change(RolloutPhase::Ramp, share, reason)
+            },
             None => change(RolloutPhase::Drain, 1.0, reason),
         })
     }
 
+    /// Returns the move of the step to other backend servers, like [`Rollout::move_trial`].
+    fn move_step(&self, now: Duration, inputs: &RolloutInputs) -> Option<StageChange> {
+        let share = RAMP_SHARES[self.stage.step];
+        let count = first_target_count(inputs.target_servers, share);
+        let lasted = now >= self.stage.moved_at + MOVE_INTERVAL;
+        let has_others = count * 2 <= inputs.target_servers;
+        let moved = || moved_to(self.stage.first + count as u32, RolloutPhase::Ramp, share);
+        (has_others && lasted).then(moved)
+    }
+
+    fn moved(self, now: Duration, first: u32) -> Self {
+        let stage = Ramp {
+            moved_at: now,
+            first,
+            ..self.stage
+        };
+        self.enter(stage)
+    }
+
     fn raise(self, now: Duration) -> Self {
-        let step = self.stage.step + 1;
-        self.enter(Ramp { since: now, step })
+        let stage = Ramp {
+            since: now,
+            step: self.stage.step + 1,
+            ..self.stage
+        };
+        self.enter(stage)
     }
 
     fn start_drain(self) -> Rollout<Drain> {
@@ -371,6 +415,8 @@
                 let stage = Ramp {
                     since: now,
                     step: step.unwrap_or(0),
+                    moved_at: now,
+                    first: record.first,
                 };
                 Some(Self::Ramp(canary.enter(stage)))
             }
@@ -381,13 +427,7 @@
 
     /// Returns what is due.
     pub fn next(&self, now: Duration, inputs: &RolloutInputs) -> StageStep {
-        let roll_back = match self {
-            Self::Ordered(rollout) => rollout.roll_back(inputs),
-            Self::Canary(rollout) => rollout.roll_back(inputs),
-            Self::Ramp(rollout) => rollout.roll_back(inputs),
-            Self::Drain(rollout) => rollout.roll_back(inputs),
-        };
-        if let Some(change) = roll_back {
+        if let Some(change) = roll_back(inputs) {
             return StageStep::Change(change);
         }
         match self {
@@ -411,7 +451,14 @@
             (Self::Canary(rollout), RolloutPhase::Ramp) => {
                 Some(Self::Ramp(rollout.start_ramp(now)))
             }
-            (Self::Ramp(rollout), RolloutPhase::Ramp) => Some(Self::Ramp(rollout.raise(now))),
+            (Self::Ramp(rollout), RolloutPhase::Ramp) => {
+                let is_moved = rollout.stage.first != record.first;
+                Some(Self::Ramp(if is_moved {
+                    rollout.moved(now, record.first)
+                } else {
+                    rollout.raise(now)
+                }))
+            }
             (Self::Ramp(rollout), RolloutPhase::Drain) => Some(Self::Drain(rollout.start_drain())),
             (_, RolloutPhase::Completed | RolloutPhase::RolledBack) => None,
             (stage, _) => Some(stage),
--- a/crates/node/src/rollout/traffic_split.rs
+++ b/crates/node/src/rollout/traffic_split.rs
@@ -123,6 +123,6 @@
 
 /// Returns the number of the target version's members that get most of its requests.
 pub fn first_target_count(members: usize, share: f64) -> usize {
-    let in_proportion = (share * members as f64).round() as usize;
-    in_proportion.max(FIRST_TARGETS_MIN)
+    let in_proportion = share * (1.0 - SPREAD_SHARE) * members as f64;
+    (in_proportion as usize).max(FIRST_TARGETS_MIN)
 }
--- a/crates/node/src/rollout/version_comparison.rs
+++ b/crates/node/src/rollout/version_comparison.rs
@@ -23,14 +23,18 @@
 const FAILING_SCORE: f64 = 6.0;
 /// Upper bound of the score, so that a server whose fault has ended is cleared soon.
 const SCORE_MAX: f64 = 12.0;
-/// Runs after which a server that isn't failing counts as working.
-const JUDGED_RUNS: u64 = 30;
-/// Share of failing servers, above that of the current version, from which on the cause is the
-/// version and not single servers. A bad version affects all of them.
-const BAD_FAILING_SHARE: f64 = 0.6;
-/// Share of failing servers, above that of the current version, from which on the version may be
-/// bad.
+/// Recent runs from which on a server that isn't failing counts as working.
+const JUDGED_RUNS: f64 = 15.0;
+/// Factor on the weight of a server's earlier runs in each round.
+const RECENT_DECAY: f64 = 0.85;
+/// Share of failing servers from which on the cause is the version and not single servers, of
+/// those that have no fault which servers of the current version have as well. A bad version
+/// affects all of them.
+const BAD_FAILING_SHARE: f64 = 0.7;
+/// Share of failing servers from which on the version may be bad, like [`BAD_FAILING_SHARE`].
 const SUSPICIOUS_FAILING_SHARE: f64 = 0.35;
+/// Share of failing servers of the current version from which on versions can't be compared.
+const USUAL_FAILING_MAX: f64 = 0.6;
 /// Number of failing servers that condemn a version, if there are as many. Fewer may have a fault of
 /// their own at the same time.
 const FAILING_SERVERS_MIN: usize = 4;
@@ -167,12 +171,14 @@
 /// it happened.
 #[derive(Debug, Default)]
 struct ServerScore {
+    recent_runs: f64,
     total: RunScore,
     routes: HashMap<u64, RunScore>,
 }
 
 impl ServerScore {
     fn add(&mut self, route_hash: u64, counts: &RunCounts, slow: u64, ratio: f64) {
+        self.recent_runs += counts.runs as f64;
         self.total.add(counts, slow, ratio);
         let route = self.routes.entry(route_hash).or_default();
         route.add(counts, slow, ratio);
@@ -183,7 +189,7 @@
     }
 
     fn is_judged(&self) -> bool {
-        self.is_failing() || self.total.runs >= JUDGED_RUNS
+        self.is_failing() || self.recent_runs >= JUDGED_RUNS
     }
 }
 
@@ -208,6 +214,9 @@
     /// Starts a round of observations; those of earlier rounds lose weight.
     pub fn start_round(&mut self) {
         self.baselines.values_mut().for_each(RouteBaseline::decay);
+        for server in self.current.values_mut().chain(self.target.values_mut()) {
+            server.recent_runs *= RECENT_DECAY;
+        }
     }
 
     /// Adds the runs of one route at one server since the last round.
@@ -224,7 +233,11 @@
         let ratio = baseline.log_likelihood_ratio(counts.runs, bad);
         let servers = match side {
             ComparisonSide::Current => {
-                baseline.add(counts);
+                // A faulty server would hide the same fault of the target version.
+                let known = self.current.get(&server);
+                if !known.is_some_and(ServerScore::is_failing) {
+                    baseline.add(counts);
+                }
                 &mut self.current
             }
             ComparisonSide::Target => {
@@ -253,8 +266,8 @@
         let needed = servers.clamp(1, FAILING_SERVERS_MIN);
         let usual_share = current.failing_share();
         ComparisonVerdict {
-            is_bad: target.failing >= needed && target.exceeds(usual_share + BAD_FAILING_SHARE),
-            is_suspicious: on_trial.exceeds(usual_share + SUSPICIOUS_FAILING_SHARE),
+            is_bad: target.failing >= needed && target.exceeds(usual_share, BAD_FAILING_SHARE),
+            is_suspicious: on_trial.exceeds(usual_share, SUSPICIOUS_FAILING_SHARE),
             target_runs: self.target_runs,
             target_bad: self.target_bad,
             failing: target.failing,
@@ -303,7 +316,11 @@
         self.failing as f64 / self.judged.max(1) as f64
     }
 
-    fn exceeds(self, share: f64) -> bool {
-        self.failing > 0 && self.failing_share() >= share.min(1.0)
+    /// Whether a share of the servers fails, beyond the `usual` share of the current version.
+    ///
+    /// Always false while most servers of the current version fail as well.
+    fn exceeds(self, usual: f64, share: f64) -> bool {
+        let needed = usual + (1.0 - usual) * share;
+        self.failing > 0 && usual < USUAL_FAILING_MAX && self.failing_share() >= needed
     }
 }
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -16,5 +16,6 @@
 mod poison;
 mod queue;
 mod queue_load;
+mod rollout;
 mod starts;
 mod support;
--- /dev/null
+++ b/crates/node/tests/all/rollout/stages.rs
@@ -0,0 +1,192 @@
+//! Stages of a rollout.
+
+use std::time::Duration;
+
+use geranium_node::rollout::{
+    ComparisonVerdict, RolloutInputs, RolloutPhase, RolloutRecord, RolloutStage, StageChange,
+    StageStep, WaitReason,
+};
+
+use super::record;
+
+const DURATION: Duration = Duration::from_secs(16);
+
+/// Inputs of a rollout without a fault.
+const SOUND: RolloutInputs = RolloutInputs {
+    target_slots: 48,
+    warm_target_slots: 48,
+    target_servers: 4,
+    current_slots: 48,
+    verdict: ComparisonVerdict {
+        is_bad: false,
+        is_suspicious: false,
+        target_runs: 100,
+        target_bad: 0,
+        failing: 0,
+        judged: 2,
+    },
+    is_drained: false,
+    is_cancelled: false,
+};
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn expect_change(step: StageStep) -> StageChange {
+    match step {
+        StageStep::Change(change) => change,
+        StageStep::Wait(reason) => panic!("the rollout waits: {reason}"),
+    }
+}
+
+/// Returns the stage of a rollout that was ordered at the start of the clock and is in a phase.
+fn stage(phase: RolloutPhase, share: f64) -> RolloutStage {
+    let record = RolloutRecord {
+        share,
+        ..record(1, phase)
+    };
+    RolloutStage::resume(Duration::ZERO, Duration::ZERO, &record).expect("the rollout goes on")
+}
+
+#[test]
+fn a_sound_rollout_passes_all_stages_in_time() {
+    let mut stage = RolloutStage::new(Duration::ZERO, DURATION);
+    let mut known = record(1, RolloutPhase::Ordered);
+    let mut phases = Vec::new();
+    for tenth in 0..160 {
+        let now = Duration::from_millis(tenth * 100);
+        let inputs = RolloutInputs {
+            is_drained: known.phase == RolloutPhase::Drain,
+            ..SOUND
+        };
+        let StageStep::Change(change) = stage.next(now, &inputs) else {
+            continue;
+        };
+        assert!(change.share >= known.share);
+        phases.push(change.phase);
+        known.phase = change.phase;
+        known.share = change.share;
+        match stage.enter(now, &known) {
+            Some(next) => stage = next,
+            None => break,
+        }
+    }
+    let expected = [
+        RolloutPhase::Canary,
+        RolloutPhase::Ramp,
+        RolloutPhase::Ramp,
+        RolloutPhase::Drain,
+        RolloutPhase::Completed,
+    ];
+    assert_eq!(phases, expected);
+}
+
+/// Guards against a rollout that is never answered, when no backend server of its version appears.
+#[test]
+fn a_version_without_servers_is_rolled_back() {
+    let stage = RolloutStage::new(Duration::ZERO, DURATION);
+    let inputs = RolloutInputs {
+        target_slots: 0,
+        target_servers: 0,
+        ..SOUND
+    };
+    let waits = stage.next(seconds(20), &inputs);
+    assert_eq!(waits, StageStep::Wait(WaitReason::NoServer));
+    let change = expect_change(stage.next(seconds(33), &inputs));
+    assert_eq!(change.phase, RolloutPhase::RolledBack);
+}
+
+/// Guards against moving traffic to fewer or cold backend servers than it needs.
+#[test]
+fn the_ramp_waits_for_warm_slots() {
+    let stage = stage(RolloutPhase::Ramp, 0.5);
+    let inputs = RolloutInputs {
+        warm_target_slots: 30,
+        ..SOUND
+    };
+    let waits = stage.next(seconds(10), &inputs);
+    assert_eq!(waits, StageStep::Wait(WaitReason::TooFewSlots));
+    let change = expect_change(stage.next(seconds(10), &SOUND));
+    assert_eq!((change.phase, change.share), (RolloutPhase::Drain, 1.0));
+}
+
+/// Guards against condemning a version because the backend servers on trial have a fault of their
+/// own.
+#[test]
+fn a_suspicious_trial_moves_to_other_servers() {
+    let stage = stage(RolloutPhase::Canary, 0.06);
+    let verdict = ComparisonVerdict {
+        is_suspicious: true,
+        failing: 2,
+        ..SOUND.verdict
+    };
+    let inputs = RolloutInputs { verdict, ..SOUND };
+    let change = expect_change(stage.next(seconds(3), &inputs));
+    assert_eq!((change.phase, change.first), (RolloutPhase::Canary, 2));
+    let moved = RolloutRecord {
+        first: change.first,
+        share: change.share,
+        ..record(1, RolloutPhase::Canary)
+    };
+    let stage = stage.enter(seconds(3), &moved).expect("the trial goes on");
+    let waits = stage.next(seconds(9), &inputs);
+    assert_eq!(waits, StageStep::Wait(WaitReason::ServersFail));
+}
+
+/// Guards against completing a rollout while requests still run at the earlier version.
+#[test]
+fn completion_waits_until_nothing_runs() {
+    let stage = stage(RolloutPhase::Drain, 1.0);
+    let waits = stage.next(seconds(100), &SOUND);
+    assert_eq!(waits, StageStep::Wait(WaitReason::NotDrained));
+    let inputs = RolloutInputs {
+        is_drained: true,
+        ..SOUND
+    };
+    let change = expect_change(stage.next(seconds(100), &inputs));
+    assert_eq!(change.phase, RolloutPhase::Completed);
+}
+
+/// Guards against a bad version, or a deleted order, that is noticed in one phase only.
+#[test]
+fn a_rollout_is_rolled_back_in_every_phase() {
+    let verdict = ComparisonVerdict {
+        is_bad: true,
+        ..SOUND.verdict
+    };
+    let bad = RolloutInputs { verdict, ..SOUND };
+    let cancelled = RolloutInputs {
+        is_cancelled: true,
+        ..SOUND
+    };
+    for phase in [
+        RolloutPhase::Ordered,
+        RolloutPhase::Canary,
+        RolloutPhase::Ramp,
+        RolloutPhase::Drain,
+    ] {
+        for inputs in [bad, cancelled] {
+            let change = expect_change(stage(phase, 0.5).next(seconds(1), &inputs));
+            assert_eq!(
+                (change.phase, change.share),
+                (RolloutPhase::RolledBack, 0.0)
+            );
+        }
+    }
+}
+
+/// Guards against a rollout that begins anew when its deciding node is restarted.
+#[test]
+fn a_resumed_trial_counts_the_time_before() {
+    let record = RolloutRecord {
+        share: 0.06,
+        ..record(1, RolloutPhase::Canary)
+    };
+    let resumed = RolloutStage::resume(Duration::ZERO, seconds(8), &record);
+    let stage = resumed.expect("the rollout goes on");
+    let waits = stage.next(seconds(1), &SOUND);
+    assert_eq!(waits, StageStep::Wait(WaitReason::TooShort));
+    let change = expect_change(stage.next(seconds(2), &SOUND));
+    assert_eq!(change.phase, RolloutPhase::Ramp);
+}
--- a/crates/rig/src/rig_endpoint.rs
+++ b/crates/rig/src/rig_endpoint.rs
@@ -281,6 +281,7 @@
             service: machine.service.clone(),
             address: machine.addrs.endpoint,
             data_centre: machine.data_centre.clone(),
+            version: "v1".to_owned(),
             slots: SLOTS,
             state: self.reported,
             sequence: self.sequence,
--- a/crates/rig/src/rig_node.rs
+++ b/crates/rig/src/rig_node.rs
@@ -112,6 +112,7 @@
             store,
             link_mbps: 1_000.0,
             first_start: true,
+            has_rollouts: false,
         };
         let settings = plan.directory.join(format!("{}.toml", machine.name()));
         let mut node = Self {
--- a/crates/standins/src/heartbeat.rs
+++ b/crates/standins/src/heartbeat.rs
@@ -25,6 +25,8 @@
     pub address: SocketAddr,
     /// Data centre of the backend server.
     pub data_centre: String,
+    /// Version of the backend server's software.
+    pub version: String,
     /// Requests that the backend server runs concurrently.
     pub slots: u32,
     /// Reported state.
@@ -49,8 +51,8 @@
             .born_ms
             .map_or(String::new(), |born_ms| format!(r#","born":{born_ms}"#));
         format!(
-            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","Slots":{},"State":"{state}","ColdRemainingS":0.5,"Seq":{},"New":1{born_field}}}"#,
-            self.service, self.address, self.data_centre, self.slots, self.sequence
+            r#"{{"Service":"{}","Address":"{}","Zone":"{}","Version":"{}","Slots":{},"State":"{state}","ColdRemainingS":0.5,"Seq":{},"New":1{born_field}}}"#,
+            self.service, self.address, self.data_centre, self.version, self.slots, self.sequence
         )
     }
 }
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -44,6 +44,8 @@
     pub link_mbps: f64,
     /// Whether the whole fleet starts for the first time (`Bootstrap`).
     pub first_start: bool,
+    /// Whether operators order rollouts (a contract of the platform).
+    pub has_rollouts: bool,
 }
 
 impl Machine {
@@ -65,6 +67,11 @@
         let (zone, service, store) = (&self.data_centre, &self.service, self.store);
         let (app, link_mbps) = (self.app_addr, self.link_mbps);
         let first_start = self.first_start;
+        let contracts = if self.has_rollouts {
+            r#"["base", "rollout"]"#
+        } else {
+            r#"["base"]"#
+        };
         format!(
             r#"[LocalNode]
 Node = "{name}"
@@ -86,6 +93,8 @@
 [Provider.Provider]
 Address = "{store}"
 form = "kv"
+[Terms]
+Contracts = {contracts}
 [Terms.Bounds]
 DrainS = 2
 GraceS = 6
