Tell nodes of a roll-back that the store doesn't hold yet

rollouts::a_bad_version_is_refused_while_the_store_is_away failed: the decider sent the state under the revision of the one in the store, and the nodes took it for old. All seven process tests pass.

--- a/crates/node/src/rollout/decide_rollouts.rs
+++ b/crates/node/src/rollout/decide_rollouts.rs
@@ -300,7 +300,12 @@
     fn probe_of(&self, record: &RolloutRecord, wants_counts: bool) -> RolloutProbe {
         RolloutProbe {
             record: record.clone(),
-            revision: self.core.rollouts.borrow().revision(&record.service).0,
+            revision: self
+                .core
+                .rollouts
+                .borrow()
+                .saved_revision(&record.service)
+                .0,
             wants_counts,
         }
     }
--- a/crates/node/src/rollout/rollout_registry.rs
+++ b/crates/node/src/rollout/rollout_registry.rs
@@ -91,6 +91,13 @@
         known.map_or(Revision(0), |known| known.revision)
     }
 
+    /// Returns the revision under which the store holds this state of a service's rollout; 0 if it
+    /// holds another state or none.
+    pub fn saved_revision(&self, service: &str) -> Revision {
+        let saved = self.rollouts.get(service).filter(|known| !known.unsaved);
+        saved.map_or(Revision(0), |known| known.revision)
+    }
+
     /// Yields the latest rollout of each service.
     pub fn records(&self) -> impl Iterator<Item = &RolloutRecord> {
         self.rollouts.values().map(|known| &known.record)
@@ -101,7 +108,7 @@
         let newer = self
             .rollouts
             .values()
-            .filter(|known| known.revision > since);
+            .filter(|known| known.revision > since && !known.unsaved);
         newer
             .map(|known| (known.revision.0, known.record.clone()))
             .collect()
