Ask before a large body is sent where the service is short

A member is now asked whether it would admit a request with a body over 1 kB, and is sent it only then. Nodes of an earlier build answer 400 and are sent the request. Ruled out: giving up after the first refusal, which leaves free places elsewhere unused.

--- a/crates/node/src/header_names.rs
+++ b/crates/node/src/header_names.rs
@@ -28,6 +28,10 @@
 /// Routing data of a request that one node sends to another:
 /// [`PeerRequestHeader`](crate::transport::PeerRequestHeader).
 pub const PEER_REQUEST_HEADER: HeaderName = HeaderName::from_static("geranium-hop");
+/// Routing data of a request that a node is about to send, in a question whether the other node
+/// would admit it: [`PeerRequestHeader`](crate::transport::PeerRequestHeader). A node that doesn't
+/// know such questions takes none for a request, as they don't have [`PEER_REQUEST_HEADER`].
+pub const PEER_ADMISSION_HEADER: HeaderName = HeaderName::from_static("geranium-admission");
 /// Load of the backend server: [`LoadReport`](crate::member::LoadReport).
 pub const PEER_LOAD_HEADER: HeaderName = HeaderName::from_static("geranium-load");
 /// Reason why the request certainly didn't run:
@@ -53,8 +57,9 @@
     HeaderName::from_static("proxy-connection"),
 ];
 /// Headers that only nodes send to each other.
-const PEER_HEADERS: [HeaderName; 6] = [
+const PEER_HEADERS: [HeaderName; 7] = [
     PEER_REQUEST_HEADER,
+    PEER_ADMISSION_HEADER,
     PEER_LOAD_HEADER,
     PEER_REFUSAL_HEADER,
     PEER_FAILURE_HEADER,
--- a/crates/node/src/inbound/admission_queue.rs
+++ b/crates/node/src/inbound/admission_queue.rs
@@ -110,6 +110,13 @@
     planned_wait: Duration,
 }
 
+/// Position of a request that is to wait.
+#[derive(Debug, Clone, Copy)]
+struct PlannedWait {
+    key: QueueKey,
+    queued: QueuedRequest,
+}
+
 impl AdmissionQueue {
     /// Creates an empty queue in front of `slots` slots; at least one is assumed.
     pub fn new(slots: u32) -> Self {
@@ -199,15 +206,67 @@
             return AdmissionDecision::Busy;
         }
         self.statistics.record_request(now, route);
-        let run_time = self.statistics.mean_run_time_of(route);
-        let late = !request.is_nested && now + run_time > request.target_deadline;
         if may_start {
             self.running += 1;
-            self.record_decision(route, late, true);
+            self.record_decision(route, self.is_late(now, &request), true);
             return AdmissionDecision::Run;
         }
+        match self.plan_wait(now, &request) {
+            Ok(plan) => {
+                let (key, latest) = (plan.key, plan.queued.latest);
+                self.waiting.insert(key, plan.queued);
+                AdmissionDecision::Wait { key, latest }
+            }
+            Err(wait) => self.refuse(route, self.is_late(now, &request), wait),
+        }
+    }
+
+    /// Decides whether a request would be admitted, for a sender that hasn't sent it yet.
+    ///
+    /// A refusal counts like that of a request. An admitted request counts once it arrives.
+    /// Returns the time after which the queue is expected to accept a request that is refused.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request would be refused.
+    pub fn preview(&mut self, now: Duration, request: AdmissionRequest) -> Result<(), Duration> {
+        if self.may_start(request.is_nested) {
+            return Ok(());
+        }
+        let route = RankedRoute {
+            rank: request.rank,
+            route_hash: request.route_hash,
+        };
+        let planned = self.plan_wait(now, &request);
+        planned.map(drop).map_err(|wait| {
+            self.statistics.record_request(now, route);
+            self.refuse(route, self.is_late(now, &request), wait);
+            wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX)
+        })
+    }
+
+    /// Whether the response to a new request can't arrive by its target time.
+    fn is_late(&self, now: Duration, request: &AdmissionRequest) -> bool {
+        let run_time = self.mean_run_time_of(request.route_hash);
+        !request.is_nested && now + run_time > request.target_deadline
+    }
+
+    /// Plans the wait of a request for which no slot is free.
+    ///
+    /// Fails with the time by which the request would start too late.
+    fn plan_wait(
+        &mut self,
+        now: Duration,
+        request: &AdmissionRequest,
+    ) -> Result<PlannedWait, Duration> {
+        let route = RankedRoute {
+            rank: request.rank,
+            route_hash: request.route_hash,
+        };
+        let run_time = self.statistics.mean_run_time_of(route);
+        let late = self.is_late(now, request);
         if !request.is_nested && self.statistics.is_ahead(now, route) {
-            return self.refuse(route, late, self.wait());
+            return Err(self.wait());
         }
         self.order += 1;
         let key = QueueKey {
@@ -229,7 +288,7 @@
         let planned_wait = self.wait_before(key);
         let start = now + self.statistics.expected_wait(route, late, planned_wait);
         if start > latest {
-            return self.refuse(route, late, start.saturating_sub(latest));
+            return Err(start.saturating_sub(latest));
         }
         let queued = QueuedRequest {
             route,
@@ -238,8 +297,7 @@
             requested_at: now,
             planned_wait,
         };
-        self.waiting.insert(key, queued);
-        AdmissionDecision::Wait { key, latest }
+        Ok(PlannedWait { key, queued })
     }
 
     /// Returns how long a new request with this mean run time may wait. Returns `None` after a
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -6,6 +6,7 @@
 //! [`EndpointBreaker`] whether runs complete at all. None of these does I/O; [`InboundProxy`]
 //! combines them with the connections to the backend server.
 
+mod admission_preview;
 mod admission_queue;
 mod crash_admission;
 mod endpoint_breaker;
--- a/crates/node/src/outbound/mod.rs
+++ b/crates/node/src/outbound/mod.rs
@@ -9,6 +9,7 @@
 //! which may make several. Despite its name, a route's `attempts` limits the tries that
 //! reach a backend server for one attempt.
 
+mod admission_query;
 mod caller_input;
 mod deadline_tracker;
 mod failed_try;
@@ -21,6 +22,7 @@
 mod try_record;
 mod try_sender;
 
+pub use admission_query::ADMISSION_PATH;
 pub use deadline_tracker::DeadlineTracker;
 pub use in_flight_guard::InFlightGuard;
 pub use local_reply::LocalReply;
--- a/crates/node/src/outbound/try_flow.rs
+++ b/crates/node/src/outbound/try_flow.rs
@@ -1,6 +1,6 @@
 //! Sequence of tries of one request.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use http::Response;
 use hyper::body::Body;
@@ -21,6 +21,12 @@
     retry::RetryQuery,
 };
 
+/// Largest body in bytes that is sent to a member without asking whether it would be admitted. The
+/// question and its answer have about half of that.
+const UNASKED_BODY_MAX_BYTES: usize = 1_024;
+/// Longest wait for a member's answer whether it would admit a request.
+const ADMISSION_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// A member that the request is sent to next, or was sent to.
 #[derive(Debug, Clone)]
 pub(super) struct NextTry {
@@ -50,6 +56,11 @@
         loop {
             let next = self.next_try(tries)?;
             tries.begin(next.key);
+            if let Err(failure) = self.ask_admission(&next).await {
+                self.record_failure(tries, &next, failure);
+                tries.last_member = Some(next.record);
+                continue;
+            }
             let (sent_try, result) = self.send_with_hedge(next, tries).await;
             match result {
                 Ok(response) => {
@@ -71,6 +82,24 @@
         }
     }
 
+    /// Asks a member whether it would admit the request, where a refusal would waste a large body.
+    ///
+    /// The request is sent unasked while the service has free slots, as refusals are rare then.
+    async fn ask_admission(self, next: &NextTry) -> Result<(), TryFailure> {
+        let is_local = next.record.peer_addr == self.core.settings.peer_addr;
+        let is_large = self.request.body.len() > UNASKED_BODY_MAX_BYTES;
+        if is_local || !is_large || !next.may_wait {
+            return Ok(());
+        }
+        let asked = self.try_sender(next).ask_admission(next.key, &next.record);
+        match timeout(ADMISSION_TIMEOUT, asked).await {
+            Ok(admission) => admission,
+            Err(_elapsed) => Err(TryFailure::Unreachable(
+                "no answer about admission".to_owned(),
+            )),
+        }
+    }
+
     /// Records a response, and returns it unless another member is to be tried.
     ///
     /// Another member is tried only after a failure. That failure is kept as the fallback
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -160,16 +160,7 @@
         let request = self.request;
         let header_names = &self.core.headers;
         let now = Instant::now();
-        let peer_header = PeerRequestHeader {
-            rank: request.route.rank,
-            route_hash: request.route.route_hash,
-            is_nested: request.is_nested,
-            idempotent: request.route.kind.is_idempotent(),
-            may_wait: self.may_wait,
-            target_remaining: request.target_deadline.saturating_duration_since(now),
-            version: self.core.version(),
-            from: self.core.settings.peer_addr,
-        };
+        let peer_header = self.peer_header(now);
         let remaining = request.ends_at.saturating_duration_since(now);
         let mut headers = request.headers.clone();
         headers.insert(
@@ -189,8 +180,28 @@
         peer_request
     }
 
+    /// Returns the header with the routing data of the request.
+    pub(super) fn peer_header(self, now: Instant) -> PeerRequestHeader {
+        let request = self.request;
+        PeerRequestHeader {
+            rank: request.route.rank,
+            route_hash: request.route.route_hash,
+            is_nested: request.is_nested,
+            idempotent: request.route.kind.is_idempotent(),
+            may_wait: self.may_wait,
+            target_remaining: request.target_deadline.saturating_duration_since(now),
+            version: self.core.version(),
+            from: self.core.settings.peer_addr,
+        }
+    }
+
     /// Records the load and the configuration version that the other node reports.
-    fn record_peer_headers(self, key: MemberKey, record: &MemberRecord, headers: &HeaderMap) {
+    pub(super) fn record_peer_headers(
+        self,
+        key: MemberKey,
+        record: &MemberRecord,
+        headers: &HeaderMap,
+    ) {
         if let Some(load) = parse_header::<LoadReport>(headers, &PEER_LOAD_HEADER) {
             self.core
                 .record_load(key, self.request.route.route_hash, load);
@@ -228,6 +239,9 @@
     }
 }
 
-fn parse_header<T: std::str::FromStr>(headers: &HeaderMap, name: &header::HeaderName) -> Option<T> {
+pub(super) fn parse_header<T: std::str::FromStr>(
+    headers: &HeaderMap,
+    name: &header::HeaderName,
+) -> Option<T> {
     header_text(headers, name)?.parse().ok()
 }
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::time::Duration;
@@ -14,12 +14,13 @@
     delegation::{DELEGATED_CALL_PATH, DelegatedCallHandler},
     discovery::{UPDATE_PATH, UpdateHandler},
     header_names::{
-        PEER_DIAGNOSIS_HEADER, PEER_FAILURE_HEADER, PEER_LOAD_HEADER, PEER_REFUSAL_HEADER,
-        PEER_REQUEST_HEADER, PEER_VERSION_HEADER, header_text, set_header,
+        PEER_ADMISSION_HEADER, PEER_DIAGNOSIS_HEADER, PEER_FAILURE_HEADER, PEER_LOAD_HEADER,
+        PEER_REFUSAL_HEADER, PEER_REQUEST_HEADER, PEER_VERSION_HEADER, header_text, set_header,
         strip_connection_headers,
     },
-    inbound::{InboundError, InboundRefusal, InboundRequest, RefusalReason},
+    inbound::{AdmissionRequest, InboundError, InboundRefusal, InboundRequest, RefusalReason},
     node_core::NodeCore,
+    outbound::ADMISSION_PATH,
     request_origin::RequestOrigin,
     response_body::{ResponseBody, empty_response},
     rollout::{ROLLOUT_PATH, RolloutHandler},
@@ -53,6 +54,8 @@
         } else if incoming.uri().path() == CRASH_PATH {
             let handler = CrashHandler::new(Rc::clone(&self.core));
             handler.handle(incoming).await
+        } else if incoming.uri().path() == ADMISSION_PATH {
+            self.preview(&incoming)
         } else if incoming.uri().path() == ROLLOUT_PATH {
             let handler = RolloutHandler::new(Rc::clone(&self.core));
             handler.handle(incoming).await
@@ -100,6 +103,42 @@
         response
     }
 
+    /// Says whether a request would be admitted that another node is about to send.
+    fn preview(&self, incoming: &Request<Incoming>) -> Response<ResponseBody> {
+        let headers = incoming.headers();
+        let peer_header = header_text(headers, &PEER_ADMISSION_HEADER)
+            .and_then(|text| text.parse::<PeerRequestHeader>().ok());
+        let Some(peer_header) = peer_header else {
+            return empty_response(StatusCode::BAD_REQUEST);
+        };
+        let remaining = self.remaining(headers);
+        let now = self.core.clock.now();
+        let admission_request = AdmissionRequest {
+            rank: peer_header.rank,
+            route_hash: peer_header.route_hash,
+            is_nested: peer_header.is_nested,
+            may_wait: peer_header.may_wait,
+            target_deadline: now + peer_header.target_remaining,
+            ends_at: now + remaining,
+        };
+        let instance = header_text(headers, &self.core.headers.expected_instance);
+        let previewed = self.core.inbound.preview(admission_request, instance);
+        let mut response = match previewed {
+            Err(InboundError::Refused { refusal }) => refusal_response(&refusal),
+            Ok(()) | Err(InboundError::ResponseLost { .. }) => empty_response(StatusCode::OK),
+        };
+        let load = self.core.inbound.load(peer_header.route_hash);
+        set_header(response.headers_mut(), &PEER_LOAD_HEADER, &load.to_string());
+        response
+    }
+
+    /// Returns the time that a request has left; zero if it doesn't say.
+    fn remaining(&self, headers: &HeaderMap) -> Duration {
+        let remaining =
+            header_text(headers, &self.core.headers.deadline_ms).and_then(|text| text.parse().ok());
+        Duration::from_millis(remaining.unwrap_or(0))
+    }
+
     fn inbound_request(
         &self,
         head: http::request::Parts,
@@ -108,9 +147,7 @@
         now: Instant,
     ) -> InboundRequest {
         let header_names = &self.core.headers;
-        let remaining = header_text(&head.headers, &header_names.deadline_ms)
-            .and_then(|text| text.parse().ok());
-        let remaining = Duration::from_millis(remaining.unwrap_or(0));
+        let remaining = self.remaining(&head.headers);
         let instance =
             header_text(&head.headers, &header_names.expected_instance).map(ToOwned::to_owned);
         let mut headers = head.headers;
--- a/crates/node/tests/all/queue.rs
+++ b/crates/node/tests/all/queue.rs
@@ -230,3 +230,33 @@
     assert!(!queue.pause_starts());
     assert_eq!(queue.finish(at(10), 1, Some(at(10))), [waiting]);
 }
+
+/// Guards against a request that is sent for nothing: the preview says what admission would say.
+#[test]
+fn a_preview_agrees_with_the_admission_that_follows() {
+    for running in 0..12 {
+        let mut queue = warmed_up(4);
+        for _ in 0..running {
+            queue.admit(at(0), request(1, 1, 1_000));
+        }
+        let previewed = queue.preview(at(0), request(1, 1, 1_000));
+        let admitted = queue.admit(at(0), request(1, 1, 1_000));
+        let is_refused = matches!(admitted, AdmissionDecision::Refuse { .. });
+        assert_eq!(previewed.is_err(), is_refused, "{running} running");
+    }
+}
+
+/// Guards against a preview that takes a slot or a position in the queue.
+#[test]
+fn a_preview_reserves_nothing() {
+    let mut queue = warmed_up(1);
+    for _ in 0..10 {
+        assert_eq!(queue.preview(at(0), request(1, 1, 1_000)), Ok(()));
+    }
+    assert_eq!((queue.running(), queue.waiting()), (0, 0));
+    queue.admit(at(0), request(1, 1, 1_000));
+    for _ in 0..10 {
+        assert_eq!(queue.preview(at(0), request(1, 1, 1_000)), Ok(()));
+    }
+    assert_eq!((queue.running(), queue.waiting()), (1, 0));
+}
