--- a/crates/node/src/rollout/mod.rs
+++ b/crates/node/src/rollout/mod.rs
@@ -19,7 +19,10 @@
 //!
 //! Apart from [`decide_rollouts`] and [`RolloutHandler`], nothing here does I/O.
 
+mod commit_rollout;
 mod decide_rollouts;
+mod decided_rollout;
+mod gather_reports;
 mod order_book;
 mod rollout_handler;
 mod rollout_messages;
@@ -30,6 +33,7 @@
 mod rollout_stage;
 mod run_counts;
 mod run_ledger;
+mod send_probe;
 mod traffic_split;
 mod version_comparison;
 
