--- a/crates/node/src/rollout/traffic_split.rs
+++ b/crates/node/src/rollout/traffic_split.rs
@@ -9,8 +9,6 @@
 /// Share of the requests for the target version that go to any of its backend servers, and not
 /// to the first ones. Each of them is seen working before it has to carry its full load.
 const SPREAD_SHARE: f64 = 0.2;
-/// Share of the requests from which on all backend servers of the target version get them.
-const ALL_TARGETS_SHARE: f64 = 0.5;
 /// Smallest number of backend servers on trial.
 const FIRST_TARGETS_MIN: usize = 2;
 /// Failures of the target version in this node's own requests, less its successes, after which
@@ -124,13 +122,7 @@
 }
 
 /// Returns the number of the target version's members that get most of its requests.
-///
-/// From [`ALL_TARGETS_SHARE`] on, all of them do: by then they have been as busy as usual, and both
-/// versions together have slots to spare.
 pub fn first_target_count(members: usize, share: f64) -> usize {
-    if share >= ALL_TARGETS_SHARE {
-        return members;
-    }
     let in_proportion = share * (1.0 - SPREAD_SHARE) * members as f64;
     (in_proportion as usize).max(FIRST_TARGETS_MIN)
 }
--- a/crates/node/src/rollout/version_comparison.rs
+++ b/crates/node/src/rollout/version_comparison.rs
@@ -30,7 +30,7 @@
 /// Share of failing servers from which on the cause is the version and not single servers, of
 /// those that have no fault which servers of the current version have as well. A bad version
 /// affects all of them.
-const BAD_FAILING_SHARE: f64 = 0.75;
+const BAD_FAILING_SHARE: f64 = 0.7;
 /// Share of failing servers from which on the version may be bad, like [`BAD_FAILING_SHARE`].
 const SUSPICIOUS_FAILING_SHARE: f64 = 0.35;
 /// Share of failing servers of the current version from which on versions can't be compared.
