Suspend after a completed rollout only what it drained

A server that starts after a completed rollout, of a later version that comes without an order, would have been refused for good. Found by reading the code. The new test wasn't run on the code before, whose function has no argument for it.

--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -132,8 +132,10 @@
     pub(super) breaker: RefCell<EndpointBreaker>,
     pub(super) nested_call_detector: RefCell<NestedCallDetector>,
     stopping_since: Cell<Option<Duration>>,
-    /// Time from which a rollout has requests refused; none if it doesn't.
-    pub(super) suspended_from: Cell<Option<Duration>>,
+    /// Start from which a rollout keeps requests away; none if it doesn't.
+    pub(super) suspended_start: RefCell<Option<EndpointStart>>,
+    /// Time from which requests for the suspended start are refused.
+    pub(super) suspended_from: Cell<Duration>,
     pub(super) ledger: RefCell<RunLedger>,
 }
 
@@ -170,7 +172,8 @@
             breaker: RefCell::default(),
             nested_call_detector: RefCell::default(),
             stopping_since: Cell::new(None),
-            suspended_from: Cell::new(None),
+            suspended_start: RefCell::default(),
+            suspended_from: Cell::default(),
             ledger: RefCell::default(),
         }
     }
--- a/crates/node/src/inbound/rollout_admission.rs
+++ b/crates/node/src/inbound/rollout_admission.rs
@@ -13,15 +13,17 @@
 };
 
 impl InboundProxy {
-    /// Begins or ends the refusal of requests because of a rollout. Returns whether that changed
-    /// anything.
+    /// Begins the refusal of requests for the start `suspended` because of a rollout, or ends it.
+    /// Returns whether that changed anything.
     ///
     /// Requests are refused at once, or else after [`leaving_grace`], in which other nodes learn
     /// that they have to send them elsewhere.
     ///
     /// [`leaving_grace`]: super::InboundSettings::leaving_grace
-    pub fn suspend(&self, suspended: bool, at_once: bool) -> bool {
-        if suspended == self.suspended_from.get().is_some() {
+    pub fn suspend(&self, suspended: Option<EndpointStart>, at_once: bool) -> bool {
+        let is_new = suspended.is_some() != self.is_suspended();
+        *self.suspended_start.borrow_mut() = suspended;
+        if !is_new {
             return false;
         }
         let grace = if at_once {
@@ -29,20 +31,24 @@
         } else {
             self.settings.leaving_grace
         };
-        let from = suspended.then(|| self.inner.clock.now() + grace);
+        let from = self.inner.clock.now() + grace;
         self.suspended_from.set(from);
         true
     }
 
+    /// Whether a rollout keeps requests away from this start of the backend server.
+    pub fn is_start_suspended(&self, start: &EndpointStart) -> bool {
+        self.suspended_start.borrow().as_ref() == Some(start)
+    }
+
     /// Whether a rollout keeps new requests away from the backend server.
-    pub const fn is_suspended(&self) -> bool {
-        self.suspended_from.get().is_some()
+    pub fn is_suspended(&self) -> bool {
+        self.suspended_start.borrow().is_some()
     }
 
     /// Whether requests are refused because of a rollout.
     pub(super) fn refuses_by_rollout(&self) -> bool {
-        let from = self.suspended_from.get();
-        from.is_some_and(|from| self.inner.clock.now() >= from)
+        self.is_suspended() && self.inner.clock.now() >= self.suspended_from.get()
     }
 
     /// Whether requests are refused because of a rollout and none is at the backend server, nor a
--- a/crates/node/src/node_core/rollouts.rs
+++ b/crates/node/src/node_core/rollouts.rs
@@ -117,20 +117,28 @@
     /// Begins or ends the refusal of requests for the local backend server, as its service's
     /// rollout demands.
     pub fn update_suspension(&self) {
-        let (service, version) = {
+        let (start, service, version) = {
             let tracker = self.inbound.tracker().borrow();
             let Some(current) = tracker.current() else {
                 return;
             };
             let report = &current.report;
-            (report.service.clone(), report.version.clone())
+            (
+                report.start.clone(),
+                report.service.clone(),
+                report.version.clone(),
+            )
         };
         let rollouts = self.rollouts.borrow();
-        let suspended = rollouts.suspends(&service, version.as_ref());
+        let was_suspended = self.inbound.is_start_suspended(&start);
+        let suspended = rollouts.suspends(&service, version.as_ref(), was_suspended);
         let rolled_back = rollouts
             .get(&service)
             .is_some_and(|record| record.phase == RolloutPhase::RolledBack);
-        if self.inbound.suspend(suspended, rolled_back) {
+        if self
+            .inbound
+            .suspend(suspended.then_some(start), rolled_back)
+        {
             info!(self.log.logger(), "backend server suspended by a rollout";
                 "suspended" => suspended,
                 "service" => service,
--- a/crates/node/src/rollout/rollout_registry.rs
+++ b/crates/node/src/rollout/rollout_registry.rs
@@ -116,15 +116,23 @@
 
     /// Whether a rollout keeps new requests away from a backend server of `service`.
     ///
-    /// `version` is that of the backend server; none if it reported none.
-    pub fn suspends(&self, service: &str, version: Option<&EndpointVersion>) -> bool {
+    /// `version` is that of the backend server, none if it reported none, and `was_suspended` says
+    /// whether this start of it is kept from requests already. A completed rollout suspends no
+    /// others: what is started after it may run a later version that came without an order.
+    pub fn suspends(
+        &self,
+        service: &str,
+        version: Option<&EndpointVersion>,
+        was_suspended: bool,
+    ) -> bool {
         let Some(record) = self.get(service) else {
             return false;
         };
         let is_target = version == Some(&record.target);
         match record.phase {
             RolloutPhase::RolledBack => is_target,
-            RolloutPhase::Drain | RolloutPhase::Completed => !is_target,
+            RolloutPhase::Drain => !is_target,
+            RolloutPhase::Completed => was_suspended && !is_target,
             RolloutPhase::Ordered | RolloutPhase::Canary | RolloutPhase::Ramp => false,
         }
     }
