--- a/crates/node/src/inbound/admission_queue.rs
+++ b/crates/node/src/inbound/admission_queue.rs
@@ -235,8 +235,9 @@
     /// Decides whether a request would be admitted, for a sender that hasn't sent it yet.
     ///
     /// A refusal counts like that of a request. An admission counts against further previews until
-    /// the request arrives, so that not all senders that ask in the same moment are told the same.
-    /// It is no promise: the request may still be refused. Returns the time after which the queue is expected to accept a request that is refused.
+    /// the request arrives, so that senders that ask in the same moment don't all get the same
+    /// answer. The request may still be refused when it arrives. Returns the time after which the
+    /// queue is expected to accept a request that is refused.
     ///
     /// # Errors
     ///
--- a/crates/node/src/rollout/decide_rollouts.rs
+++ b/crates/node/src/rollout/decide_rollouts.rs
@@ -41,7 +41,7 @@
 /// Decides about rollouts until the node ends.
 ///
 /// Any node that watches the store may decide. The relay of the first data centre that knows an
-/// order takes it up. The others ask whether it still lives, and one of them takes over if it
+/// order takes it up. The others ask whether it still responds, and one of them takes over if it
 /// doesn't. Each decision is a conditional write, so that of two nodes that both believe to
 /// decide only one can.
 pub async fn decide_rollouts(core: Rc<NodeCore>, store: Rc<impl MetaStore>, source: RolloutSource) {
@@ -169,7 +169,7 @@
         self.commit(service, record).await;
     }
 
-    /// Asks the deciding node whether it still lives, and takes over if it doesn't.
+    /// Asks the deciding node whether it still decides, and takes over if it doesn't respond.
     async fn watch_decider(&mut self, service: &str, record: RolloutRecord) {
         let now = self.core.clock.now();
         let peer_addr = record.decided_by;
