Log and count what a backend server says about its limit, and what it gets

Added, without any effect on decisions: the headers are read from each response; a line at each change of the limit, a line each second about a backend server with one (requests, nested calls, those that waited, senders, most from one), and two metrics.

--- a/crates/node/src/header_names.rs
+++ b/crates/node/src/header_names.rs
@@ -23,6 +23,10 @@
     pub not_executed: HeaderName,
     /// Service of the machine on which the request originated.
     pub caller_service: HeaderName,
+    /// Requests per second that a backend server takes from all nodes together, in its responses.
+    pub rate_limit: HeaderName,
+    /// Header with which a backend server says in its responses that it is leaving.
+    pub leaving: HeaderName,
 }
 
 /// Routing data of a request that one node sends to another:
--- a/crates/node/src/inbound/endpoint_call.rs
+++ b/crates/node/src/inbound/endpoint_call.rs
@@ -36,6 +36,7 @@
     ) -> Result<Response<ResponseBody>, InboundError> {
         let id = request.headers.get(&self.headers.request_id).cloned();
         let fingerprint = request.fingerprint;
+        self.record_sent(&request, &slot);
         let outgoing = self.outgoing(request, start.instance());
         let idle_timeout = if idempotent {
             IDLE_TIMEOUT_IDEMPOTENT
@@ -63,7 +64,7 @@
                 return Err(InboundError::ResponseLost { reason, diagnosis });
             }
         };
-        self.check_response(&response, id.as_ref())?;
+        self.check_response(&response, id.as_ref(), &start)?;
         if response.status().is_server_error() {
             let now = self.inner.clock.now();
             let mut detector = self.nested_call_detector.borrow_mut();
@@ -96,6 +97,7 @@
         &self,
         response: &Response<Incoming>,
         id: Option<&HeaderValue>,
+        start: &EndpointStart,
     ) -> Result<(), InboundError> {
         let headers = response.headers();
         let status = response.status();
@@ -112,6 +114,7 @@
             // The response belongs to an earlier request; it came late or twice.
             return response_lost("the answer names another request");
         }
+        self.record_notice(start, headers);
         if headers.contains_key(&self.headers.not_executed) {
             return refused(RefusalReason::EndpointRefused, RETRY_OTHER_NODE_AFTER);
         }
--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -26,6 +26,7 @@
     link::LinkScheduler,
     member::{EndpointStart, LoadReport, ResponseSizes},
     node_clock::NodeClock,
+    rate_limit::{LimitReporter, LimitUsage, RequestRate},
     response_body::ResponseBody,
     rollout::RunLedger,
     transport::{ConnectionPool, PoolSettings},
@@ -137,6 +138,10 @@
     /// Time from which requests for the suspended start are refused.
     pub(super) suspended_from: Cell<Duration>,
     pub(super) ledger: RefCell<RunLedger>,
+    /// Rate that the backend server named last; none if it named none.
+    pub(super) limit: Cell<Option<RequestRate>>,
+    pub(super) limit_usage: RefCell<LimitUsage>,
+    pub(super) limit_reporter: LimitReporter,
 }
 
 impl InboundProxy {
@@ -147,6 +152,7 @@
         clock: NodeClock,
         link: Rc<LinkScheduler>,
         crashes: Rc<RefCell<CrashHistory>>,
+        limit_reporter: LimitReporter,
     ) -> Self {
         let endpoint_pool = ConnectionPool::new(PoolSettings {
             connect_timeout: CONNECT_TIMEOUT,
@@ -175,6 +181,9 @@
             suspended_start: RefCell::default(),
             suspended_from: Cell::default(),
             ledger: RefCell::default(),
+            limit: Cell::default(),
+            limit_usage: RefCell::default(),
+            limit_reporter,
         }
     }
 
--- a/crates/node/src/inbound/inbound_request.rs
+++ b/crates/node/src/inbound/inbound_request.rs
@@ -1,5 +1,7 @@
 //! Requests at the inbound proxy.
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
@@ -9,8 +11,8 @@
 /// A request for the backend server beside this node.
 #[derive(Debug, Clone)]
 pub struct InboundRequest {
-    /// Whether a caller or another node sent the request.
-    pub origin: RequestOrigin,
+    /// Peer address of the node that sent the request; none if a caller on this instance did.
+    pub sender: Option<SocketAddr>,
     /// HTTP method of the request.
     pub method: Method,
     /// Path and query of the request.
@@ -36,3 +38,13 @@
     /// Instance identifier of the start that the sender picked; `None` accepts any.
     pub instance: Option<String>,
 }
+
+impl InboundRequest {
+    /// Returns whether a caller or another node sent the request.
+    pub const fn origin(&self) -> RequestOrigin {
+        match self.sender {
+            Some(_) => RequestOrigin::Node,
+            None => RequestOrigin::Caller,
+        }
+    }
+}
--- a/crates/node/src/inbound/link_admission.rs
+++ b/crates/node/src/inbound/link_admission.rs
@@ -29,7 +29,7 @@
         request: &InboundRequest,
     ) -> Result<Option<LinkReservation>, InboundError> {
         let bytes = self.inner.response_sizes.borrow().get(request.route_hash);
-        if bytes <= SHORT_RESPONSE_MAX_BYTES || request.origin == RequestOrigin::Caller {
+        if bytes <= SHORT_RESPONSE_MAX_BYTES || request.origin() == RequestOrigin::Caller {
             return Ok(None);
         }
         let (clock, link) = (self.inner.clock, &self.inner.link);
@@ -77,7 +77,7 @@
         &self,
         request: &InboundRequest,
     ) -> Option<UnscheduledResponse> {
-        (request.origin == RequestOrigin::Node).then(|| UnscheduledResponse {
+        (request.origin() == RequestOrigin::Node).then(|| UnscheduledResponse {
             id: self.request_id_of(request),
             target_deadline: request.target_deadline,
             ends_at: request.ends_at,
--- a/crates/node/src/inbound/run_slot.rs
+++ b/crates/node/src/inbound/run_slot.rs
@@ -18,6 +18,8 @@
     inner: Rc<InboundState>,
     route_hash: u64,
     started: Instant,
+    /// Whether the request waited for the slot.
+    has_waited: bool,
     /// Connection on which the response arrives; none before its head has arrived.
     sender: Option<PooledConnection>,
     /// Whether the slot has been freed; the response may still be in transfer.
@@ -25,17 +27,23 @@
 }
 
 impl RunSlot {
-    pub(super) fn new(inner: Rc<InboundState>, route_hash: u64) -> Self {
+    pub(super) fn new(inner: Rc<InboundState>, route_hash: u64, has_waited: bool) -> Self {
         inner.open_slots.set(inner.open_slots.get() + 1);
         Self {
             inner,
             route_hash,
             started: Instant::now(),
+            has_waited,
             sender: None,
             released: false,
         }
     }
 
+    /// Whether the request waited for the slot.
+    pub(super) const fn has_waited(&self) -> bool {
+        self.has_waited
+    }
+
     pub(super) fn hold_connection(&mut self, sender: PooledConnection) {
         self.sender = Some(sender);
     }
--- a/crates/node/src/inbound/slot_wait.rs
+++ b/crates/node/src/inbound/slot_wait.rs
@@ -55,7 +55,9 @@
         let now = self.inner.clock.now();
         let decision = self.inner.queue.borrow_mut().admit(now, admission_request);
         let (key, latest) = match decision {
-            AdmissionDecision::Run => return Ok(RunSlot::new(Rc::clone(&self.inner), route_hash)),
+            AdmissionDecision::Run => {
+                return Ok(RunSlot::new(Rc::clone(&self.inner), route_hash, false));
+            }
             AdmissionDecision::Busy => return refused(RefusalReason::Busy, RETRY_OTHER_NODE_AFTER),
             AdmissionDecision::Refuse { retry_after } => {
                 return refused(RefusalReason::Full, retry_after);
@@ -73,7 +75,7 @@
         let latest = self.inner.clock.instant_of(latest);
         if timeout_at(latest, granted).await.is_ok() {
             place.settled = true;
-            return Ok(RunSlot::new(Rc::clone(&self.inner), route_hash));
+            return Ok(RunSlot::new(Rc::clone(&self.inner), route_hash, true));
         }
         // If a slot was granted just now, dropping the place frees it.
         place.settled = self.inner.queue.borrow_mut().expire(key);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod node_settings;
 pub mod outbound;
 pub mod peer_handler;
+pub mod rate_limit;
 pub mod request_origin;
 pub mod response_body;
 pub mod result_code;
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -38,6 +38,7 @@
     node_metrics::NodeMetrics,
     node_settings::NodeSettings,
     outbound::{DeadlineTracker, ResendTracker},
+    rate_limit::LimitReporter,
     request_origin::RequestOrigin,
     retry::RetryBudget,
     rollout::{OrderBook, RolloutRegistry, TrafficSplit},
@@ -173,6 +174,7 @@
         });
         let metrics = NodeMetrics::new(&settings)?;
         let reporter = LinkReporter::new(log.clone(), metrics.link());
+        let limit_reporter = LimitReporter::new(log.clone(), metrics.limit());
         let link = Rc::new(LinkScheduler::new(settings.link_mbps, reporter));
         let crashes = Rc::<RefCell<CrashHistory>>::default();
         let inbound = InboundProxy::new(
@@ -181,6 +183,7 @@
             clock,
             Rc::clone(&link),
             Rc::clone(&crashes),
+            limit_reporter,
         );
         let caller_service = endpoint_reports::service_value(&settings.service);
         Ok(Rc::new(Self {
@@ -338,12 +341,13 @@
     /// Does the periodic cleanup.
     ///
     /// Closes idle connections, removes expired entries and members without an announcement,
-    /// and reports the use of the link.
+    /// and reports the use of the link and of the local backend server's limit.
     pub fn sweep(&self, now: Duration) {
         self.peer_connections.sweep();
         self.inbound.sweep();
         self.resends.borrow_mut().sweep(now);
         self.link.report_usage(now);
+        self.inbound.report_limit_usage(now);
         let expired_records = self.fleet.borrow_mut().sweep(now);
         for record in expired_records {
             info!(self.log.logger(), "member gone";
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     config::RequestKind, link::LinkCounters, node_clock::NodeClock, node_settings::NodeSettings,
-    result_code::ResultCode,
+    rate_limit::LimitCounters, result_code::ResultCode,
 };
 
 /// Bounds of the latency histogram in seconds: from a round trip between data
@@ -65,6 +65,7 @@
     members: Gauge<u64>,
     queue: Gauge<u64>,
     link: LinkCounters,
+    limit: LimitCounters,
 }
 
 impl NodeMetrics {
@@ -109,6 +110,7 @@
             members: meter.u64_gauge("geranium_members").build(),
             queue: meter.u64_gauge("geranium_queue").build(),
             link: LinkCounters::new(&meter),
+            limit: LimitCounters::new(&meter),
             _provider: provider,
         })
     }
@@ -163,6 +165,11 @@
         self.link.clone()
     }
 
+    /// Returns the metrics of the requests at the local backend server.
+    pub fn limit(&self) -> LimitCounters {
+        self.limit.clone()
+    }
+
     /// Writes every metric in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -21,7 +21,6 @@
     link::LinkTraffic,
     member::{LoadReport, MemberKey, MemberRecord},
     node_core::NodeCore,
-    request_origin::RequestOrigin,
     response_body::{ResponseBody, is_short},
     transport::{ExchangeError, PeerRequestHeader},
 };
@@ -76,7 +75,7 @@
     async fn send_local(self, guard: InFlightGuard, record: &MemberRecord) -> TryResult {
         let request = self.request;
         let inbound_request = InboundRequest {
-            origin: RequestOrigin::Caller,
+            sender: None,
             method: request.method.clone(),
             uri: request.uri.clone(),
             headers: request.headers.clone(),
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -21,7 +21,6 @@
     inbound::{AdmissionRequest, InboundError, InboundRefusal, InboundRequest, RefusalReason},
     node_core::NodeCore,
     outbound::ADMISSION_PATH,
-    request_origin::RequestOrigin,
     response_body::{ResponseBody, empty_response},
     rollout::{ROLLOUT_PATH, RolloutHandler},
     transport::PeerRequestHeader,
@@ -154,7 +153,7 @@
         strip_connection_headers(&mut headers);
         let fingerprint = request_fingerprint(&head.method, &head.uri, &headers, &body);
         InboundRequest {
-            origin: RequestOrigin::Node,
+            sender: Some(peer_header.from),
             fingerprint,
             method: head.method,
             uri: head.uri,
--- a/crates/node/tests/all/config.rs
+++ b/crates/node/tests/all/config.rs
@@ -256,6 +256,8 @@
         instance: name("instance"),
         not_executed: name("not-executed"),
         caller_service: name("caller"),
+        rate_limit: name("limit"),
+        leaving: name("leaving"),
     }
 }
 
--- a/crates/rig/src/rig_endpoint.rs
+++ b/crates/rig/src/rig_endpoint.rs
@@ -270,6 +270,8 @@
             response_bytes: RESPONSE_BYTES,
             healthy: true,
             fault: with_crashes(self.fault),
+            rate_limit: None,
+            leaving: false,
         }
     }
 
--- a/crates/standins/src/endpoint_server.rs
+++ b/crates/standins/src/endpoint_server.rs
@@ -38,6 +38,10 @@
     pub healthy: bool,
     /// Fault that affects every request.
     pub fault: EndpointFault,
+    /// Requests per second that every response names in `server-limit`; none for no such header.
+    pub rate_limit: Option<String>,
+    /// Whether every response says in `server-leaving` that the server is leaving.
+    pub leaving: bool,
 }
 
 #[derive(Debug)]
@@ -81,7 +85,7 @@
         });
         let handler_shared = Arc::clone(&shared);
         let thread = ServerThread::start(vec![listen(addr)], move |_, request| {
-            serve(Arc::clone(&handler_shared), request)
+            serve_with_notices(Arc::clone(&handler_shared), request)
         });
         Self { shared, thread }
     }
@@ -156,6 +160,23 @@
     }
 }
 
+/// Serves a request and adds what the server says of itself in all responses.
+async fn serve_with_notices(shared: Arc<EndpointShared>, request: Request<Incoming>) -> Reply {
+    let mut reply = serve(Arc::clone(&shared), request).await;
+    let options = shared.options.lock().expect("not poisoned");
+    if let Reply::Response(response) = &mut reply {
+        let headers = response.headers_mut();
+        if let Some(limit) = &options.rate_limit {
+            let value = HeaderValue::from_str(limit).expect("the value is valid in a header");
+            headers.insert("server-limit", value);
+        }
+        if options.leaving {
+            headers.insert("server-leaving", HeaderValue::from_static("1"));
+        }
+    }
+    reply
+}
+
 async fn serve(shared: Arc<EndpointShared>, request: Request<Incoming>) -> Reply {
     let options = shared.options.lock().expect("not poisoned").clone();
     let (head, body) = request.into_parts();
