Keep to the rate that a backend server names, over all nodes together

What callers and operators saw: a server that had named 12 requests a second got 154 in 4 s, as many as before.

All requests to a backend server pass the node beside it, so its admission queue keeps the bound: starts are paced by the generic cell rate algorithm (at most rate * t + 5 in any time t), nested calls first, and the expected wait follows the limit where that is scarcer than the slots; what can't start in time is refused at once. Of responses that overtake each other, one tightens the limit at once and loosens it only if its request was sent after the last one that named it. A limit below one request in two seconds still lets one through in that time, as no response could lift it otherwise. Values that aren't rates change nothing.

Other nodes learn the limit and its wait from the load report of each answer: they weigh the member by the smaller of slots and limit, count the wait as a queue, stay away after a refusal until there is room, and refuse at once if every member has refused so. Their requests carry the limit that they know, so that a node that restarts beside a limited server doesn't begin without it. Callers that are refused together get different times to return.

--- a/crates/node/src/admin/admin_handler.rs
+++ b/crates/node/src/admin/admin_handler.rs
@@ -73,6 +73,7 @@
                 .map(|current| current.report.start.to_string()),
             running: load.running,
             waiting: load.waiting,
+            limit_milli_per_s: load.limit.map(|limit| limit.rate.millis()),
             ready: self.core.is_ready(),
         };
         self.json_page("status", &status)
--- a/crates/node/src/admin/node_status.rs
+++ b/crates/node/src/admin/node_status.rs
@@ -32,6 +32,10 @@
     pub running: u32,
     /// Number of requests that wait for a slot of the local backend server.
     pub waiting: u32,
+    /// Limit that the local backend server names, in thousandths of a request per second; none if it
+    /// names no limit.
+    #[serde(default)]
+    pub limit_milli_per_s: Option<u64>,
     /// Whether the readiness check of the node passes.
     pub ready: bool,
 }
--- a/crates/node/src/inbound/admission_preview.rs
+++ b/crates/node/src/inbound/admission_preview.rs
@@ -27,6 +27,6 @@
             return refused(reason, RETRY_OTHER_NODE_AFTER);
         }
         let previewed = self.inner.queue.borrow_mut().preview(now, request);
-        previewed.or_else(|retry_after| refused(RefusalReason::Full, retry_after))
+        previewed.or_else(|retry_after| refused(self.shortage(), retry_after))
     }
 }
--- a/crates/node/src/inbound/admission_queue.rs
+++ b/crates/node/src/inbound/admission_queue.rs
@@ -6,6 +6,7 @@
 };
 
 use super::route_statistics::{RankedRoute, RouteStatistics};
+use crate::rate_limit::{RateLimiter, RequestRate};
 
 /// Run time reserved for a queued request, as a multiple of its route's mean. The factor covers
 /// all but the slowest few runs.
@@ -97,11 +98,16 @@
 ///
 /// While starts are paused, new requests wait even if slots are free. Nested calls still start: the
 /// request for which starts are paused may itself be waiting for one.
+///
+/// While the backend server names a limit, requests start no faster than that, nested calls included,
+/// and the expected wait follows whichever is scarcer, the limit or the slots.
 #[derive(Debug)]
 pub struct AdmissionQueue {
     slots: u32,
     running: u32,
     starts_paused: bool,
+    /// Limit that the backend server names; none if it names none.
+    limiter: Option<RateLimiter>,
     order: u64,
     waiting: BTreeMap<QueueKey, QueuedRequest>,
     /// Requests that a preview admitted and that haven't arrived: route, and end of the promise.
@@ -133,6 +139,7 @@
             slots: slots.max(1),
             running: 0,
             starts_paused: false,
+            limiter: None,
             order: 0,
             waiting: BTreeMap::new(),
             promised: VecDeque::new(),
@@ -160,9 +167,59 @@
         self.grant(now)
     }
 
+    /// Sets the limit that the backend server names, and returns the requests that start now.
+    pub fn set_limit(&mut self, now: Duration, limit: Option<RequestRate>) -> Vec<QueueKey> {
+        self.limiter = limit.map(|rate| match self.limiter {
+            Some(mut limiter) => {
+                limiter.set_rate(now, rate);
+                limiter
+            }
+            None => RateLimiter::new(now, rate),
+        });
+        self.grant(now)
+    }
+
+    /// Starts the requests that the limit allows by now, and returns them.
+    pub fn resume_limited(&mut self, now: Duration) -> Vec<QueueKey> {
+        self.grant(now)
+    }
+
+    /// Returns when the limit allows the next start; none if no request waits for that.
+    pub fn next_limited_start(&self, now: Duration) -> Option<Duration> {
+        if self.running >= self.slots {
+            return None;
+        }
+        let limiter = self.limiter?;
+        let mut waiting = self.waiting.iter();
+        let waits_for_limit = waiting
+            .any(|(key, queued)| queued.latest >= now && !(key.is_new && self.starts_paused));
+        waits_for_limit.then(|| now + limiter.wait(now, 0))
+    }
+
+    /// Returns whether the limit, and not the slots, delays a request that arrives now.
+    pub fn is_limit_binding(&self, now: Duration) -> bool {
+        self.limit_wait(now, self.waiting()) > self.slot_wait(self.waiting())
+    }
+
+    /// Returns how long the limit delays a request that starts after `ahead` others.
+    pub fn limit_wait(&self, now: Duration, ahead: u32) -> Duration {
+        self.limiter
+            .map_or(Duration::ZERO, |limiter| limiter.wait(now, ahead))
+    }
+
     /// Returns whether a new request or a nested call may start now.
-    const fn may_start(&self, is_nested: bool) -> bool {
-        self.running < self.slots && (is_nested || !self.starts_paused)
+    fn may_start(&self, now: Duration, is_nested: bool) -> bool {
+        self.running < self.slots
+            && (is_nested || !self.starts_paused)
+            && self.limit_wait(now, 0).is_zero()
+    }
+
+    /// Records that a request starts.
+    fn record_start(&mut self, now: Duration) {
+        self.running += 1;
+        if let Some(limiter) = &mut self.limiter {
+            limiter.record_start(now);
+        }
     }
 
     /// Returns the number of requests that hold a slot.
@@ -211,14 +268,16 @@
             rank: request.rank,
             route_hash: request.route_hash,
         };
-        let may_start = self.may_start(request.is_nested);
+        // A queued request that the limit allows by now starts first, even if its timer is late.
+        let is_overtaking = self.limiter.is_some() && !self.waiting.is_empty();
+        let may_start = !is_overtaking && self.may_start(now, request.is_nested);
         if !may_start && !request.may_wait {
             return AdmissionDecision::Busy;
         }
         self.statistics.record_request(now, route);
         self.redeem_promise(request.route_hash);
         if may_start {
-            self.running += 1;
+            self.record_start(now);
             self.record_decision(route, self.is_late(now, &request), true);
             return AdmissionDecision::Run;
         }
@@ -248,7 +307,8 @@
         }
         let promised = self.promised.len() as u32;
         let has_slot = self.running + promised < self.slots;
-        if !(has_slot && self.may_start(request.is_nested)) {
+        let has_room = has_slot && self.limit_wait(now, promised).is_zero();
+        if !(has_room && self.may_start(now, request.is_nested)) {
             let route = RankedRoute {
                 rank: request.rank,
                 route_hash: request.route_hash,
@@ -296,7 +356,7 @@
         let run_time = self.statistics.mean_run_time_of(route);
         let late = self.is_late(now, request);
         if !request.is_nested && self.statistics.is_ahead(now, route) {
-            return Err(self.wait());
+            return Err(self.wait(now));
         }
         self.order += 1;
         let key = QueueKey {
@@ -315,7 +375,7 @@
         if let Some(longest) = self.longest_wait(run_time).filter(|_| !request.is_nested) {
             latest = latest.min(now + longest);
         }
-        let planned_wait = self.wait_before(key, promised);
+        let planned_wait = self.wait_before(now, key, promised);
         let start = now + self.statistics.expected_wait(route, late, planned_wait);
         if start > latest {
             return Err(start.saturating_sub(latest));
@@ -333,7 +393,11 @@
     /// Returns how long a new request with this mean run time may wait. Returns `None` after a
     /// start, when no run has ended yet and only the target time bounds the wait.
     fn longest_wait(&self, run_time: Duration) -> Option<Duration> {
-        let wait_per_position = self.mean_run_time().div_f64(self.slots.into());
+        let wait_per_slot = self.mean_run_time().div_f64(self.slots.into());
+        let interval = self
+            .limiter
+            .map_or(Duration::ZERO, |limiter| limiter.interval());
+        let wait_per_position = wait_per_slot.max(interval);
         let longest = run_time
             .mul_f64(NEW_REQUEST_WAIT_RUNS)
             .max(wait_per_position.mul_f64(WAITING_MIN));
@@ -397,16 +461,21 @@
 
     /// Returns the planned wait of a request at the position of `key`, behind `promised` ones that
     /// have yet to arrive, if none overtakes it.
-    fn wait_before(&self, key: QueueKey, promised: u32) -> Duration {
-        self.wait_behind(self.waiting.range(..key).count() as u32 + promised)
+    fn wait_before(&self, now: Duration, key: QueueKey, promised: u32) -> Duration {
+        self.wait_behind(now, self.waiting.range(..key).count() as u32 + promised)
     }
 
     /// Returns the planned wait at the end of the queue, if no later request overtakes.
-    pub fn wait(&self) -> Duration {
-        self.wait_behind(self.waiting())
+    pub fn wait(&self, now: Duration) -> Duration {
+        self.wait_behind(now, self.waiting())
+    }
+
+    fn wait_behind(&self, now: Duration, ahead: u32) -> Duration {
+        self.slot_wait(ahead).max(self.limit_wait(now, ahead))
     }
 
-    fn wait_behind(&self, ahead: u32) -> Duration {
+    /// Returns how long a request behind `ahead` others waits for a slot.
+    fn slot_wait(&self, ahead: u32) -> Duration {
         let excess = (self.running + ahead + 1).saturating_sub(self.slots);
         self.mean_run_time()
             .mul_f64(f64::from(excess) / f64::from(self.slots))
@@ -421,13 +490,13 @@
             let Some((&key, &queued)) = next else {
                 break;
             };
-            if !self.may_start(!key.is_new) {
+            if !self.may_start(now, !key.is_new) {
                 break;
             }
             self.record_decision(queued.route, queued.late, true);
             self.record_wait(queued, now.saturating_sub(queued.requested_at));
             self.waiting.remove(&key);
-            self.running += 1;
+            self.record_start(now);
             granted.push(key);
         }
         granted
--- a/crates/node/src/inbound/endpoint_call.rs
+++ b/crates/node/src/inbound/endpoint_call.rs
@@ -17,6 +17,7 @@
     crash::CrashRecord,
     header_names::{header_text, set_header, strip_connection_headers, strip_peer_headers},
     member::EndpointStart,
+    rate_limit::ExchangeTimes,
     response_body::{ResponseBody, is_short},
     transport::{ExchangeError, PooledConnection},
 };
@@ -64,7 +65,11 @@
                 return Err(InboundError::ResponseLost { reason, diagnosis });
             }
         };
-        self.check_response(&response, id.as_ref(), &start)?;
+        let times = ExchangeTimes {
+            sent_at: began,
+            received_at: self.inner.clock.now(),
+        };
+        self.check_response(&response, id.as_ref(), &start, times)?;
         if response.status().is_server_error() {
             let now = self.inner.clock.now();
             let mut detector = self.nested_call_detector.borrow_mut();
@@ -98,6 +103,7 @@
         response: &Response<Incoming>,
         id: Option<&HeaderValue>,
         start: &EndpointStart,
+        times: ExchangeTimes,
     ) -> Result<(), InboundError> {
         let headers = response.headers();
         let status = response.status();
@@ -114,7 +120,7 @@
             // The response belongs to an earlier request; it came late or twice.
             return response_lost("the answer names another request");
         }
-        self.record_notice(start, headers);
+        self.record_notice(start, headers, times);
         if headers.contains_key(&self.headers.not_executed) {
             return refused(RefusalReason::EndpointRefused, RETRY_OTHER_NODE_AFTER);
         }
--- a/crates/node/src/inbound/endpoint_limit.rs
+++ b/crates/node/src/inbound/endpoint_limit.rs
@@ -1,4 +1,4 @@
-//! What the local backend server says about the rate of requests that it takes.
+//! The rate of requests that the local backend server takes.
 
 use std::time::Duration;
 
@@ -7,13 +7,26 @@
 use super::{InboundProxy, InboundRequest, RunSlot};
 use crate::{
     member::EndpointStart,
-    rate_limit::{EndpointNotice, LimitNotice},
+    rate_limit::{EndpointNotice, ExchangeTimes, LimitLoad, LimitNotice, RequestRate},
 };
 
 /// Time between log lines about a backend server with a limit.
 const USAGE_INTERVAL: Duration = Duration::from_secs(1);
 
 impl InboundProxy {
+    /// Returns the rate that the backend server takes; none if it names no limit.
+    pub fn rate_limit(&self) -> Option<RequestRate> {
+        self.limit.borrow().limit()
+    }
+
+    /// Returns the room that the backend server's limit leaves; none if it names no limit.
+    pub(super) fn limit_load(&self) -> Option<LimitLoad> {
+        let rate = self.rate_limit()?;
+        let queue = self.inner.queue.borrow();
+        let wait = queue.limit_wait(self.inner.clock.now(), queue.waiting());
+        Some(LimitLoad { rate, wait })
+    }
+
     /// Counts a request that is passed on to the backend server.
     pub(super) fn record_sent(&self, request: &InboundRequest, slot: &RunSlot) {
         self.limit_reporter.record_sent(request.is_nested);
@@ -22,21 +35,59 @@
     }
 
     /// Processes what a start of the backend server says of itself in a response.
-    pub(super) fn record_notice(&self, start: &EndpointStart, headers: &HeaderMap) {
+    ///
+    /// A response of a start that isn't the current one any more is ignored.
+    pub(super) fn record_notice(
+        &self,
+        start: &EndpointStart,
+        headers: &HeaderMap,
+        times: ExchangeTimes,
+    ) {
+        if self.current_start().as_ref() != Some(start) {
+            return;
+        }
         let notice = EndpointNotice::read(headers, &self.headers);
-        let limit = match notice.limit {
-            LimitNotice::Limited(rate) => Some(rate),
-            LimitNotice::Unlimited => None,
-            LimitNotice::Malformed => {
-                let now = self.inner.clock.now();
-                self.limit_reporter.record_malformed(now, start);
-                return;
-            }
+        if notice.limit == LimitNotice::Malformed {
+            self.limit_reporter
+                .record_malformed(times.received_at, start);
+        }
+        let before = self.rate_limit();
+        let after = self.limit.borrow_mut().observe(times, notice.limit);
+        self.apply_limit(start, before, after);
+    }
+
+    /// Adopts the limit that another node knows, if this process hasn't heard from the backend
+    /// server yet.
+    ///
+    /// When a node restarts, its backend server keeps running and may still need the limit.
+    pub(super) fn adopt_limit_hint(&self, start: &EndpointStart, hint: Option<RequestRate>) {
+        let Some(rate) = hint else {
+            return;
         };
-        let before = self.limit.replace(limit);
-        if before != limit {
-            self.limit_reporter.record_change(start, before, limit);
+        if self.limit.borrow_mut().adopt_hint(rate) {
+            self.apply_limit(start, None, Some(rate));
+        }
+    }
+
+    /// Lifts the limit of an ended start. The next start hasn't named one.
+    pub fn forget_limit(&self, ended: &EndpointStart) {
+        let before = self.limit.take().limit();
+        self.apply_limit(ended, before, None);
+    }
+
+    fn apply_limit(
+        &self,
+        start: &EndpointStart,
+        before: Option<RequestRate>,
+        after: Option<RequestRate>,
+    ) {
+        if before == after {
+            return;
         }
+        self.limit_reporter.record_change(start, before, after);
+        let now = self.inner.clock.now();
+        let granted = self.inner.queue.borrow_mut().set_limit(now, after);
+        self.inner.wake(granted);
     }
 
     /// Logs what a backend server with a limit got, if a log line is due.
@@ -45,7 +96,7 @@
             .limit_usage
             .borrow_mut()
             .take_after(now, USAGE_INTERVAL);
-        if let (Some(limit), Some((usage, time))) = (self.limit.get(), taken) {
+        if let (Some(limit), Some((usage, time))) = (self.rate_limit(), taken) {
             self.limit_reporter.record_usage(limit, &usage, time);
         }
     }
--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -13,7 +13,8 @@
 use snafu::Snafu;
 use tokio::{
     sync::{Semaphore, oneshot},
-    time::{Instant, timeout_at},
+    task::spawn_local,
+    time::{Instant, sleep_until, timeout_at},
 };
 
 use super::{
@@ -26,7 +27,7 @@
     link::LinkScheduler,
     member::{EndpointStart, LoadReport, ResponseSizes},
     node_clock::NodeClock,
-    rate_limit::{LimitReporter, LimitUsage, RequestRate},
+    rate_limit::{LimitReporter, LimitTracker, LimitUsage},
     response_body::ResponseBody,
     rollout::RunLedger,
     transport::{ConnectionPool, PoolSettings},
@@ -90,11 +91,13 @@
     pub(super) waiters: RefCell<HashMap<QueueKey, oneshot::Sender<()>>>,
     /// Number of slots in use, and of long responses in transfer.
     pub(super) open_slots: Cell<u32>,
+    /// Time for which a timer is set to start the next request that waits for the limit.
+    limited_start_at: Cell<Option<Duration>>,
 }
 
 impl InboundState {
     /// Frees a slot and wakes the requests that start next.
-    pub(super) fn finish(&self, route_hash: u64, took: Option<Duration>) {
+    pub(super) fn finish(self: &Rc<Self>, route_hash: u64, took: Option<Duration>) {
         let granted = self
             .queue
             .borrow_mut()
@@ -103,12 +106,13 @@
     }
 
     /// Resumes starts and wakes the requests that start next.
-    pub(super) fn resume_starts(&self) {
+    pub(super) fn resume_starts(self: &Rc<Self>) {
         let granted = self.queue.borrow_mut().resume_starts(self.clock.now());
         self.wake(granted);
     }
 
-    fn wake(&self, granted: Vec<QueueKey>) {
+    /// Wakes requests that have been granted a slot, and schedules the next limited start.
+    pub(super) fn wake(self: &Rc<Self>, granted: Vec<QueueKey>) {
         for key in granted {
             let waiter = self.waiters.borrow_mut().remove(&key);
             // A waiter that has just been dropped frees its slot itself.
@@ -116,6 +120,31 @@
                 let _gone = waiter.send(());
             }
         }
+        self.schedule_limited_start();
+    }
+
+    /// Sets a timer for the next request that waits for the limit, unless one is set already.
+    pub(super) fn schedule_limited_start(self: &Rc<Self>) {
+        let next_start = self.queue.borrow().next_limited_start(self.clock.now());
+        let Some(start_at) = next_start else {
+            return;
+        };
+        if self
+            .limited_start_at
+            .get()
+            .is_some_and(|set| set <= start_at)
+        {
+            return;
+        }
+        self.limited_start_at.set(Some(start_at));
+        let inner = Rc::clone(self);
+        spawn_local(async move {
+            sleep_until(inner.clock.instant_of(start_at)).await;
+            inner.limited_start_at.set(None);
+            let now = inner.clock.now();
+            let granted = inner.queue.borrow_mut().resume_limited(now);
+            inner.wake(granted);
+        });
     }
 }
 
@@ -138,8 +167,8 @@
     /// Time from which requests for the suspended start are refused.
     pub(super) suspended_from: Cell<Duration>,
     pub(super) ledger: RefCell<RunLedger>,
-    /// Rate that the backend server named last; none if it named none.
-    pub(super) limit: Cell<Option<RequestRate>>,
+    /// Limit that the current start of the backend server names.
+    pub(super) limit: RefCell<LimitTracker>,
     pub(super) limit_usage: RefCell<LimitUsage>,
     pub(super) limit_reporter: LimitReporter,
 }
@@ -166,6 +195,7 @@
             queue: RefCell::new(AdmissionQueue::new(settings.slots)),
             waiters: RefCell::default(),
             open_slots: Cell::new(0),
+            limited_start_at: Cell::new(None),
         };
         Self {
             inner: Rc::new(inner),
@@ -181,7 +211,7 @@
             suspended_start: RefCell::default(),
             suspended_from: Cell::default(),
             ledger: RefCell::default(),
-            limit: Cell::default(),
+            limit: RefCell::default(),
             limit_usage: RefCell::default(),
             limit_reporter,
         }
@@ -230,6 +260,7 @@
 
     /// Returns the load of the backend server, for senders of requests of a route.
     pub fn load(&self, route_hash: u64) -> LoadReport {
+        let limit = self.limit_load();
         let queue = self.inner.queue.borrow();
         LoadReport {
             running: queue.running(),
@@ -237,6 +268,7 @@
             mean_run_time: queue.mean_run_time(),
             route_run_time: queue.mean_run_time_of(route_hash),
             link_backlog: self.inner.link.schedule().backlog(self.inner.clock.now()),
+            limit,
         }
     }
 
@@ -268,6 +300,7 @@
     ) -> Result<Response<ResponseBody>, InboundError> {
         let permit = self.admit_fingerprint(&request).await?;
         let start = self.admit(&request)?;
+        self.adopt_limit_hint(&start, request.limit_hint);
         let reservation = self.reserve_link(&request)?;
         let slot = self.wait_for_slot(&request).await?;
         // While this request waited, it may have become a suspect of a crash on another node, or
--- a/crates/node/src/inbound/inbound_refusal.rs
+++ b/crates/node/src/inbound/inbound_refusal.rs
@@ -21,6 +21,8 @@
     /// The reason also stands for a full queue in which the request's route has been served
     /// more often than others of its rank or above.
     Full,
+    /// The backend server has named a limit, and its queue is too long at that rate.
+    Limited,
     /// The response couldn't arrive in time, because the instance's link is reserved too far
     /// ahead.
     LinkFull,
@@ -37,7 +39,10 @@
 impl RefusalReason {
     /// Whether there was no capacity, now or soon enough.
     pub const fn is_full(self) -> bool {
-        matches!(self, Self::Busy | Self::Full | Self::LinkFull)
+        matches!(
+            self,
+            Self::Busy | Self::Full | Self::Limited | Self::LinkFull
+        )
     }
 
     /// Whether the backend server itself refused the request.
--- a/crates/node/src/inbound/inbound_request.rs
+++ b/crates/node/src/inbound/inbound_request.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
-use crate::request_origin::RequestOrigin;
+use crate::{rate_limit::RequestRate, request_origin::RequestOrigin};
 
 /// A request for the backend server beside this node.
 #[derive(Debug, Clone)]
@@ -37,6 +37,8 @@
     pub fingerprint: u64,
     /// Instance identifier of the start that the sender picked; `None` accepts any.
     pub instance: Option<String>,
+    /// Limit of the backend server that the sender knows; none if it knows none.
+    pub limit_hint: Option<RequestRate>,
 }
 
 impl InboundRequest {
--- a/crates/node/src/inbound/slot_wait.rs
+++ b/crates/node/src/inbound/slot_wait.rs
@@ -60,7 +60,7 @@
             }
             AdmissionDecision::Busy => return refused(RefusalReason::Busy, RETRY_OTHER_NODE_AFTER),
             AdmissionDecision::Refuse { retry_after } => {
-                return refused(RefusalReason::Full, retry_after);
+                return refused(self.shortage(), retry_after);
             }
             AdmissionDecision::Wait { key, latest } => (key, latest),
         };
@@ -72,6 +72,7 @@
             route_hash,
             settled: false,
         };
+        self.inner.schedule_limited_start();
         let latest = self.inner.clock.instant_of(latest);
         if timeout_at(latest, granted).await.is_ok() {
             place.settled = true;
@@ -80,7 +81,17 @@
         // If a slot was granted just now, dropping the place frees it.
         place.settled = self.inner.queue.borrow_mut().expire(key);
         drop(place);
-        let retry_after = self.inner.queue.borrow().wait();
-        refused(RefusalReason::Full, retry_after.max(RETRY_OTHER_NODE_AFTER))
+        let retry_after = self.inner.queue.borrow().wait(self.inner.clock.now());
+        refused(self.shortage(), retry_after.max(RETRY_OTHER_NODE_AFTER))
+    }
+
+    /// Returns the reason of a refusal for lack of capacity: the limit or the slots.
+    pub(super) fn shortage(&self) -> RefusalReason {
+        let now = self.inner.clock.now();
+        if self.inner.queue.borrow().is_limit_binding(now) {
+            RefusalReason::Limited
+        } else {
+            RefusalReason::Full
+        }
     }
 }
--- a/crates/node/src/member/fleet_view.rs
+++ b/crates/node/src/member/fleet_view.rs
@@ -44,6 +44,11 @@
     },
     /// The member's node is alive, but has no backend server that takes requests.
     NoBackend,
+    /// The member's node refused because its backend server has named a limit.
+    LimitRefused {
+        /// Time after which the limit is expected to have room.
+        retry_after: Duration,
+    },
     /// The member's node refused a long response because its instance's link is full.
     LinkRefused {
         /// Time after which the link is expected to have capacity.
@@ -337,6 +342,9 @@
             TryOutcome::Answered { failed } => member.record_answered(now, failed),
             TryOutcome::Refused { retry_after } => member.record_refused(now, retry_after),
             TryOutcome::LinkRefused { retry_after } => member.record_link_refused(now, retry_after),
+            TryOutcome::LimitRefused { retry_after } => {
+                member.record_limit_refused(now, retry_after);
+            }
             TryOutcome::NoBackend => member.record_no_backend(now),
             TryOutcome::ResponseLost => member.record_response_lost(),
             TryOutcome::Unreachable | TryOutcome::Silent => member.record_unreachable(now),
--- a/crates/node/src/member/load_report.rs
+++ b/crates/node/src/member/load_report.rs
@@ -4,6 +4,8 @@
 
 use snafu::Snafu;
 
+use crate::rate_limit::{LimitLoad, RequestRate};
+
 /// Load of a backend server, which its node reports with each response.
 ///
 /// All requests to the backend server pass through its node, so the numbers of requests
@@ -20,6 +22,8 @@
     pub route_run_time: Duration,
     /// Time that the instance's link needs for the responses already admitted to it.
     pub link_backlog: Duration,
+    /// Room that the backend server's limit leaves; none if it names no limit.
+    pub limit: Option<LimitLoad>,
 }
 
 /// Why the text of a load report can't be parsed.
@@ -45,14 +49,19 @@
             f,
             "{},{},{mean_run_ms},{route_run_ms},{link_backlog_ms}",
             self.running, self.waiting
-        )
+        )?;
+        let Some(limit) = self.limit else {
+            return Ok(());
+        };
+        write!(f, ",{},{}", limit.rate.millis(), limit.wait.as_millis())
     }
 }
 
 impl FromStr for LoadReport {
     type Err = LoadReportError;
 
-    /// Parses the format that [`Display`](std::fmt::Display) writes.
+    /// Parses the format that [`Display`](std::fmt::Display) writes. The last two fields, about the
+    /// limit, may be missing.
     ///
     /// # Examples
     ///
@@ -62,6 +71,8 @@
     /// let report: LoadReport = "3,1,120,40,0".parse()?;
     /// assert_eq!((report.running, report.waiting), (3, 1));
     /// assert_eq!(report.to_string(), "3,1,120,40,0");
+    /// let limited: LoadReport = "3,1,120,40,0,12500,80".parse()?;
+    /// assert_eq!(limited.limit.map(|limit| limit.rate.millis()), Some(12_500));
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     fn from_str(text: &str) -> Result<Self, LoadReportError> {
@@ -70,12 +81,23 @@
         let (running, waiting) = (next()?.parse()?, next()?.parse()?);
         let mut next_duration =
             || Ok::<_, LoadReportError>(Duration::from_millis(next()?.parse()?));
+        let mean_run_time = next_duration()?;
+        let route_run_time = next_duration()?;
+        let link_backlog = next_duration()?;
+        let limit = match (fields.next(), fields.next()) {
+            (Some(rate), Some(wait)) => Some(LimitLoad {
+                rate: RequestRate::from_millis(rate.parse()?),
+                wait: Duration::from_millis(wait.parse()?),
+            }),
+            _ => None,
+        };
         Ok(Self {
             running,
             waiting,
-            mean_run_time: next_duration()?,
-            route_run_time: next_duration()?,
-            link_backlog: next_duration()?,
+            mean_run_time,
+            route_run_time,
+            link_backlog,
+            limit,
         })
     }
 }
--- a/crates/node/src/member/member_choice.rs
+++ b/crates/node/src/member/member_choice.rs
@@ -155,6 +155,25 @@
         (wait > Duration::ZERO).then_some(wait)
     }
 
+    /// Returns the time until a request may be sent, if all members refused because of their limits.
+    ///
+    /// Members that are ejected don't count as members with room. If there are only those, the
+    /// result is none, and they are asked as a last resort.
+    pub fn limit_wait(&self, now: Duration, query: &PickQuery<'_>) -> Option<Duration> {
+        let pool = self.services.get(query.service)?;
+        let views = pool
+            .keys
+            .iter()
+            .filter_map(|&key| Some((key, self.get(key)?)));
+        let usable = views.filter(|(key, member)| {
+            member.takes_requests()
+                && !member.is_ejected(now)
+                && query.versions.admits(*key, &member.record)
+        });
+        let wait = usable.map(|(_, member)| member.limit_pause(now)).min()?;
+        (wait > Duration::ZERO).then_some(wait)
+    }
+
     /// Whether `key` fails much more often than its service and another member is available.
     ///
     /// If all members fail equally often, the cause lies elsewhere, for example in a full
--- a/crates/node/src/member/member_view.rs
+++ b/crates/node/src/member/member_view.rs
@@ -5,10 +5,11 @@
 use smallvec::SmallVec;
 
 use super::{
-    LoadReport, MemberRecord, MemberState, MovingMean, StartOrder, member_distance::MemberDistance,
-    member_estimate::MemberEstimate, service_pool::ServiceAverages,
+    EndpointStart, LoadReport, MemberRecord, MemberState, MovingMean, StartOrder,
+    member_distance::MemberDistance, member_estimate::MemberEstimate,
+    service_pool::ServiceAverages,
 };
-use crate::store::Revision;
+use crate::{rate_limit::RequestRate, store::Revision};
 
 /// Weight of one response in a member's mean failure rate.
 const FAILURE_WEIGHT: f64 = 0.1;
@@ -36,10 +37,16 @@
 ///
 /// It applies while a member in this data centre can be asked.
 const REMOTE_LINK_REFUSAL_PAUSE: Duration = Duration::from_secs(5);
+/// Longest time for which a refusal because of a limit keeps new requests away.
+const LIMIT_REFUSAL_PAUSE_MAX: Duration = Duration::from_secs(1);
 /// Longest time for which a refusal keeps new requests away. The requests in a queue are
 /// replaced by others within about one mean run time.
 const REFUSAL_PAUSE_MAX: Duration = Duration::from_millis(150);
 
+/// Largest expected wait by a limit in seconds. With a limit near zero, the backend server gets a
+/// request every few seconds at most.
+const LIMIT_WAIT_MAX_S: f64 = 10.0;
+
 /// One member, with what this node has observed of it.
 #[derive(Debug)]
 pub struct MemberView {
@@ -66,6 +73,8 @@
     ejected_until: Duration,
     ejection_time: Duration,
     refused_until: Duration,
+    /// End of the pause of new requests after a refusal because of the backend server's limit.
+    limit_refused_until: Duration,
     link_refused_until: Duration,
     /// End of the pause of long responses if the member is in another data centre.
     ///
@@ -112,6 +121,7 @@
             ejected_until: Duration::ZERO,
             ejection_time: Duration::ZERO,
             refused_until: Duration::ZERO,
+            limit_refused_until: Duration::ZERO,
             link_refused_until: Duration::ZERO,
             remote_link_refused_until: Duration::ZERO,
             responded_at: None,
@@ -182,7 +192,7 @@
 
     /// Whether the member is neither ejected nor in the pause after a refusal.
     pub(super) fn is_available(&self, now: Duration) -> bool {
-        !self.is_ejected(now) && now >= self.refused_until
+        !self.is_ejected(now) && now >= self.refused_until.max(self.limit_refused_until)
     }
 
     /// Whether the member is ejected: it couldn't be reached, was silent, or had no backend
@@ -207,6 +217,46 @@
         until.saturating_sub(now)
     }
 
+    /// Returns the time until the member's limit is expected to have room, after a refusal because
+    /// of it.
+    pub(super) const fn limit_pause(&self, now: Duration) -> Duration {
+        self.limit_refused_until.saturating_sub(now)
+    }
+
+    /// Returns the limit that the backend server's start `start` is known to name.
+    pub fn known_limit(&self, start: &EndpointStart) -> Option<RequestRate> {
+        if self.record.start.order(start) != StartOrder::Same {
+            return None;
+        }
+        Some(self.load?.report.limit?.rate)
+    }
+
+    /// Returns the seconds that the backend server's limit delays a request that is sent now.
+    fn limit_wait_s(&self, now: Duration) -> f64 {
+        let Some(load) = self.load else {
+            return 0.0;
+        };
+        let Some(limit) = load.report.limit else {
+            return 0.0;
+        };
+        let sent_since = self.outstanding.saturating_sub(load.outstanding);
+        let wait_s = limit.wait.as_secs_f64()
+            + f64::from(sent_since) / limit.rate.per_second().max(f64::EPSILON);
+        (wait_s - now.saturating_sub(load.at).as_secs_f64()).clamp(0.0, LIMIT_WAIT_MAX_S)
+    }
+
+    /// Returns the requests per second of `route_hash` that the member can run.
+    pub(super) fn throughput(
+        &self,
+        now: Duration,
+        route_hash: u64,
+        averages: ServiceAverages,
+    ) -> f64 {
+        let by_slots = f64::from(self.record.slots.max(1)) / self.run_s(now, route_hash, averages);
+        let limit = self.load.and_then(|load| load.report.limit);
+        limit.map_or(by_slots, |limit| by_slots.min(limit.rate.per_second()))
+    }
+
     /// Returns when the member last responded or refused; none if it never did.
     pub(super) const fn responded_at(&self) -> Option<Duration> {
         self.responded_at
@@ -247,7 +297,7 @@
         let queued_per_slot = (held + 1.0 - slots).max(0.0) / slots;
         MemberEstimate {
             run_s,
-            queue_s: mean_run_s * queued_per_slot,
+            queue_s: (mean_run_s * queued_per_slot).max(self.limit_wait_s(now)),
             occupancy: (held / slots).min(1.0),
             failure_rate: self.failure_rate(),
         }
@@ -340,6 +390,12 @@
         self.ejection_time = Duration::ZERO;
     }
 
+    pub(super) fn record_limit_refused(&mut self, now: Duration, retry_after: Duration) {
+        self.limit_refused_until = now + retry_after.min(LIMIT_REFUSAL_PAUSE_MAX);
+        self.responded_at = Some(now);
+        self.ejection_time = Duration::ZERO;
+    }
+
     /// Ejects a member without a backend server, like one that can't be reached.
     ///
     /// When a backend server is gone and its node is alive, that node refuses at once and
--- a/crates/node/src/member/pick_cost.rs
+++ b/crates/node/src/member/pick_cost.rs
@@ -90,8 +90,7 @@
         // proportion to its rate.
         available.sort_by_cached_key(|(_, member)| {
             let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
-            let rate = f64::from(member.record.slots.max(1))
-                / member.run_s(self.now, self.query.route_hash, self.averages);
+            let rate = member.throughput(self.now, self.query.route_hash, self.averages);
             Duration::from_secs_f64(-uniform.ln() / rate.max(f64::EPSILON))
         });
         available.truncate(COMPARED_MAX);
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -34,6 +34,7 @@
         let outcome = self.inbound.tracker().borrow_mut().report(now, report);
         if outcome == ReportOutcome::Adopted {
             self.inbound.close_idle_connections();
+            self.inbound.forget_limit(&start);
             if let Some(ended) = previous {
                 let broken = self.inbound.broken_runs();
                 broken.record_replacement(now, &ended, start.instance());
--- a/crates/node/src/outbound/admission_query.rs
+++ b/crates/node/src/outbound/admission_query.rs
@@ -71,7 +71,7 @@
             &header_names.expected_instance,
             record.start.instance(),
         );
-        let peer_header = self.peer_header(now);
+        let peer_header = self.peer_header(now, record);
         set_header(
             &mut headers,
             &PEER_ADMISSION_HEADER,
--- a/crates/node/src/outbound/failed_try.rs
+++ b/crates/node/src/outbound/failed_try.rs
@@ -73,6 +73,7 @@
     let retry_after = refusal.retry_after;
     match refusal.reason {
         RefusalReason::LinkFull => Some(TryOutcome::LinkRefused { retry_after }),
+        RefusalReason::Limited => Some(TryOutcome::LimitRefused { retry_after }),
         RefusalReason::Busy | RefusalReason::Full | RefusalReason::EndpointRefused => {
             Some(TryOutcome::Refused { retry_after })
         }
--- a/crates/node/src/outbound/try_flow.rs
+++ b/crates/node/src/outbound/try_flow.rs
@@ -273,6 +273,16 @@
             });
             return None;
         }
+        // Nested calls are still sent: a refusal wastes the run that made them.
+        if let Some(retry_after) = fleet.limit_wait(now, &query)
+            && !self.request.is_nested
+        {
+            tries.refusal = Some(InboundRefusal {
+                reason: RefusalReason::Limited,
+                retry_after,
+            });
+            return None;
+        }
         if tries.is_full() && !self.request.is_nested && !fleet.has_available(now, &query) {
             return None;
         }
--- a/crates/node/src/outbound/try_record.rs
+++ b/crates/node/src/outbound/try_record.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::Response;
+use rand::RngExt;
 use smallvec::SmallVec;
 
 use super::{LocalReply, OutboundRequest};
@@ -135,10 +136,20 @@
         };
         return LocalReply::not_run(code, RETRY_AFTER_NO_BACKEND);
     };
-    let retry_after = refusal.retry_after.max(RETRY_AFTER_MIN);
+    let retry_after = spread(refusal).max(RETRY_AFTER_MIN);
     LocalReply::not_run(result_code_of(refusal.reason), retry_after)
 }
 
+/// Returns the advised retry delay of a refusal. Callers that are refused in the same moment because
+/// of a limit are told to return at different times, as it has room for one after another.
+fn spread(refusal: InboundRefusal) -> Duration {
+    if refusal.reason != RefusalReason::Limited {
+        return refusal.retry_after;
+    }
+    let factor = 1.0 + rand::rng().random::<f64>();
+    refusal.retry_after.max(RETRY_AFTER_MIN).mul_f64(factor)
+}
+
 /// Returns the reply to a request whose time ran out.
 pub(super) fn timeout_reply(tries: &TryRecord<'_>) -> LocalReply {
     if tries.may_have_run() {
@@ -157,6 +168,7 @@
         RefusalReason::Busy | RefusalReason::Full | RefusalReason::LinkFull => {
             ResultCode::QueueFull
         }
+        RefusalReason::Limited => ResultCode::BackendLimited,
         RefusalReason::Poisoned => ResultCode::Poisoned,
         RefusalReason::EndpointRefused => ResultCode::BackendRefused,
     }
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -87,6 +87,7 @@
             target_deadline: request.target_deadline,
             ends_at: request.ends_at,
             instance: Some(record.start.instance().to_owned()),
+            limit_hint: None,
             fingerprint: request.fingerprint,
         };
         let idempotent = request.route.kind.is_idempotent();
@@ -159,7 +160,7 @@
         let request = self.request;
         let header_names = &self.core.headers;
         let now = Instant::now();
-        let peer_header = self.peer_header(now);
+        let peer_header = self.peer_header(now, record);
         let remaining = request.ends_at.saturating_duration_since(now);
         let mut headers = request.headers.clone();
         headers.insert(
@@ -180,8 +181,12 @@
     }
 
     /// Returns the header with the routing data of the request.
-    pub(super) fn peer_header(self, now: Instant) -> PeerRequestHeader {
+    pub(super) fn peer_header(self, now: Instant, record: &MemberRecord) -> PeerRequestHeader {
         let request = self.request;
+        let fleet = self.core.fleet.borrow();
+        let limit = fleet
+            .member_at(record.peer_addr)
+            .and_then(|member| member.known_limit(&record.start));
         PeerRequestHeader {
             rank: request.route.rank,
             route_hash: request.route.route_hash,
@@ -191,6 +196,7 @@
             target_remaining: request.target_deadline.saturating_duration_since(now),
             version: self.core.version(),
             from: self.core.settings.peer_addr,
+            limit,
         }
     }
 
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -166,6 +166,7 @@
             target_deadline: now + peer_header.target_remaining,
             ends_at: now + remaining,
             instance,
+            limit_hint: peer_header.limit,
         }
     }
 }
--- a/crates/node/src/result_code.rs
+++ b/crates/node/src/result_code.rs
@@ -63,6 +63,8 @@
     Poisoned = 118,
     /// The node beside the backend server can't be reached.
     NodeUnreachable = 119,
+    /// The backend server takes only the rate of requests that it has named.
+    BackendLimited = 120,
 
     /// The deadline passed while a backend server may have been running the request.
     DeadlineWhileRunning = 130,
--- a/crates/node/src/transport/peer_request_header.rs
+++ b/crates/node/src/transport/peer_request_header.rs
@@ -9,7 +9,7 @@
 
 use snafu::Snafu;
 
-use crate::config::ConfigVersion;
+use crate::{config::ConfigVersion, rate_limit::RequestRate};
 
 /// Routing data of a request that one node forwards to another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +30,8 @@
     pub version: ConfigVersion,
     /// Address at which the sender accepts requests of other nodes.
     pub from: SocketAddr,
+    /// Limit of the receiver's backend server that the sender knows; none if it knows none.
+    pub limit: Option<RequestRate>,
 }
 
 /// Failure to parse a [`PeerRequestHeader`].
@@ -62,14 +64,19 @@
             "{},{:x},{is_nested},{idempotent},{may_wait},",
             self.rank, self.route_hash
         )?;
-        write!(f, "{useful_ms},{},{}", self.version, self.from)
+        write!(f, "{useful_ms},{},{}", self.version, self.from)?;
+        match self.limit {
+            Some(limit) => write!(f, ",{}", limit.millis()),
+            None => Ok(()),
+        }
     }
 }
 
 impl FromStr for PeerRequestHeader {
     type Err = PeerRequestHeaderError;
 
-    /// Parses the format that [`Display`](std::fmt::Display) writes.
+    /// Parses the format that [`Display`](std::fmt::Display) writes. The last field, the limit, may be
+    /// missing.
     ///
     /// # Examples
     ///
@@ -86,15 +93,20 @@
         let mut next = || fields.next().ok_or(PeerRequestHeaderError::Missing);
         let (rank, route_hash) = (next()?.parse()?, u64::from_str_radix(next()?, 16)?);
         let mut flag = || Ok::<_, PeerRequestHeaderError>(next()?.parse::<u8>()? != 0);
+        let (is_nested, idempotent, may_wait) = (flag()?, flag()?, flag()?);
+        let target_remaining = Duration::from_millis(next()?.parse()?);
+        let (version, from) = (ConfigVersion(next()?.parse()?), next()?.parse()?);
+        let limit = fields.next().map(str::parse).transpose()?;
         Ok(Self {
             rank,
             route_hash,
-            is_nested: flag()?,
-            idempotent: flag()?,
-            may_wait: flag()?,
-            target_remaining: Duration::from_millis(next()?.parse()?),
-            version: ConfigVersion(next()?.parse()?),
-            from: next()?.parse()?,
+            is_nested,
+            idempotent,
+            may_wait,
+            target_remaining,
+            version,
+            from,
+            limit: limit.map(RequestRate::from_millis),
         })
     }
 }
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -59,6 +59,7 @@
         mean_run_time: run,
         route_run_time: run,
         link_backlog: Duration::ZERO,
+        limit: None,
     }
 }
 
--- a/crates/node/tests/all/fleet_load.rs
+++ b/crates/node/tests/all/fleet_load/simulated_fleet.rs
@@ -1,7 +1,4 @@
-//! Simulations of the selection of members under load.
-//!
-//! The results for callers are compared with those of a naive picker, which picks the best of
-//! all members by the last reports.
+//! A simulated fleet: senders that pick members, and receivers with their admission queues.
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
@@ -11,6 +8,7 @@
         FleetView, LoadReport, MemberKey, MemberRecord, MemberState, PickQuery, TryOutcome,
         VersionFilter,
     },
+    rate_limit::{LimitLoad, RequestRate},
     store::Revision,
 };
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
@@ -20,13 +18,11 @@
 /// Number of nodes that send requests.
 const SENDERS: usize = 60;
 /// Number of nodes with a backend server.
-const RECEIVERS: usize = 30;
+pub const RECEIVERS: usize = 30;
 const SLOTS: u32 = 9;
 const TARGET: Duration = Duration::from_millis(600);
 const STEP: Duration = Duration::from_millis(1);
-const SIMULATED_TIME: Duration = Duration::from_secs(12);
-/// Load on a busy day, as a share of the capacity.
-const BUSY_LOAD: f64 = 0.86;
+pub const SIMULATED_TIME: Duration = Duration::from_secs(12);
 /// Limits on members probed and members tried in all, as in the outbound proxy.
 const PROBES: usize = 1;
 const TRIES: usize = 3;
@@ -34,7 +30,7 @@
 
 /// How a sender picks a receiver.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Picker {
+pub enum Picker {
     /// The node's own selection.
     Node,
     /// The shortest waiting time by the last reports. The request may be queued there.
@@ -43,10 +39,10 @@
 
 /// Results for the callers.
 #[derive(Debug, Clone, Copy, Default)]
-struct LoadResult {
-    offered: u32,
-    in_time: u32,
-    refused: u32,
+pub struct LoadResult {
+    pub offered: u32,
+    pub in_time: u32,
+    pub refused: u32,
     /// Tries at members, including probes.
     attempts: u32,
     /// Runs in a data centre other than the caller's.
@@ -54,15 +50,15 @@
 }
 
 impl LoadResult {
-    fn share_in_time(self) -> f64 {
+    pub fn share_in_time(self) -> f64 {
         f64::from(self.in_time) / f64::from(self.offered)
     }
 
-    fn attempts_per_request(self) -> f64 {
+    pub fn attempts_per_request(self) -> f64 {
         f64::from(self.attempts) / f64::from(self.offered)
     }
 
-    fn share_remote(self) -> f64 {
+    pub fn share_remote(self) -> f64 {
         f64::from(self.remote_runs) / f64::from(self.offered)
     }
 }
@@ -93,16 +89,25 @@
     waiting: HashMap<QueueKey, (Request, Duration)>,
     /// Whether the backend server is gone while its node is alive.
     without_backend: bool,
+    /// Rate that the backend server takes; none if it names no limit.
+    limit: Option<RequestRate>,
+    /// When runs began.
+    starts: Vec<Duration>,
 }
 
 impl Receiver {
-    fn report(&self) -> LoadReport {
+    fn report(&self, now: Duration, with_limit: bool) -> LoadReport {
+        let limit = self.limit.filter(|_| with_limit).map(|rate| LimitLoad {
+            rate,
+            wait: self.queue.limit_wait(now, self.queue.waiting()),
+        });
         LoadReport {
             running: self.queue.running(),
             waiting: self.queue.waiting(),
             mean_run_time: self.queue.mean_run_time(),
             route_run_time: self.queue.mean_run_time_of(ROUTE_HASH),
             link_backlog: Duration::ZERO,
+            limit,
         }
     }
 }
@@ -132,7 +137,7 @@
     }
 }
 
-struct Fleet {
+pub struct Fleet {
     picker: Picker,
     /// Load as a share of the capacity of all backend servers.
     load: f64,
@@ -142,6 +147,8 @@
     first_data_centre_share: f64,
     /// Outcome that senders record for a refusal of a node without a backend server.
     no_backend_outcome: TryOutcome,
+    /// Whether senders are told of limits.
+    tells_limits: bool,
     rng: StdRng,
     senders: Vec<FleetView>,
     /// Last report that each sender has of each receiver.
@@ -151,12 +158,12 @@
 }
 
 impl Fleet {
-    fn new(picker: Picker, load: f64) -> Self {
+    pub fn new(picker: Picker, load: f64) -> Self {
         Self::spread(picker, load, 1)
     }
 
     /// Creates a fleet whose senders and receivers are spread evenly over data centres.
-    fn spread(picker: Picker, load: f64, data_centres: usize) -> Self {
+    pub fn spread(picker: Picker, load: f64, data_centres: usize) -> Self {
         let mut rng = StdRng::seed_from_u64(23);
         let senders = (0..SENDERS).map(|sender| {
             let mut view = FleetView::new(data_centre_name(sender, data_centres));
@@ -173,6 +180,8 @@
             running: Vec::new(),
             waiting: HashMap::new(),
             without_backend: false,
+            limit: None,
+            starts: Vec::new(),
         });
         let (senders, receivers) = (senders.collect(), receivers.collect());
         Self {
@@ -181,6 +190,7 @@
             data_centres,
             first_data_centre_share: 0.0,
             no_backend_outcome: TryOutcome::NoBackend,
+            tells_limits: true,
             senders,
             last_reports: vec![HashMap::new(); SENDERS],
             receivers,
@@ -190,7 +200,7 @@
     }
 
     /// Removes the backend servers of the last `count` receivers.
-    fn without_backend(mut self, count: usize, no_backend_outcome: TryOutcome) -> Self {
+    pub fn without_backend(mut self, count: usize, no_backend_outcome: TryOutcome) -> Self {
         for receiver in &mut self.receivers[RECEIVERS - count..] {
             receiver.without_backend = true;
         }
@@ -198,8 +208,19 @@
         self
     }
 
+    /// Lets the first `count` backend servers name the limit `rate`. Senders are told of it, or have
+    /// to learn from refusals.
+    pub fn with_limits(mut self, count: usize, rate: RequestRate, tells_limits: bool) -> Self {
+        for receiver in &mut self.receivers[..count] {
+            receiver.limit = Some(rate);
+            receiver.queue.set_limit(Duration::ZERO, Some(rate));
+        }
+        self.tells_limits = tells_limits;
+        self
+    }
+
     /// Lets a share of the requests come from the first data centre instead of evenly.
-    fn with_first_data_centre_share(mut self, first_data_centre_share: f64) -> Self {
+    pub fn with_first_data_centre_share(mut self, first_data_centre_share: f64) -> Self {
         self.first_data_centre_share = first_data_centre_share;
         self
     }
@@ -222,11 +243,18 @@
         rates.sum::<f64>() * f64::from(SLOTS) * self.load
     }
 
-    fn simulate(mut self) -> LoadResult {
+    /// Simulates the load and returns the results for callers.
+    pub fn simulate(self) -> LoadResult {
+        self.simulate_starts().0
+    }
+
+    /// Simulates the load, and returns the results for callers and when runs began at each receiver.
+    pub fn simulate_starts(mut self) -> (LoadResult, Vec<Vec<Duration>>) {
         let arrivals = self.requests_per_second() * STEP.as_secs_f64();
         let mut now = Duration::ZERO;
         while now < SIMULATED_TIME {
             self.end_runs(now);
+            self.resume_limited(now);
             let mut due = arrivals;
             while due > 0.0 {
                 if self.rng.random::<f64>() < due {
@@ -236,7 +264,26 @@
             }
             now += STEP;
         }
-        self.result
+        let starts = self.receivers.into_iter().map(|receiver| receiver.starts);
+        (self.result, starts.collect())
+    }
+
+    /// Starts the requests that limits allow by now.
+    fn resume_limited(&mut self, now: Duration) {
+        for receiver in 0..RECEIVERS {
+            let granted = self.receivers[receiver].queue.resume_limited(now);
+            self.begin_granted(now, receiver, granted);
+        }
+    }
+
+    fn begin_granted(&mut self, now: Duration, receiver: usize, granted: Vec<QueueKey>) {
+        for key in granted {
+            let (request, _) = self.receivers[receiver]
+                .waiting
+                .remove(&key)
+                .expect("the request was waiting");
+            self.begin(now, request);
+        }
     }
 
     fn end_runs(&mut self, now: Duration) {
@@ -259,13 +306,7 @@
                     TryOutcome::Answered { failed: false },
                 );
                 view.record_request_ended(run.request.key);
-                for key in granted {
-                    let (request, _) = self.receivers[receiver]
-                        .waiting
-                        .remove(&key)
-                        .expect("the request was waiting");
-                    self.begin(now, request);
-                }
+                self.begin_granted(now, receiver, granted);
             }
             self.expire(now, receiver);
         }
@@ -295,6 +336,7 @@
         self.result.remote_runs += u32::from(remote);
         let spread = 0.5 + self.rng.random::<f64>();
         let receiver = &mut self.receivers[request.receiver];
+        receiver.starts.push(now);
         receiver.running.push(Run {
             request,
             began: now,
@@ -303,7 +345,7 @@
     }
 
     fn observe(&mut self, now: Duration, request: Request) {
-        let report = self.receivers[request.receiver].report();
+        let report = self.receivers[request.receiver].report(now, self.tells_limits);
         self.senders[request.sender].record_load(now, request.key, ROUTE_HASH, report);
         self.last_reports[request.sender].insert(request.receiver, report);
     }
@@ -315,6 +357,10 @@
         let sender = self.draw_sender();
         let (mut tried, mut probed) = (Vec::new(), Vec::new());
         while tried.len() + probed.len() < TRIES {
+            let refuses_at_once = self.senders[sender].limit_wait(now, &query(&tried, &probed));
+            if refuses_at_once.is_some() {
+                break;
+            }
             let may_wait = self.picker == Picker::BestKnown
                 || probed.len() == PROBES
                 || !self.senders[sender].may_probe(&query(&tried, &probed));
@@ -352,7 +398,12 @@
                     probed.push(key);
                 }
                 AdmissionDecision::Refuse { retry_after } => {
-                    let outcome = TryOutcome::Refused { retry_after };
+                    let queue = &self.receivers[request.receiver].queue;
+                    let outcome = if self.tells_limits && queue.is_limit_binding(now) {
+                        TryOutcome::LimitRefused { retry_after }
+                    } else {
+                        TryOutcome::Refused { retry_after }
+                    };
                     self.senders[sender].record_try_outcome(now, key, outcome);
                     tried.push(key);
                 }
@@ -426,58 +477,3 @@
 fn noise(rng: &mut impl Rng) -> f64 {
     rng.random::<f64>() * 2.0 - 1.0
 }
-
-/// Guards against all nodes picking the same few backend servers because their load reports
-/// are stale.
-#[test]
-fn stale_news_do_not_crowd_the_fastest() {
-    let node = Fleet::new(Picker::Node, BUSY_LOAD).simulate();
-    let naive = Fleet::new(Picker::BestKnown, BUSY_LOAD).simulate();
-    assert!(node.share_in_time() > 0.95, "{node:?} {naive:?}");
-    assert!(naive.share_in_time() < 0.9, "{node:?} {naive:?}");
-}
-
-/// Guards against probing for free slots in a shortage, when there are no free slots.
-#[test]
-fn a_shortage_is_not_probed() {
-    let node = Fleet::new(Picker::Node, 1.5).simulate();
-    assert!(node.attempts_per_request() < 2.2, "{node:?}");
-    assert!(node.share_in_time() > 0.55, "{node:?}");
-}
-
-/// Guards against nodes without a backend server that look idle and attract most tries.
-#[test]
-fn nodes_without_a_server_draw_no_work() {
-    let load = BUSY_LOAD * 0.75;
-    let node = Fleet::new(Picker::Node, load)
-        .without_backend(6, TryOutcome::NoBackend)
-        .simulate();
-    let retry_after = Duration::from_millis(50);
-    let naive = Fleet::new(Picker::Node, load)
-        .without_backend(6, TryOutcome::Refused { retry_after })
-        .simulate();
-    assert!(node.share_in_time() > 0.95, "{node:?} {naive:?}");
-    assert!(
-        node.attempts_per_request() + 0.2 < naive.attempts_per_request(),
-        "{node:?} {naive:?}"
-    );
-}
-
-/// Guards against responses from another data centre while backend servers in the caller's
-/// data centre are free.
-#[test]
-fn requests_stay_at_home_while_it_has_room() {
-    let node = Fleet::spread(Picker::Node, 0.6, 5).simulate();
-    assert!(node.share_remote() < 0.2, "{node:?}");
-    assert!(node.share_in_time() > 0.97, "{node:?}");
-}
-
-/// Guards against an overloaded data centre that keeps its callers in its queues while others
-/// have capacity.
-#[test]
-fn callers_of_a_crowded_data_centre_spill_over() {
-    let node = Fleet::spread(Picker::Node, 0.6, 5)
-        .with_first_data_centre_share(0.3)
-        .simulate();
-    assert!(node.share_in_time() > 0.95, "{node:?}");
-}
--- a/crates/node/tests/all/link_shortage.rs
+++ b/crates/node/tests/all/link_shortage.rs
@@ -169,6 +169,7 @@
             mean_run_time: RUN,
             route_run_time: RUN,
             link_backlog: self.links[link].backlog(now),
+            limit: None,
         };
         let fleet = &mut self.senders[sender];
         fleet.record_load(now, key, LONG.route_hash, report);
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod poison;
 mod queue;
 mod queue_load;
+mod rate_limits;
 mod rollout;
 mod starts;
 mod support;
