Send nothing new to a backend server that says in its responses that it leaves

What callers and operators saw: a server whose responses say `Server-Leaving: 1` got requests later than DrainS as long as its heartbeats said that it was ready.

One idea of leaving, three sources now: heartbeat, deregistration, response. The node beside the server treats the response like a heartbeat that says so, except that a heartbeat that says ready doesn't undo it, and announces it. Each node that passes such a response on remembers that start itself, so that it sends nothing more while the store is away and the node beside the server is restarted, frozen or cut off. A later start of the same identifier isn't bound.

--- a/crates/node/src/inbound/endpoint_limit.rs
+++ b/crates/node/src/inbound/endpoint_limit.rs
@@ -6,7 +6,7 @@
 
 use super::{InboundProxy, InboundRequest, RunSlot};
 use crate::{
-    member::EndpointStart,
+    member::{EndpointStart, StartOrder},
     rate_limit::{EndpointNotice, ExchangeTimes, LimitLoad, LimitNotice, RequestRate},
 };
 
@@ -29,7 +29,7 @@
 
     /// Counts a request that is passed on to the backend server.
     pub(super) fn record_sent(&self, request: &InboundRequest, slot: &RunSlot) {
-        self.limit_reporter.record_sent(request.is_nested);
+        self.notice_reporter.record_sent(request.is_nested);
         let mut usage = self.limit_usage.borrow_mut();
         usage.record_sent(request.sender, request.is_nested, slot.has_waited());
     }
@@ -43,12 +43,15 @@
         headers: &HeaderMap,
         times: ExchangeTimes,
     ) {
-        if self.current_start().as_ref() != Some(start) {
+        if !self.is_current(start) {
             return;
         }
         let notice = EndpointNotice::read(headers, &self.headers);
+        if notice.is_leaving {
+            self.record_leaving(times.received_at, start);
+        }
         if notice.limit == LimitNotice::Malformed {
-            self.limit_reporter
+            self.notice_reporter
                 .record_malformed(times.received_at, start);
         }
         let before = self.rate_limit();
@@ -56,6 +59,19 @@
         self.apply_limit(start, before, after);
     }
 
+    fn is_current(&self, start: &EndpointStart) -> bool {
+        let current = self.current_start();
+        current.is_some_and(|current| current.order(start) == StartOrder::Same)
+    }
+
+    /// Records that the backend server leaves, and has that announced.
+    fn record_leaving(&self, now: Duration, start: &EndpointStart) {
+        if self.tracker.borrow_mut().record_leaving(now, start) {
+            self.notice_reporter.record_leaving(start);
+            self.announcement_changed.notify_one();
+        }
+    }
+
     /// Adopts the limit that another node knows, if this process hasn't heard from the backend
     /// server yet.
     ///
@@ -84,7 +100,7 @@
         if before == after {
             return;
         }
-        self.limit_reporter.record_change(start, before, after);
+        self.notice_reporter.record_change(start, before, after);
         let now = self.inner.clock.now();
         let granted = self.inner.queue.borrow_mut().set_limit(now, after);
         self.inner.wake(granted);
@@ -97,7 +113,7 @@
             .borrow_mut()
             .take_after(now, USAGE_INTERVAL);
         if let (Some(limit), Some((usage, time))) = (self.rate_limit(), taken) {
-            self.limit_reporter.record_usage(limit, &usage, time);
+            self.notice_reporter.record_usage(limit, &usage, time);
         }
     }
 }
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -41,6 +41,8 @@
     pub was_ready: bool,
     /// Whether the start has deregistered.
     pub deregistered: bool,
+    /// Whether the start has said in a response that it leaves.
+    pub said_leaving: bool,
 }
 
 /// Tracks which start of the local backend server is current.
@@ -98,6 +100,17 @@
         }
     }
 
+    /// Processes a response in which `start` says that it leaves. Returns `true` if it is the current
+    /// start and hadn't said so in a response before.
+    pub fn record_leaving(&mut self, now: Duration, start: &EndpointStart) -> bool {
+        let current = self.current.as_mut();
+        let Some(current) = current.filter(|current| current.report.start.ended_with(start)) else {
+            return false;
+        };
+        current.leaving_since.get_or_insert(now);
+        !std::mem::replace(&mut current.said_leaving, true)
+    }
+
     /// Processes the instance identifier that the backend server gave in a response. Returns the
     /// previous start if it ended without announcing that it was leaving.
     pub fn record_instance(&mut self, instance: &str) -> Option<EndpointStart> {
@@ -184,6 +197,7 @@
             leaving_since: leaving.then_some(now),
             was_ready: !leaving,
             deregistered: false,
+            said_leaving: false,
         };
         if let Some(ended) = self.current.replace(next) {
             self.retire(ended.report.start);
@@ -217,7 +231,8 @@
     let changed = announced(&report) != announced(&current.report);
     current.leaving_since = match report.state {
         ReportState::Leaving => current.leaving_since.or(Some(now)),
-        ReportState::Ready if current.deregistered => current.leaving_since,
+        // Heartbeats are sent every second or so, and may be older than the response.
+        ReportState::Ready if current.deregistered || current.said_leaving => current.leaving_since,
         ReportState::Ready => None,
     };
     current.was_ready |= current.leaving_since.is_none();
--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -12,7 +12,7 @@
 use hyper::body::Body;
 use snafu::Snafu;
 use tokio::{
-    sync::{Semaphore, oneshot},
+    sync::{Notify, Semaphore, oneshot},
     task::spawn_local,
     time::{Instant, sleep_until, timeout_at},
 };
@@ -27,7 +27,7 @@
     link::LinkScheduler,
     member::{EndpointStart, LoadReport, ResponseSizes},
     node_clock::NodeClock,
-    rate_limit::{LimitReporter, LimitTracker, LimitUsage},
+    rate_limit::{LimitTracker, LimitUsage, NoticeReporter},
     response_body::ResponseBody,
     rollout::RunLedger,
     transport::{ConnectionPool, PoolSettings},
@@ -170,7 +170,9 @@
     /// Limit that the current start of the backend server names.
     pub(super) limit: RefCell<LimitTracker>,
     pub(super) limit_usage: RefCell<LimitUsage>,
-    pub(super) limit_reporter: LimitReporter,
+    pub(super) notice_reporter: NoticeReporter,
+    /// Wakes the announcer when the backend server says in a response that it leaves.
+    pub(super) announcement_changed: Rc<Notify>,
 }
 
 impl InboundProxy {
@@ -181,7 +183,8 @@
         clock: NodeClock,
         link: Rc<LinkScheduler>,
         crashes: Rc<RefCell<CrashHistory>>,
-        limit_reporter: LimitReporter,
+        notice_reporter: NoticeReporter,
+        announcement_changed: Rc<Notify>,
     ) -> Self {
         let endpoint_pool = ConnectionPool::new(PoolSettings {
             connect_timeout: CONNECT_TIMEOUT,
@@ -213,7 +216,8 @@
             ledger: RefCell::default(),
             limit: RefCell::default(),
             limit_usage: RefCell::default(),
-            limit_reporter,
+            notice_reporter,
+            announcement_changed,
         }
     }
 
--- a/crates/node/src/member/fleet_view.rs
+++ b/crates/node/src/member/fleet_view.rs
@@ -11,8 +11,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    LoadReport, MemberKey, MemberRecord, MemberUpdate, MemberView, MovingMean,
-    member_distance::NodeLocation, service_pool::ServicePool,
+    EndpointStart, LoadReport, MemberKey, MemberRecord, MemberUpdate, MemberView, MovingMean,
+    left_starts::LeftStarts, member_distance::NodeLocation, service_pool::ServicePool,
 };
 use crate::store::Revision;
 
@@ -75,6 +75,7 @@
     pub(super) services: HashMap<String, ServicePool>,
     /// Mean run time in seconds by route hash, over all members.
     pub(super) route_run_times: HashMap<u64, MovingMean>,
+    left_starts: LeftStarts,
     generation: u32,
     /// Revision of the store up to which the members are known.
     revision: Revision,
@@ -118,6 +119,7 @@
             keys_by_addr: HashMap::new(),
             services: HashMap::new(),
             route_run_times: HashMap::new(),
+            left_starts: LeftStarts::default(),
             generation: 0,
             revision: Revision(0),
             dropped: VecDeque::new(),
@@ -142,6 +144,7 @@
         let changed = member.record != record || member.lapsed_at.is_some();
         let moved = member.record.service != record.service;
         member.announce(now, record);
+        member.has_left = self.left_starts.contains(&member.record.start);
         if moved {
             self.index_services();
         }
@@ -355,6 +358,18 @@
         }
     }
 
+    /// Records that a start said in a response that it leaves, and returns whether that is new.
+    ///
+    /// The start gets no new requests of this node, whatever is announced.
+    pub fn record_leaving(&mut self, key: MemberKey, start: &EndpointStart) -> bool {
+        let is_new = self.left_starts.insert(start);
+        let left_starts = &self.left_starts;
+        if let Some(member) = self.members.get_mut(key.index as usize) {
+            member.has_left = left_starts.contains(&member.record.start);
+        }
+        is_new
+    }
+
     /// Counts a request at `key` as no longer outstanding.
     ///
     /// Each call of [`FleetView::record_request_sent`] needs one call of this method.
@@ -388,6 +403,7 @@
         let (peer_addr, service) = (record.peer_addr, record.service.clone());
         let mut member = MemberView::new(now, record, distance, self.generation);
         member.revision = revision;
+        member.has_left = self.left_starts.contains(&member.record.start);
         let index = self.members.insert(member) as u32;
         let generation = self.generation;
         let key = MemberKey { index, generation };
--- a/crates/node/src/member/member_view.rs
+++ b/crates/node/src/member/member_view.rs
@@ -54,6 +54,8 @@
     pub record: MemberRecord,
     distance: MemberDistance,
     pub(super) generation: u32,
+    /// Whether the present start has said in a response that it leaves.
+    pub(super) has_left: bool,
     /// When the announcement lapsed; none while it is in the store.
     pub(super) lapsed_at: Option<Duration>,
     /// Revision of the last change of the announcement.
@@ -109,6 +111,7 @@
             record,
             distance,
             generation,
+            has_left: false,
             lapsed_at: None,
             revision: Revision(0),
             cold_until,
@@ -185,9 +188,9 @@
         self.distance <= MemberDistance::SameDataCentre
     }
 
-    /// Whether the member is announced as taking requests.
+    /// Whether the member is announced as taking requests, and hasn't said itself that it leaves.
     pub(super) fn takes_requests(&self) -> bool {
-        self.record.state == MemberState::Ready && !self.record.suspended
+        self.record.state == MemberState::Ready && !self.record.suspended && !self.has_left
     }
 
     /// Whether the member is neither ejected nor in the pause after a refusal.
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -8,6 +8,7 @@
 mod endpoint_start;
 mod endpoint_version;
 mod fleet_view;
+mod left_starts;
 mod load_report;
 mod member_choice;
 mod member_distance;
--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -38,7 +38,7 @@
     node_metrics::NodeMetrics,
     node_settings::NodeSettings,
     outbound::{DeadlineTracker, ResendTracker},
-    rate_limit::LimitReporter,
+    rate_limit::NoticeReporter,
     request_origin::RequestOrigin,
     retry::RetryBudget,
     rollout::{OrderBook, RolloutRegistry, TrafficSplit},
@@ -91,7 +91,7 @@
     /// Prometheus metrics of this node.
     pub metrics: NodeMetrics,
     /// Wakes the announcer when the announcement in the store may have to change.
-    pub announcement_changed: Notify,
+    pub announcement_changed: Rc<Notify>,
     /// Announcement of this node that an earlier process left in the store.
     pub earlier_record: RefCell<Option<MemberRecord>>,
     /// Lease of the announcement in `earlier_record`.
@@ -174,8 +174,9 @@
         });
         let metrics = NodeMetrics::new(&settings)?;
         let reporter = LinkReporter::new(log.clone(), metrics.link());
-        let limit_reporter = LimitReporter::new(log.clone(), metrics.limit());
+        let notice_reporter = NoticeReporter::new(log.clone(), metrics.limit());
         let link = Rc::new(LinkScheduler::new(settings.link_mbps, reporter));
+        let announcement_changed = Rc::<Notify>::default();
         let crashes = Rc::<RefCell<CrashHistory>>::default();
         let inbound = InboundProxy::new(
             inbound_settings,
@@ -183,7 +184,8 @@
             clock,
             Rc::clone(&link),
             Rc::clone(&crashes),
-            limit_reporter,
+            notice_reporter,
+            Rc::clone(&announcement_changed),
         );
         let caller_service = endpoint_reports::service_value(&settings.service);
         Ok(Rc::new(Self {
@@ -199,7 +201,7 @@
             peer_connections,
             retries: RefCell::new(RetryBudget::new(settings.retries)),
             log,
-            announcement_changed: Notify::new(),
+            announcement_changed,
             earlier_record: RefCell::default(),
             earlier_lease: Cell::new(None),
             earlier_record_received: Notify::new(),
--- a/crates/node/src/node_core/request_outcomes.rs
+++ b/crates/node/src/node_core/request_outcomes.rs
@@ -176,6 +176,13 @@
         }
     }
 
+    /// Records that a member's backend server said in a response that it leaves.
+    pub fn record_member_leaving(&self, at: &MemberRecord) {
+        info!(self.log.logger(), "backend server said that it leaves";
+            "at" => %at.peer_addr,
+            "instance" => %at.start);
+    }
+
     /// Records that a node couldn't be reached, and drops the connections to it.
     pub fn record_unreachable(&self, request: &OutboundRequest, at: &MemberRecord, cause: &str) {
         self.metrics.record_failed_try("unreachable");
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -21,6 +21,7 @@
     link::LinkTraffic,
     member::{LoadReport, MemberKey, MemberRecord},
     node_core::NodeCore,
+    rate_limit::EndpointNotice,
     response_body::{ResponseBody, is_short},
     transport::{ExchangeError, PeerRequestHeader},
 };
@@ -95,6 +96,9 @@
         let route_hash = request.route.route_hash;
         let load = self.core.inbound.load(route_hash);
         self.core.record_load(guard.key(), route_hash, load);
+        if let Ok(response) = &result {
+            self.record_leaving(guard.key(), record, response.headers());
+        }
         match result {
             Ok(response) => Ok(Box::new(
                 response.map(|body| body.with_in_flight_guard(guard)),
@@ -131,6 +135,7 @@
         };
         guard.hold_connection(sender);
         self.record_peer_headers(key, record, response.headers());
+        self.record_leaving(key, record, response.headers());
         let refusal = parse_header::<InboundRefusal>(response.headers(), &PEER_REFUSAL_HEADER);
         let failure = header_text(response.headers(), &PEER_FAILURE_HEADER).map(ToOwned::to_owned);
         let diagnosis = header_text(response.headers(), &PEER_DIAGNOSIS_HEADER);
@@ -200,6 +205,24 @@
         }
     }
 
+    /// Records that a backend server says in its response that it leaves.
+    ///
+    /// This node itself must not send it new requests then: the node beside it may be restarted, cut
+    /// off or unable to announce the leaving.
+    fn record_leaving(self, key: MemberKey, record: &MemberRecord, headers: &HeaderMap) {
+        if !EndpointNotice::read(headers, &self.core.headers).is_leaving {
+            return;
+        }
+        let is_new = self
+            .core
+            .fleet
+            .borrow_mut()
+            .record_leaving(key, &record.start);
+        if is_new {
+            self.core.record_member_leaving(record);
+        }
+    }
+
     /// Records the load and the configuration version that the other node reports.
     pub(super) fn record_peer_headers(
         self,
--- a/crates/node/src/rate_limit/limit_reporter.rs
+++ b/crates/node/src/rate_limit/notice_reporter.rs
@@ -1,4 +1,4 @@
-//! Log events and metrics about the limit that the local backend server names.
+//! Log events and metrics about what the local backend server says of itself.
 
 use std::time::Duration;
 
@@ -34,14 +34,14 @@
     }
 }
 
-/// Logs and counts what the local backend server says about its limit, and what it gets.
+/// Logs and counts what the local backend server says of itself, and what it gets.
 #[derive(Debug, Clone)]
-pub struct LimitReporter {
+pub struct NoticeReporter {
     log: EventLog,
     counters: LimitCounters,
 }
 
-impl LimitReporter {
+impl NoticeReporter {
     /// Creates the reporter of a node.
     pub const fn new(log: EventLog, counters: LimitCounters) -> Self {
         Self { log, counters }
@@ -68,6 +68,11 @@
             "limit_per_s" => after.map(RequestRate::per_second));
     }
 
+    /// Logs that a start of the local backend server says in its responses that it leaves.
+    pub fn record_leaving(&self, start: &EndpointStart) {
+        info!(self.log.logger(), "backend server said that it leaves"; "instance" => %start);
+    }
+
     /// Logs a limit that can't be parsed.
     pub fn record_malformed(&self, now: Duration, start: &EndpointStart) {
         if let Some(log) = self.log.for_request(now, "malformed limit") {
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -424,3 +424,27 @@
     let key = fleet.key_of(peer_addr(1)).expect("the member is announced");
     assert!(fleet.silence_timeout(at(10), key, &QUERY) >= QUERY.target_latency);
 }
+
+/// Guards against new requests for a start that has said in a response that it leaves, after its
+/// announcement was dropped and came back.
+#[test]
+fn a_start_that_said_it_leaves_is_not_picked_again() {
+    let mut fleet = view(4, 0);
+    let key = fleet.key_of(peer_addr(1)).expect("the member is known");
+    assert!(fleet.record_leaving(key, &support::record(1).start));
+    let is_picked = |fleet: &FleetView, now| {
+        let key = fleet.key_of(peer_addr(1));
+        key.is_some_and(|key| picks(fleet, now, &QUERY).contains_key(&key))
+    };
+    assert!(!is_picked(&fleet, at(1)));
+    fleet.lapse(at(10), peer_addr(1), Revision(10));
+    assert_eq!(fleet.sweep(at(5_000)).len(), 1);
+    fleet.announce(at(5_001), record(1, "hofdi"), Revision(11));
+    assert!(!is_picked(&fleet, at(5_002)));
+    let next = MemberRecord {
+        start: support::start("i-next"),
+        ..record(1, "hofdi")
+    };
+    fleet.announce(at(6_000), next, Revision(12));
+    assert!(is_picked(&fleet, at(6_001)));
+}
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -248,3 +248,22 @@
     assert_eq!(tracker.report(at(20), own), ReportOutcome::Unchanged);
     assert_eq!(refusal(&tracker, at(3_000), "i-1"), None);
 }
+
+/// Guards against a heartbeat that readmits requests to a start that has said in a response that it
+/// leaves. A later start isn't bound by that.
+#[test]
+fn leaving_by_response_is_final_for_its_start() {
+    let mut tracker = EndpointTracker::default();
+    tracker.report(at(0), born_report(TODAY, 4, ReportState::Ready));
+    assert!(tracker.record_leaving(at(10), &born("i-1", TODAY)));
+    assert!(!tracker.record_leaving(at(20), &born("i-1", TODAY)));
+    tracker.report(at(30), born_report(TODAY, 5, ReportState::Ready));
+    assert_eq!(refusal(&tracker, at(30), "i-1"), None, "the grace time");
+    let leaving = Some(RefusalReason::Leaving);
+    assert_eq!(refusal(&tracker, at(900), "i-1"), leaving);
+    let next = born_report(TODAY + 9_000, 1, ReportState::Ready);
+    assert_eq!(tracker.report(at(9_000), next), ReportOutcome::Adopted);
+    assert_eq!(refusal(&tracker, at(9_001), "i-1"), None);
+    assert!(!tracker.record_leaving(at(9_010), &born("i-1", TODAY)));
+    assert_eq!(refusal(&tracker, at(12_000), "i-1"), None);
+}
