Draw limits and leaving by response in the soak, and check both from outside

Backend servers now name a limit in their responses, or say there that they leave while they report that they are ready; both are drawn as an overlay of their own, so that older seeds play the same faults. What they got is counted as the platform does: from nodes that had passed on such a response, and that no fault disturbed since.

Seed 41 is the test.

--- a/crates/rig/src/demo/demo_run.rs
+++ b/crates/rig/src/demo/demo_run.rs
@@ -87,6 +87,7 @@
     sleep(step).await;
     let nodes = fleet.nodes.iter();
     let evidence = SoakEvidence {
+        notices: Vec::new(),
         calls: load.end().await,
         runs: nodes
             .clone()
--- a/crates/rig/src/rig_endpoint.rs
+++ b/crates/rig/src/rig_endpoint.rs
@@ -15,7 +15,10 @@
     time::{sleep, timeout},
 };
 
-use crate::http_post::http_post;
+use crate::{
+    http_post::http_post,
+    notice_span::{NoticeKind, NoticeSpan},
+};
 
 /// Interval between heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
@@ -59,6 +62,9 @@
     work: Duration,
     past_runs: Vec<RunRecord>,
     acked_drains: Vec<AckedDrain>,
+    notices: Vec<NoticeSpan>,
+    /// What the running start says of itself in its responses.
+    open_notices: Vec<NoticeSpan>,
 }
 
 /// A backend server beside a node. It posts heartbeats to the node, and can crash,
@@ -83,6 +89,8 @@
             work: RUN_TIME,
             past_runs: Vec::new(),
             acked_drains: Vec::new(),
+            notices: Vec::new(),
+            open_notices: Vec::new(),
         };
         let state = Arc::new(Mutex::new(state));
         let heartbeats = tokio::spawn(send_heartbeats(machine.clone(), Arc::clone(&state)));
@@ -130,6 +138,39 @@
         }
     }
 
+    /// Makes every response of the running start say `kind`.
+    pub fn begin_notice(&self, kind: NoticeKind) {
+        let mut state = self.state();
+        let Some(server) = &state.server else {
+            return;
+        };
+        match kind {
+            NoticeKind::Limit(per_s) => server.options().rate_limit = Some(per_s.to_string()),
+            NoticeKind::Leaving => server.options().leaving = true,
+        }
+        let now = Instant::now();
+        let span = NoticeSpan {
+            instance: state.instance(&self.machine),
+            born_ms: state.born_ms,
+            kind,
+            from: now,
+            to: now,
+        };
+        state.open_notices.push(span);
+    }
+
+    /// Ends what the responses of the running start say.
+    pub fn end_notices(&self) {
+        self.state().end_notices();
+    }
+
+    /// Returns what starts of the backend server said of themselves in their responses.
+    pub fn notices(&self) -> Vec<NoticeSpan> {
+        let mut state = self.state();
+        state.end_notices();
+        state.notices.clone()
+    }
+
     /// Reports that the backend server drains. Returns when its node acknowledges this,
     /// or after `limit`.
     pub async fn drain(&self, limit: Duration) {
@@ -233,11 +274,25 @@
 
 impl EndpointState {
     fn stop_server(&mut self) {
+        self.end_notices();
         if let Some(server) = self.server.take() {
             self.past_runs.extend(server.end());
         }
     }
 
+    /// Records what the running start said of itself until now, and ends it.
+    fn end_notices(&mut self) {
+        let to = Instant::now();
+        let ended = self.open_notices.drain(..);
+        self.notices
+            .extend(ended.map(|span| NoticeSpan { to, ..span }));
+        if let Some(server) = &self.server {
+            let mut options = server.options();
+            options.rate_limit = None;
+            options.leaving = false;
+        }
+    }
+
     /// Starts the server, and stops a running one first. Two faults may start it at the
     /// same time, but only one server can listen on the address.
     fn start_server(&mut self, machine: &Machine) {
--- a/crates/rig/src/soak/breach.rs
+++ b/crates/rig/src/soak/breach.rs
@@ -22,6 +22,8 @@
     Answered,
     /// A backend server that has drained gets no new requests.
     Drained,
+    /// A backend server that has named a limit gets no more than that.
+    WithinLimit,
     /// A request whose caller has disconnected is cancelled.
     Cancelled,
     /// A request that crashes backend servers reaches only a few of them.
--- a/crates/rig/src/soak/fault_injector.rs
+++ b/crates/rig/src/soak/fault_injector.rs
@@ -10,7 +10,9 @@
 use tokio::{task::JoinHandle, time::sleep};
 
 use super::{FaultKind, FaultSpan, PlannedFault, version_probe::ProbeRecords};
-use crate::{LinkFault, LinkProxy, ProcessSignal, RigEndpoint, RigError, RigFleet, RigNode};
+use crate::{
+    LinkFault, LinkProxy, NoticeKind, ProcessSignal, RigEndpoint, RigError, RigFleet, RigNode,
+};
 
 /// Delay that a slow link adds.
 const LINK_DELAY: Duration = Duration::from_millis(80);
@@ -20,6 +22,8 @@
 const STORE_WRITE_DELAY: Duration = Duration::from_millis(1_200);
 /// Factor by which slow backend servers take longer.
 const SLOWDOWN_FACTOR: u32 = 8;
+/// Requests per second that a limited backend server takes; it gets several times that otherwise.
+const LIMIT_PER_S: f64 = 1.0;
 /// Longest time that a draining backend server waits for its acknowledgment.
 const DRAIN_ACK_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for which a backend server serves after that, slightly more than nodes may
@@ -305,6 +309,7 @@
         FaultKind::EndpointCrash | FaultKind::EndpointReturn | FaultKind::EndpointSlow => {
             EndpointFault::Sound
         }
+        FaultKind::EndpointLimits | FaultKind::EndpointSaysLeaving => EndpointFault::Sound,
         _ => return false,
     };
     for &target in targets {
@@ -312,7 +317,14 @@
         match (kind, begins) {
             (FaultKind::EndpointCrash | FaultKind::EndpointReturn, true) => endpoint.crash(),
             (FaultKind::EndpointReturn, false) => endpoint.restart_same_identifier(),
-            (FaultKind::EndpointCrash, false) => endpoint.restart_new_identifier(),
+            (FaultKind::EndpointCrash | FaultKind::EndpointSaysLeaving, false) => {
+                endpoint.restart_new_identifier();
+            }
+            (FaultKind::EndpointLimits, true) => {
+                endpoint.begin_notice(NoticeKind::Limit(LIMIT_PER_S));
+            }
+            (FaultKind::EndpointSaysLeaving, true) => endpoint.begin_notice(NoticeKind::Leaving),
+            (FaultKind::EndpointLimits, false) => endpoint.end_notices(),
             (FaultKind::EndpointSlow, true) => endpoint.slow_down(SLOWDOWN_FACTOR),
             (FaultKind::EndpointSlow, false) => endpoint.slow_down(1),
             (_, true) => endpoint.set_fault(fault),
--- a/crates/rig/src/soak/fault_kind.rs
+++ b/crates/rig/src/soak/fault_kind.rs
@@ -79,6 +79,11 @@
     ForeignWriter,
     /// The store is unavailable and is then restored from a copy some seconds old.
     StoreCopy,
+    /// Backend servers name in their responses how many requests they take.
+    EndpointLimits,
+    /// Backend servers say in their responses that they leave, report that they are ready, and are
+    /// replaced.
+    EndpointSaysLeaving,
 }
 
 impl FaultKind {
@@ -91,9 +96,15 @@
     /// the same reason.
     pub const LAST_OVERLAY_KINDS: [Self; 1] = [Self::StoreCopy];
 
+    /// Kinds of the overlay of what backend servers say in responses, drawn separately for the same
+    /// reason.
+    pub const NOTICE_OVERLAY_KINDS: [Self; 2] = [Self::EndpointLimits, Self::EndpointSaysLeaving];
+
     /// Returns the kinds from which a plan without overlaid faults is drawn.
     pub fn base_kinds() -> &'static [Self] {
-        let overlay_count = Self::OVERLAY_KINDS.len() + Self::LAST_OVERLAY_KINDS.len();
+        let overlay_count = Self::OVERLAY_KINDS.len()
+            + Self::LAST_OVERLAY_KINDS.len()
+            + Self::NOTICE_OVERLAY_KINDS.len();
         &Self::VARIANTS[..Self::VARIANTS.len() - overlay_count]
     }
 
--- a/crates/rig/src/soak/promise_check.rs
+++ b/crates/rig/src/soak/promise_check.rs
@@ -7,7 +7,9 @@
 
 use geranium_standins::RunRecord;
 
-use super::{Breach, Promise, SoakEvidence, version_probe::PROBE_PREFIX};
+use super::{
+    Breach, Promise, SoakEvidence, notice_check::check_notices, version_probe::PROBE_PREFIX,
+};
 use crate::{CallKind, CallOutcome, CallRecord, NodeEventKind};
 
 /// Longest time after an acknowledged drain during which requests may still arrive.
@@ -46,6 +48,7 @@
     breaches.extend(check_requested(evidence));
     breaches.extend(check_crashes(evidence, timed));
     breaches.extend(check_drains(evidence, timed));
+    breaches.extend(check_notices(evidence));
     breaches.extend(check_processes(evidence));
     breaches
 }
--- a/crates/rig/src/soak/soak_evidence.rs
+++ b/crates/rig/src/soak/soak_evidence.rs
@@ -5,7 +5,7 @@
 use geranium_standins::RunRecord;
 
 use super::FaultKind;
-use crate::{AckedDrain, CallRecord, NodeEvent};
+use crate::{AckedDrain, CallRecord, NodeEvent, NoticeSpan};
 
 /// A fault with the time span in which it was active.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -52,6 +52,8 @@
     pub runs: Vec<RunRecord>,
     /// Drains and deregistrations that nodes acknowledged.
     pub acked_drains: Vec<AckedDrain>,
+    /// What backend servers said of themselves in their responses.
+    pub notices: Vec<NoticeSpan>,
     /// Faults that were injected.
     pub faults: Vec<FaultSpan>,
     /// Starts and ends of each node's process, by node.
--- a/crates/rig/src/soak/soak_options.rs
+++ b/crates/rig/src/soak/soak_options.rs
@@ -37,6 +37,10 @@
     /// fault before there were any.
     #[arg(long)]
     pub without_last: bool,
+    /// Leave out backend servers that name limits or say in responses that they leave, to replay
+    /// seeds that found a fault before there were any.
+    #[arg(long)]
+    pub without_notices: bool,
     /// Print the plan of each run.
     #[arg(long)]
     pub plan: bool,
--- a/crates/rig/src/soak/soak_plan.rs
+++ b/crates/rig/src/soak/soak_plan.rs
@@ -31,6 +31,13 @@
 /// copy.
 const STORE_OUTAGE_MS: std::ops::Range<u64> = 100..1_500;
 
+/// Mean time between two starts of what backend servers say in responses.
+const NOTICE_GAP_MS: u64 = 3_000;
+/// Mixed into the seed of these, so that their draws differ from the others'.
+const NOTICE_SEED: u64 = 0x6e6f_7469;
+/// Range of the time in which they say so. A limit holds from three seconds on.
+const NOTICE_LENGTH_MS: std::ops::Range<u64> = 4_000..9_000;
+
 /// One fault of a plan.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct PlannedFault {
@@ -133,6 +140,36 @@
         plan
     }
 
+    /// Adds backend servers that name limits, or say in their responses that they leave.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use geranium_rig::soak::SoakPlan;
+    ///
+    /// let base = SoakPlan::draw(7, 20, 8);
+    /// let mut plan = base.clone();
+    /// plan.add_notices(20, 8);
+    /// assert!(base.faults.iter().all(|fault| plan.faults.contains(fault)));
+    /// ```
+    pub fn add_notices(&mut self, seconds: u64, nodes: usize) {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ NOTICE_SEED);
+        let mut start_ms = FIRST_MS;
+        while start_ms < seconds * 1_000 {
+            let kinds = FaultKind::NOTICE_OVERLAY_KINDS;
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            let count = rng.random_range(1..=nodes.div_ceil(3));
+            self.faults.push(PlannedFault {
+                kind,
+                targets: (0..nodes).sample(&mut rng, count),
+                start_ms,
+                end_ms: start_ms + rng.random_range(NOTICE_LENGTH_MS),
+            });
+            start_ms += rng.random_range(0..2 * NOTICE_GAP_MS);
+        }
+        self.faults.sort_by_key(|fault| fault.start_ms);
+    }
+
     /// Draws a plan as [`SoakPlan::draw_with_overlay`] does, with restores of the
     /// store.
     ///
--- a/crates/rig/src/soak/soak_run.rs
+++ b/crates/rig/src/soak/soak_run.rs
@@ -41,7 +41,10 @@
             (false, true) => SoakPlan::draw_with_overlay,
             (false, false) => SoakPlan::draw_with_all_overlays,
         };
-        let plan = draw(seed, options.seconds, options.nodes);
+        let mut plan = draw(seed, options.seconds, options.nodes);
+        if !options.plain && !options.without_notices {
+            plan.add_notices(options.seconds, options.nodes);
+        }
         if options.plan {
             plan.faults.iter().for_each(|fault| println!("{fault}"));
         }
@@ -103,6 +106,11 @@
             .iter()
             .flat_map(|node| node.endpoint.acked_drains())
             .collect(),
+        notices: fleet
+            .nodes
+            .iter()
+            .flat_map(|node| node.endpoint.notices())
+            .collect(),
         faults: injector.into_spans(),
         events: fleet
             .nodes
--- a/crates/rig/tests/all/promises.rs
+++ b/crates/rig/tests/all/promises.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use geranium_rig::{
-    AckedDrain, CallKind, CallOutcome, CallRecord, NodeEvent, NodeEventKind,
+    AckedDrain, CallKind, CallOutcome, CallRecord, NodeEvent, NodeEventKind, NoticeKind,
+    NoticeSpan,
     soak::{FaultKind, FaultSpan, Promise, SoakEvidence, check_promises},
 };
 use geranium_standins::{CallerResponse, RunRecord};
@@ -88,6 +89,32 @@
         self
     }
 
+    fn notice(mut self, kind: NoticeKind, from: u32, to: u32) -> Self {
+        let span = NoticeSpan {
+            instance: "i-1".to_owned(),
+            born_ms: 1,
+            kind,
+            from: self.at(from),
+            to: self.at(to),
+        };
+        self.evidence.notices.push(span);
+        self
+    }
+
+    /// Adds a lookup that is sent and starts to run at `millis`, and is answered well.
+    fn served(mut self, millis: u32) -> Self {
+        let id = format!("served-{}", self.evidence.calls.len());
+        let (sent, ended) = (self.at(millis), self.at(millis + 20));
+        self = self
+            .call(CallKind::Lookup, answered(200, true))
+            .run(millis, false);
+        let call = self.evidence.calls.last_mut().expect("just added");
+        (call.id, call.sent, call.ended) = (id.clone(), sent, ended);
+        let run = self.evidence.runs.last_mut().expect("just added");
+        run.request = id;
+        self
+    }
+
     fn broken_promises(&self) -> Vec<Promise> {
         let breaches = check_promises(&self.evidence, true);
         breaches.into_iter().map(|breach| breach.promise).collect()
@@ -205,3 +232,32 @@
     assert!(!found(&cut(6)));
     assert!(found(&cut(7)));
 }
+
+/// Guards against a soak that overlooks requests beyond the limit of a backend server.
+#[test]
+fn requests_beyond_a_limit_are_found() {
+    let load = |count: u32| {
+        let scenario = Scenario::new().notice(NoticeKind::Limit(4.0), 0, 10_000);
+        let scenario = scenario.served(10);
+        (0..count).fold(scenario, |scenario, number| {
+            scenario.served(5_000 + number * 100)
+        })
+    };
+    assert_eq!(load(29).broken_promises(), []);
+    assert_eq!(load(30).broken_promises(), [Promise::WithinLimit]);
+    let restarted = load(30).event(4_900, NodeEventKind::Killed);
+    assert_eq!(restarted.broken_promises(), []);
+}
+
+/// Guards against a soak that overlooks requests for a backend server that said that it leaves.
+#[test]
+fn requests_after_a_notice_of_leaving_are_found() {
+    let late = |millis| {
+        let scenario = Scenario::new().notice(NoticeKind::Leaving, 0, 10_000);
+        scenario.served(10).served(millis)
+    };
+    assert_eq!(late(2_020).broken_promises(), []);
+    assert_eq!(late(2_040).broken_promises(), [Promise::Drained]);
+    let cut = late(2_040).fault(FaultKind::NodePause, 1_000, 1_500);
+    assert_eq!(cut.broken_promises(), []);
+}
--- a/crates/rig/tests/all/soaks.rs
+++ b/crates/rig/tests/all/soaks.rs
@@ -14,6 +14,7 @@
         timed: false,
         plain: false,
         without_last: true,
+        without_notices: true,
         plan: false,
         lines: None,
     }
@@ -98,3 +99,19 @@
     let held = run_soak(&options).await;
     assert!(held.expect("the fleet starts"), "seed 505");
 }
+
+/// Guards against requests beyond the limits that backend servers name in their responses, and for
+/// those that say there that they leave.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_backend_servers_say_of_themselves_is_kept() {
+    let options = SoakOptions {
+        seconds: 15,
+        nodes: 8,
+        rate: 12.0,
+        without_last: false,
+        without_notices: false,
+        ..options(41)
+    };
+    let held = run_soak(&options).await;
+    assert!(held.expect("the fleet starts"), "seed 41");
+}
