Reuse no idle connection that its server is about to close

Connections were reused for 4 s, or 1 s where a request can't be repeated, whatever the server stated. With a stated time of one second a request could cross the closing of its connection and be lost.

A connection is now reused for the stated time less 0.3 s, and no longer than before. The test fails without it (one connection in place of two).

--- a/crates/node/src/transport/connection_pool.rs
+++ b/crates/node/src/transport/connection_pool.rs
@@ -15,12 +15,17 @@
     time::{Instant, timeout},
 };
 
-use super::{ExchangeError, tune_socket};
+use super::{ExchangeError, keep_alive::keep_alive_timeout, tune_socket};
 
 /// Largest read buffer of a connection: a few windows of a long response. More
 /// would only hold memory for callers that read slowly.
 const BUFFER_MAX_BYTES: usize = 64 * 1024;
 
+/// Time before the end of the idle time that a server states from which its connection isn't reused.
+/// The server's time begins before this node has read the response, and the next request takes a
+/// moment to arrive.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(300);
+
 /// Timeouts of a connection pool.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolSettings {
@@ -35,12 +40,16 @@
 pub struct PooledConnection {
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    /// Idle time after which the server closes the connection; none if it states none.
+    keep_alive: Option<Duration>,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
     idle_since: Instant,
+    /// Longest idle time after which the connection is reused.
+    reusable_for: Duration,
 }
 
 /// Pool of idle connections by address.
@@ -62,7 +71,7 @@
     /// Sends a request and returns the head of its response, and the connection.
     ///
     /// The connection is to be put back once the body has been read. It is one that was
-    /// idle for less than `idle_timeout`, or a new one. An idle connection that turns out
+    /// idle for less than `idle_timeout` and the time that its server stated, or a new one. An idle connection that turns out
     /// to be closed before anything was sent is replaced.
     ///
     /// # Errors
@@ -80,7 +89,14 @@
                 None => (self.connect(addr).await?, true),
             };
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, PooledConnection { addr, sender })),
+                Ok(response) => {
+                    let pooled = PooledConnection {
+                        addr,
+                        sender,
+                        keep_alive: keep_alive_timeout(response.headers()),
+                    };
+                    return Ok((response, pooled));
+                }
                 Err(mut error) => {
                     let reason = error.error().to_string();
                     let Some(unsent) = error.take_message() else {
@@ -100,10 +116,12 @@
         if pooled.sender.is_closed() {
             return;
         }
+        let keep_alive = pooled.keep_alive.unwrap_or(Duration::MAX);
         let mut idle = self.idle.borrow_mut();
         idle.entry(pooled.addr).or_default().push(IdleConnection {
             sender: pooled.sender,
             idle_since: Instant::now(),
+            reusable_for: keep_alive.saturating_sub(KEEP_ALIVE_MARGIN),
         });
     }
 
@@ -134,8 +152,9 @@
         let mut idle = self.idle.borrow_mut();
         let senders = idle.get_mut(&addr)?;
         senders.retain(|idle| !idle.sender.is_closed());
-        let usable =
-            |idle: &IdleConnection| idle.sender.is_ready() && idle.idle_since.elapsed() < longest;
+        let usable = |idle: &IdleConnection| {
+            idle.sender.is_ready() && idle.idle_since.elapsed() < longest.min(idle.reusable_for)
+        };
         let index = senders.iter().rposition(usable)?;
         Some(senders.remove(index).sender)
     }
--- a/crates/node/src/transport/mod.rs
+++ b/crates/node/src/transport/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection_pool;
 mod exchange_error;
+mod keep_alive;
 mod peer_call;
 mod peer_request_header;
 mod socket_tuning;
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod fleet_load;
 mod gate;
 mod guide;
+mod keep_alive;
 mod link;
 mod link_load;
 mod link_shortage;
