Call a server working only by runs on the route on which others fail

Each server on trial that shows it makes the trial move on, and the others count as working after 15 runs on any route, three or four of them on the failing one: 3 of 4, then 4 of 6 and 4 of 7 servers fail, never enough for a verdict, which came 5.6 s after the fiftieth bad response.

If at least half of the failing servers fail on one route and on no other, another server now counts as working only after 20 runs on that route.

--- a/crates/node/src/rollout/version_comparison.rs
+++ b/crates/node/src/rollout/version_comparison.rs
@@ -31,6 +31,9 @@
 /// those that have no fault which servers of the current version have as well. A bad version
 /// affects all of them.
 const BAD_FAILING_SHARE: f64 = 0.7;
+/// Runs on a route from which on a server counts as working there, if others fail on that route
+/// alone.
+const ROUTE_JUDGED_RUNS: u64 = 20;
 /// Share of failing servers from which on the version may be bad, like [`BAD_FAILING_SHARE`].
 const SUSPICIOUS_FAILING_SHARE: f64 = 0.35;
 /// Share of failing servers of the current version from which on versions can't be compared.
@@ -188,8 +191,26 @@
         self.total.is_failing() || self.routes.values().any(RunScore::is_failing)
     }
 
-    fn is_judged(&self) -> bool {
-        self.is_failing() || self.recent_runs >= JUDGED_RUNS
+    /// Returns the only route on which the server fails; none if it fails on several, or not on a
+    /// single one.
+    fn failing_route(&self) -> Option<u64> {
+        let failing = self.routes.iter().filter(|(_, score)| score.is_failing());
+        let mut routes = failing.map(|(&route_hash, _)| route_hash);
+        let first = routes.next()?;
+        routes.next().is_none().then_some(first)
+    }
+
+    /// Whether the server has run enough to be called failing or working. If others fail on the route
+    /// `failing_route` alone, only runs on that route tell.
+    fn is_judged(&self, failing_route: Option<u64>) -> bool {
+        if self.is_failing() {
+            return true;
+        }
+        let has_sampled = |route_hash| {
+            let route = self.routes.get(&route_hash);
+            route.is_some_and(|route| route.runs >= ROUTE_JUDGED_RUNS)
+        };
+        self.recent_runs >= JUDGED_RUNS && failing_route.is_none_or(has_sampled)
     }
 }
 
@@ -250,6 +271,22 @@
         score.add(route_hash, counts, slow, ratio);
     }
 
+    /// Returns the route on which most of the target version's failing servers fail, and on no other.
+    fn failing_route(&self) -> Option<u64> {
+        let failing = self.target.values().filter(|server| server.is_failing());
+        let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+        let mut total = 0;
+        for server in failing {
+            total += 1;
+            if let Some(route_hash) = server.failing_route() {
+                *counts.entry(route_hash).or_default() += 1;
+            }
+        }
+        let most = counts.into_iter().max_by_key(|&(_, count)| count);
+        most.filter(|&(_, count)| count * 2 >= total)
+            .map(|(route_hash, _)| route_hash)
+    }
+
     /// Returns the result of the comparison so far.
     ///
     /// `servers` is the number of known servers of the target version, and `is_on_trial` tells
@@ -259,10 +296,10 @@
         servers: usize,
         is_on_trial: impl Fn(&SocketAddr) -> bool,
     ) -> ComparisonVerdict {
-        let target = ServerCount::of(self.target.values());
-        let current = ServerCount::of(self.current.values());
+        let target = ServerCount::of(self.target.values(), self.failing_route());
+        let current = ServerCount::of(self.current.values(), None);
         let on_trial = self.target.iter().filter(|(server, _)| is_on_trial(server));
-        let on_trial = ServerCount::of(on_trial.map(|(_, score)| score));
+        let on_trial = ServerCount::of(on_trial.map(|(_, score)| score), None);
         let needed = servers.clamp(1, FAILING_SERVERS_MIN);
         let usual_share = current.failing_share();
         ComparisonVerdict {
@@ -304,10 +341,10 @@
 }
 
 impl ServerCount {
-    fn of<'a>(servers: impl Iterator<Item = &'a ServerScore>) -> Self {
+    fn of<'a>(servers: impl Iterator<Item = &'a ServerScore>, failing_route: Option<u64>) -> Self {
         servers.fold(Self::default(), |count, server| Self {
             failing: count.failing + usize::from(server.is_failing()),
-            judged: count.judged + usize::from(server.is_judged()),
+            judged: count.judged + usize::from(server.is_judged(failing_route)),
         })
     }
 
