Roll a version back in its trial only when its failing servers are no chance

Four of five are more than the share that condemns, whatever the share of slow servers there is.

In a trial, a verdict now also needs that so many failing servers of those judged are unlikely (0.001) if each fails as often as the current version's do; until then the trial moves on. A larger share than the trial's leaves no time for that: condemned as before.

--- a/crates/node/src/rollout/rollout_stage.rs
+++ b/crates/node/src/rollout/rollout_stage.rs
@@ -170,9 +170,9 @@
 }
 
 /// Returns a roll-back for reasons that hold in every stage.
-fn roll_back(inputs: &RolloutInputs) -> Option<StageChange> {
+fn roll_back(inputs: &RolloutInputs, needs_certainty: bool) -> Option<StageChange> {
     let verdict = &inputs.verdict;
-    if verdict.is_bad {
+    if verdict.is_bad && (verdict.is_certain || !needs_certainty) {
         return Some(rolled_back(format!(
             "{} of {} backend servers fail, {} of {} runs were bad",
             verdict.failing, verdict.judged, verdict.target_bad, verdict.target_runs
@@ -227,7 +227,7 @@
 
 impl Rollout<Canary> {
     fn next(&self, now: Duration, inputs: &RolloutInputs) -> StageStep {
-        if inputs.verdict.is_suspicious {
+        if inputs.verdict.is_suspicious || inputs.verdict.is_bad {
             let moved = self.move_trial(now, inputs);
             let wait = || self.wait(now, WaitReason::ServersFail);
             return moved.map_or_else(wait, StageStep::Change);
@@ -427,7 +427,9 @@
 
     /// Returns what is due.
     pub fn next(&self, now: Duration, inputs: &RolloutInputs) -> StageStep {
-        if let Some(change) = roll_back(inputs) {
+        // The small share of a trial leaves time for more evidence.
+        let needs_certainty = matches!(self, Self::Canary(_));
+        if let Some(change) = roll_back(inputs, needs_certainty) {
             return StageStep::Change(change);
         }
         match self {
--- a/crates/node/src/rollout/version_comparison.rs
+++ b/crates/node/src/rollout/version_comparison.rs
@@ -31,6 +31,10 @@
 /// those that have no fault which servers of the current version have as well. A bad version
 /// affects all of them.
 const BAD_FAILING_SHARE: f64 = 0.7;
+/// Largest probability that as many servers of a good version fail by chance, for a verdict.
+const CHANCE_MAX: f64 = 0.001;
+/// Servers that the prior of the current version's failing share weighs, one of them failing.
+const PRIOR_SERVERS: f64 = 6.0;
 /// Runs on a route from which on a server counts as working there, if others fail on that route
 /// alone.
 const ROUTE_JUDGED_RUNS: u64 = 20;
@@ -60,6 +64,8 @@
 pub struct ComparisonVerdict {
     /// Whether the target version is worse than the current one.
     pub is_bad: bool,
+    /// Whether it is unlikely that so many servers fail by chance.
+    pub is_certain: bool,
     /// Whether so many of the servers on trial fail that the version may be bad.
     pub is_suspicious: bool,
     /// Number of runs of the target version.
@@ -304,6 +310,7 @@
         let usual_share = current.failing_share();
         ComparisonVerdict {
             is_bad: target.failing >= needed && target.exceeds(usual_share, BAD_FAILING_SHARE),
+            is_certain: target.chance(current) <= CHANCE_MAX,
             is_suspicious: on_trial.exceeds(usual_share, SUSPICIOUS_FAILING_SHARE),
             target_runs: self.target_runs,
             target_bad: self.target_bad,
@@ -353,6 +360,20 @@
         self.failing as f64 / self.judged.max(1) as f64
     }
 
+    /// Returns the probability that at least as many of these servers fail by chance, if each fails as
+    /// often as those of the current version.
+    fn chance(self, current: Self) -> f64 {
+        let usual = (current.failing as f64 + 1.0) / (current.judged as f64 + PRIOR_SERVERS);
+        let odds = usual / (1.0 - usual);
+        let mut exactly = (1.0 - usual).powf(self.judged as f64);
+        let mut fewer = 0.0;
+        for failing in 0..self.failing {
+            fewer += exactly;
+            exactly *= odds * (self.judged - failing) as f64 / (failing + 1) as f64;
+        }
+        1.0 - fewer
+    }
+
     /// Whether a share of the servers fails, beyond the `usual` share of the current version.
     ///
     /// Always false while most servers of the current version fail as well.
--- a/crates/node/tests/all/rollout/stages.rs
+++ b/crates/node/tests/all/rollout/stages.rs
@@ -19,6 +19,7 @@
     current_slots: 48,
     verdict: ComparisonVerdict {
         is_bad: false,
+        is_certain: true,
         is_suspicious: false,
         target_runs: 100,
         target_bad: 0,
@@ -134,6 +135,26 @@
     assert_eq!(waits, StageStep::Wait(WaitReason::ServersFail));
 }
 
+/// Guards against condemning a good version in its trial when several of its backend servers happen to
+/// have a fault of their own. A larger share leaves no time for more evidence.
+#[test]
+fn a_trial_goes_on_while_failures_may_be_chance() {
+    let verdict = ComparisonVerdict {
+        is_bad: true,
+        is_certain: false,
+        failing: 4,
+        judged: 5,
+        ..SOUND.verdict
+    };
+    let inputs = RolloutInputs { verdict, ..SOUND };
+    let canary = stage(RolloutPhase::Canary, 0.06);
+    let change = expect_change(canary.next(seconds(3), &inputs));
+    assert_eq!((change.phase, change.first), (RolloutPhase::Canary, 2));
+    let ramp = stage(RolloutPhase::Ramp, 0.25);
+    let change = expect_change(ramp.next(seconds(3), &inputs));
+    assert_eq!(change.phase, RolloutPhase::RolledBack);
+}
+
 /// Guards against completing a rollout while requests still run at the earlier version.
 #[test]
 fn completion_waits_until_nothing_runs() {
