--- a/crates/node/src/inbound/endpoint_limit.rs
+++ b/crates/node/src/inbound/endpoint_limit.rs
@@ -85,10 +85,10 @@
         }
     }
 
-    /// Lifts the limit of an ended start. The next start hasn't named one.
-    pub fn forget_limit(&self, ended: &EndpointStart) {
+    /// Lifts the limit of the start before `next`, which hasn't named one.
+    pub fn forget_limit(&self, next: &EndpointStart) {
         let before = self.limit.take().limit();
-        self.apply_limit(ended, before, None);
+        self.apply_limit(next, before, None);
     }
 
     fn apply_limit(
