--- a/review/harness/src/cases/polled_request.rs
+++ b/review/harness/src/cases/polled_request.rs
@@ -19,8 +19,8 @@
 };
 
 const ARCHIVE: &str = "archive";
-/// Endpoints of the service; one of seven is 0.143 of them.
-const ENDPOINTS: usize = 7;
+/// Endpoints of the service; one is 0.125 of them.
+const ENDPOINTS: usize = 8;
 /// Time for which a crashed endpoint is down.
 const DOWN: Duration = Duration::from_millis(3_600);
 /// Time in which an added route is in force.
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -21,7 +21,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let directory = PathBuf::from(std::env::var("REVIEW_TMP").unwrap_or_else(|_| "/tmp".into()));
-    let mut fleet = Fleet::new(8, &directory);
+    let mut fleet = Fleet::new(9, &directory);
     let verdict = cases::run(case, &mut fleet, has_trouble);
     match &verdict {
         Ok(true) => fleet.record.note("the rule held"),
