review: write record.txt while a script runs

Each script names record.txt in its own folder, and the record is written line by line, so that a run that is cut off or can't start leaves one too.

--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -51,11 +51,11 @@
 
 impl Fleet {
     /// Starts a store without nodes, whose files lie in `directory`.
-    pub fn new(nodes_max: usize, directory: &Path) -> Self {
+    pub fn new(nodes_max: usize, directory: &Path, record: Arc<Record>) -> Self {
         Self {
             store: KvServer::start(nodes_max),
             nodes: Vec::new(),
-            record: Arc::new(Record::new()),
+            record,
             directory: directory.to_owned(),
         }
     }
