Refused configurations no longer prove the earlier one fresh

Keys were refused above 256 bytes, which no page states, and a document is refused as a whole. And a watch that brought a refused document counted as "something else changed", so that the store's next responses went on to prove the earlier version fresh, here and at all that take its proofs.

Change: the store's view holds the version of the latest document, refused or not, and a proof counts only for the version that the node holds.

--- a/crates/ctl/src/accounts/key_text.rs
+++ b/crates/ctl/src/accounts/key_text.rs
@@ -4,9 +4,6 @@
 
 use snafu::Snafu;
 
-/// Longest key in bytes.
-const KEY_MAX_BYTES: usize = 256;
-
 /// Key of an account as an operator enters it.
 ///
 /// `Debug` doesn't show it.
@@ -15,7 +12,7 @@
 
 /// Failure to parse a [`KeyText`]; it doesn't show the text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
-#[snafu(display("a key has 1 to {KEY_MAX_BYTES} printable ASCII characters without spaces"))]
+#[snafu(display("a key has printable ASCII characters without spaces, one at least"))]
 pub struct KeyTextError;
 
 impl KeyText {
@@ -47,9 +44,8 @@
     /// # Ok::<(), geranium_ctl::KeyTextError>(())
     /// ```
     fn from_str(text: &str) -> Result<Self, KeyTextError> {
-        let is_sized = (1..=KEY_MAX_BYTES).contains(&text.len());
         let is_sendable = text.bytes().all(|byte| byte.is_ascii_graphic());
-        (is_sized && is_sendable)
+        (is_sendable && !text.is_empty())
             .then(|| Self(text.to_owned()))
             .ok_or(KeyTextError)
     }
--- a/crates/ctl/tests/all/support/mod.rs
+++ b/crates/ctl/tests/all/support/mod.rs
@@ -27,6 +27,10 @@
                     reason: error.to_string(),
                 })
             },
+            parse_version: |value| {
+                let input: ConfigInput = serde_json::from_slice(value).ok()?;
+                Some(input.version)
+            },
         },
         write: |input, replaced| {
             let mut input = input.clone();
--- a/crates/node/src/accounts/account_rule.rs
+++ b/crates/node/src/accounts/account_rule.rs
@@ -7,11 +7,8 @@
 
 use super::{AccountError, AccountInput};
 
-/// Longest name of an account in bytes.
-const NAME_MAX_BYTES: usize = 256;
-
-/// Largest rate of a quota in requests per second, and largest burst in requests. Beyond it, a
-/// quota is a mistake.
+/// Largest rate of a quota in requests per second, and largest burst in requests. A larger one is
+/// reduced to it, and no fleet runs that many requests.
 const QUOTA_MAX: f64 = 1e9;
 
 /// Number of requests that an account may send to all nodes together.
@@ -43,20 +40,19 @@
 
     fn try_from(input: &AccountInput) -> Result<Self, AccountError> {
         let account = || input.name.clone();
-        let is_sized = (1..=NAME_MAX_BYTES).contains(&input.name.len());
         // Readers of a header drop outer spaces, so that two names could become one.
         let is_trimmed = input.name.trim_matches([' ', '\t']) == input.name;
         let header_value = HeaderValue::from_str(&input.name).ok();
         let header_value = header_value
-            .filter(|_| is_sized && is_trimmed)
+            .filter(|_| is_trimmed && !input.name.is_empty())
             .ok_or_else(|| AccountError::BadName { account: account() })?;
-        let is_quota = |value: f64| (0.0..=QUOTA_MAX).contains(&value);
+        let is_quota = |value: f64| value.is_finite() && value >= 0.0;
         if !is_quota(input.rate_per_s) || !is_quota(input.burst) {
             return Err(AccountError::BadQuota { account: account() });
         }
         let quota = AccountQuota {
-            rate_per_s: input.rate_per_s,
-            burst: input.burst,
+            rate_per_s: input.rate_per_s.min(QUOTA_MAX),
+            burst: input.burst.min(QUOTA_MAX),
         };
         Ok(Self {
             name: input.name.as_str().into(),
--- a/crates/node/src/accounts/account_table.rs
+++ b/crates/node/src/accounts/account_table.rs
@@ -12,7 +12,7 @@
 /// Reason why the accounts of a configuration are refused.
 #[derive(Debug, Snafu, PartialEq, Eq)]
 pub enum AccountError {
-    /// A name is empty, too long, or can't stand in a header.
+    /// A name is empty or can't stand in a header.
     #[snafu(display("account {account:?} has a bad name"))]
     BadName {
         /// Name as written in the document.
--- a/crates/node/src/config/config_error.rs
+++ b/crates/node/src/config/config_error.rs
@@ -36,7 +36,7 @@
         /// Name of the route.
         route: String,
     },
-    /// A time isn't above 0 and at most 3600 seconds.
+    /// A time isn't a finite number above 0.
     #[snafu(display("{field} has a time out of range"))]
     TimeOutOfRange {
         /// Name of the route, or of the limit, whose time is out of range.
--- a/crates/node/src/config/route_rule.rs
+++ b/crates/node/src/config/route_rule.rs
@@ -6,10 +6,10 @@
 
 use super::{ConfigError, RequestKind, RouteInput, WeightedRoundRobin};
 
-/// Longest time in seconds of a route or limit.
+/// Longest time in seconds of a route or limit; a longer one is reduced to it.
 ///
-/// One hour is far longer than any request, and far from an overflow.
-const TIME_MAX_S: f64 = 3_600.0;
+/// One year is longer than a process runs, and far from an overflow of its clock.
+const TIME_MAX_S: f64 = 31_536_000.0;
 
 /// A checked route, by which requests are sent to services.
 #[derive(Debug)]
@@ -78,8 +78,8 @@
 ///
 /// Seconds out of range are refused with an error that names `field`.
 pub(super) fn checked_time(seconds: f64, field: &str) -> Result<Duration, ConfigError> {
-    if seconds > 0.0 && seconds <= TIME_MAX_S {
-        Ok(Duration::from_secs_f64(seconds))
+    if seconds > 0.0 && seconds.is_finite() {
+        Ok(Duration::from_secs_f64(seconds.min(TIME_MAX_S)))
     } else {
         let field = field.to_owned();
         Err(ConfigError::TimeOutOfRange { field })
--- a/crates/node/src/discovery/config_watcher.rs
+++ b/crates/node/src/discovery/config_watcher.rs
@@ -132,7 +132,7 @@
         let document = read
             .item
             .as_ref()
-            .map(|item| (adopt(core, source.config, item), item.revision));
+            .map(|item| (adopt(core, source.config, item).version, item.revision));
         view.record_read(document, read.revision);
         core.record_proof(view.proof(sent_at), ProofSource::Store);
         return Ok(WatchStep {
@@ -149,7 +149,8 @@
     let mut document = None;
     for item in &list.items {
         if item.key == source.config.key {
-            document = Some((adopt(core, source.config, item), item.revision));
+            let version = adopt(core, source.config, item).version;
+            document = Some((version, item.revision));
         } else {
             apply_order(core, source, item);
         }
--- a/crates/node/src/discovery/confirm_config.rs
+++ b/crates/node/src/discovery/confirm_config.rs
@@ -11,14 +11,18 @@
     store::{MetaStore, ReadConsistency, StoreError, StoreEvent, StoreItem, WatchBatch},
 };
 
+/// Configuration document that the store has shown.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StoredDocument {
+    /// Version, also of a refused document; none if it is unreadable.
+    pub(super) version: Option<ConfigVersion>,
+    is_refused: bool,
+}
+
 /// Puts a configuration in force; an invalid one leaves the current one in force.
 ///
-/// Returns the version of a valid configuration, which may be older than the one in force.
-pub(super) fn adopt(
-    core: &NodeCore,
-    source: ConfigSource,
-    item: &StoreItem,
-) -> Option<ConfigVersion> {
+/// The version of the document may be older than the one in force.
+pub(super) fn adopt(core: &NodeCore, source: ConfigSource, item: &StoreItem) -> StoredDocument {
     let current_config = core.config.borrow().clone();
     let input = (source.parse)(&item.value);
     let checked =
@@ -27,22 +31,31 @@
         Ok(config) => {
             let version = config.version;
             core.adopt_config(config, "store");
-            Some(version)
+            StoredDocument {
+                version: Some(version),
+                is_refused: false,
+            }
         }
         Err(reason) => {
+            let version = (source.parse_version)(&item.value);
             error!(core.log.logger(), "configuration refused";
+                "version" => version.map(|version| version.0),
                 "revision" => item.revision.0,
                 "in_force" => core.version().0,
                 "cause" => %reason);
-            None
+            core.metrics.record_refused_config();
+            StoredDocument {
+                version,
+                is_refused: true,
+            }
         }
     }
 }
 
 /// Puts the configuration of a watch's response in force, and returns the changes of its key.
 ///
-/// Only the last document counts, as it replaced the earlier ones. Where proofs of freshness are
-/// needed, it is the last one that isn't refused.
+/// The last document that isn't refused is put in force. Only the last document is the latest one,
+/// refused or not.
 pub(super) fn document_events(
     core: &NodeCore,
     source: ConfigSource,
@@ -58,13 +71,20 @@
         StoreEvent::Written(item) => Some(item),
         StoreEvent::Deleted { .. } => None,
     });
-    let tries = if core.needs_proofs() { usize::MAX } else { 1 };
-    let version = written
-        .take(tries)
-        .find_map(|item| adopt(core, source, item));
+    let mut latest = None;
+    for item in written {
+        let document = adopt(core, source, item);
+        latest.get_or_insert(document.version);
+        if !document.is_refused {
+            break;
+        }
+    }
     let mut events: Vec<DocumentEvent> =
         batch.events.iter().map(|_| DocumentEvent::Other).collect();
-    events.extend(version.map(DocumentEvent::Written));
+    events.extend(latest.map(|version| match version {
+        Some(version) => DocumentEvent::Written(version),
+        None => DocumentEvent::Unreadable,
+    }));
     if matches!(documents().next(), Some(StoreEvent::Deleted { .. })) {
         events.push(DocumentEvent::Removed);
     }
@@ -87,7 +107,7 @@
     let document = read
         .item
         .as_ref()
-        .map(|item| (adopt(core, source, item), item.revision));
+        .map(|item| (adopt(core, source, item).version, item.revision));
     view.record_read(document, read.revision);
     core.record_proof(view.proof(sent_at), proof_source);
     Ok(())
--- a/crates/node/src/freshness/store_view.rs
+++ b/crates/node/src/freshness/store_view.rs
@@ -8,11 +8,13 @@
 /// Change of the configuration's key, as a watch reports it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DocumentEvent {
-    /// A document with this version was written.
+    /// A document with this version was written, which the node may have refused.
     Written(ConfigVersion),
+    /// A document whose version is unreadable was written.
+    Unreadable,
     /// The key was removed.
     Removed,
-    /// A document was refused, or another key under the watched prefix has changed.
+    /// A key has changed; changes of the configuration's key are reported besides.
     Other,
 }
 
@@ -21,11 +23,17 @@
 /// A watch may have gone silent: its responses arrive, but report no changes. An empty response
 /// therefore proves nothing if the store's revision has advanced. The configuration is then in
 /// doubt until a linearizable read shows it.
+///
+/// The view says which document is the latest, whether or not the node could put it in force. A
+/// proof of a version that the node doesn't hold counts for nothing ([`FreshnessTracker`]), so that
+/// no node confirms an earlier configuration by the store's responses after a later one.
+///
+/// [`FreshnessTracker`]: super::FreshnessTracker
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct StoreView {
     /// Revision of the store up to which the view goes.
     revision: Revision,
-    /// Latest version that wasn't refused; none while unknown.
+    /// Latest version; none while unknown.
     version: Option<ConfigVersion>,
     in_doubt: bool,
 }
@@ -42,9 +50,9 @@
 
     /// Records a linearizable read.
     ///
-    /// `document` is the version and revision of the document; no version if it was refused. A
-    /// refused document that was written before this view leaves the view's version in force. A
-    /// later one may have replaced any version, so the latest is unknown.
+    /// `document` is the version and revision of the document; no version if it is unreadable. An
+    /// unreadable one that was written before this view leaves the view's version as it is. A later
+    /// one may have replaced any version, so the latest is unknown.
     pub fn record_read(
         &mut self,
         document: Option<(Option<ConfigVersion>, Revision)>,
@@ -94,7 +102,7 @@
                     self.version = Some(version);
                     self.in_doubt = false;
                 }
-                DocumentEvent::Removed => {
+                DocumentEvent::Unreadable | DocumentEvent::Removed => {
                     self.version = None;
                     self.in_doubt = false;
                 }
--- a/crates/node/src/node_metrics.rs
+++ b/crates/node/src/node_metrics.rs
@@ -62,6 +62,7 @@
     latency: Histogram<f64>,
     tries_failed: Counter<u64>,
     store_calls: Counter<u64>,
+    configs_refused: Counter<u64>,
     config_version: Gauge<u64>,
     members: Gauge<u64>,
     queue: Gauge<u64>,
@@ -111,6 +112,7 @@
                 .build(),
             tries_failed: meter.u64_counter("geranium_tries_failed").build(),
             store_calls: meter.u64_counter("geranium_store_calls").build(),
+            configs_refused: meter.u64_counter("geranium_configs_refused").build(),
             config_version: meter.u64_gauge("geranium_config_version").build(),
             members: meter.u64_gauge("geranium_members").build(),
             queue: meter.u64_gauge("geranium_queue").build(),
@@ -164,6 +166,11 @@
         self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a stored configuration that was refused.
+    pub fn record_refused_config(&self) {
+        self.configs_refused.add(1, &[]);
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.record(version, &[]);
--- a/crates/node/src/rollout/rollout_order.rs
+++ b/crates/node/src/rollout/rollout_order.rs
@@ -6,8 +6,9 @@
 
 use crate::member::{EndpointVersion, VersionError};
 
-/// Longest time that an order may give a rollout.
-const DURATION_MAX_S: f64 = 86_400.0;
+/// Longest time of a rollout in seconds; a longer one is reduced to it. One year is far from an
+/// overflow of a process's clock.
+const DURATION_MAX_S: f64 = 31_536_000.0;
 
 /// Fields of an order before they are checked.
 #[derive(Debug, Clone, PartialEq)]
@@ -55,7 +56,7 @@
         /// Reason why the version was rejected.
         source: VersionError,
     },
-    /// The duration is zero, negative, too long or not a number.
+    /// The duration is zero, negative or not a finite number.
     #[snafu(display("the duration of the order for {service} is {duration_s} s"))]
     BadDuration {
         /// Name of the service.
@@ -81,6 +82,7 @@
     ///     duration_s,
     /// };
     /// assert!(RolloutOrder::try_from(input(12.0)).is_ok());
+    /// assert!(RolloutOrder::try_from(input(1e9)).is_ok());
     /// assert!(RolloutOrder::try_from(input(0.0)).is_err());
     /// ```
     fn try_from(input: OrderInput) -> Result<Self, RolloutOrderError> {
@@ -95,7 +97,7 @@
         if target.is_empty() {
             return Err(RolloutOrderError::NoVersion { service });
         }
-        if !(duration_s > 0.0 && duration_s <= DURATION_MAX_S) {
+        if !(duration_s > 0.0 && duration_s.is_finite()) {
             return Err(RolloutOrderError::BadDuration {
                 service,
                 duration_s,
@@ -104,7 +106,7 @@
         Ok(Self {
             service,
             target: EndpointVersion::try_from(target)?,
-            duration: Duration::from_secs_f64(duration_s),
+            duration: Duration::from_secs_f64(duration_s.min(DURATION_MAX_S)),
         })
     }
 }
