Offset a crash by completions since the crash before

Cause: two crashes count as proof. Completions offset them only 16 at a time, and only at the node beside the backend server that ran them; ten completions at eight servers offset nothing, the callers' node counted none, and once the request is refused no further one can come in.

Change: a crash is offset if the request completed three times since its crash before. The sending node counts completions of requests that have a crash on record and names them with the request; the node beside the backend server puts the larger count into the crash record, which all nodes get anyway. A request that has completed since its first crash is refused for a minute at most. Requests that never complete stop after two crashes as before.

--- a/crates/node/src/crash/crash_history.rs
+++ b/crates/node/src/crash/crash_history.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use super::{CrashRecord, PoisonLimits, PoisonRegistry, PoisonStatus};
+use super::{CompletionEvidence, CrashRecord, PoisonLimits, PoisonRegistry, PoisonStatus};
 use crate::store::Revision;
 
 /// Prefix of the keys of crashes in the store.
@@ -48,8 +48,13 @@
                 self.records.pop_front();
             }
             self.records.push_back((revision, record));
-        } else if let Some(known) = self.records.iter_mut().find(|known| known.1 == record) {
+        } else if let Some(known) = self
+            .records
+            .iter_mut()
+            .find(|known| known.1.is_same_crash(&record))
+        {
             known.0 = known.0.max(revision);
+            known.1.completions = known.1.completions.max(record.completions);
         }
         is_new
     }
@@ -59,6 +64,30 @@
         self.registry.record_completion(fingerprint);
     }
 
+    /// Records that a backend server beside another node completed a request of this node.
+    pub fn record_peer_completion(&mut self, fingerprint: u64) {
+        self.registry.record_peer_completion(fingerprint);
+    }
+
+    /// Returns what this node knows of the completions of a request that was running at a crash;
+    /// none for other requests.
+    pub fn evidence(&self, fingerprint: u64) -> Option<CompletionEvidence> {
+        self.registry.evidence(fingerprint)
+    }
+
+    /// Returns the completions of a request since its latest crash, by what this node and the
+    /// request's sender know.
+    ///
+    /// A sender that knows of fewer crashes counts completions before the latest one.
+    pub fn completions(&self, fingerprint: u64, of_sender: Option<CompletionEvidence>) -> u32 {
+        let Some(known) = self.registry.evidence(fingerprint) else {
+            return of_sender.map_or(0, |evidence| evidence.completions);
+        };
+        let of_sender = of_sender.filter(|evidence| evidence.crashes >= known.crashes);
+        let of_sender = of_sender.map_or(0, |evidence| evidence.completions);
+        known.completions.max(of_sender)
+    }
+
     /// Returns the time for which a request is still refused; none when it isn't refused.
     pub fn refusal(&self, now: Duration, fingerprint: u64) -> Option<Duration> {
         match self.registry.status(now, fingerprint) {
--- a/crates/node/src/crash/mod.rs
+++ b/crates/node/src/crash/mod.rs
@@ -14,14 +14,18 @@
 //! it. Requests sent after the first break get none, even if the probe after that break remained
 //! unclear, unless the start has responded since. Suspects run again one at a time on each backend server, so that few of them
 //! share a second crash. Successful completions clear them: each `CREDIT_PER_CRASH`
-//! completions offset one crash. A request with `REFUSAL_CRASHES` crashes that aren't
-//! offset, and that wasn't the only one running at any crash, is refused for a tenth of
-//! `REFUSAL_TIME`. After more crashes, it is refused for all of it, unless completions
+//! completions offset one crash. A crash is offset as well if the request completed
+//! `COMPLETIONS_BETWEEN_CRASHES` times since its crash before: a request that crashes each server
+//! doesn't complete. The sender of a suspect tells the node beside the backend server what it knows
+//! of that ([`CompletionEvidence`]), and the record of the next crash tells all nodes. A request with `REFUSAL_CRASHES` crashes that aren't
+//! offset, and that wasn't the only one running at any crash, or that has completed since its first one,
+//! is refused for a tenth of `REFUSAL_TIME`. After more crashes, it is refused for all of it, unless completions
 //! offset one.
 
 mod break_diagnosis;
 mod broken_runs;
 mod completion_credit;
+mod completion_evidence;
 mod crash_broadcast;
 mod crash_handler;
 mod crash_history;
@@ -36,6 +40,7 @@
 
 pub use break_diagnosis::{BreakCause, BreakDiagnosis};
 pub use broken_runs::BrokenRuns;
+pub use completion_evidence::{CompletionEvidence, CompletionEvidenceError};
 pub use crash_handler::{CRASH_PATH, CrashHandler};
 pub use crash_history::{CRASH_PREFIX, CrashHistory};
 pub use crash_record::CrashRecord;
--- a/crates/node/src/crash/poison_registry.rs
+++ b/crates/node/src/crash/poison_registry.rs
@@ -6,11 +6,15 @@
 };
 
 use super::{
-    CrashRecord, PoisonLimits, PoisonStatus, completion_credit::CompletionCredit,
-    suspect_record::SuspectRecord,
+    CompletionEvidence, CrashRecord, PoisonLimits, PoisonStatus,
+    completion_credit::CompletionCredit, suspect_record::SuspectRecord,
 };
 use crate::member::EndpointStart;
 
+/// Completions between two crashes from which on the later one is offset. Completions that a crash
+/// of the same request would have prevented make it likely that the request only ran beside the
+/// cause.
+const COMPLETIONS_BETWEEN_CRASHES: u32 = 3;
 /// Maximum number of records in memory. It is enough for a release that crashes every
 /// backend server of a data centre with a dozen requests each.
 const RECORDS_MAX: usize = 4_096;
@@ -19,6 +23,14 @@
 /// a wrong guess costs one more crash a minute later.
 const SHARED_CRASH_REFUSAL_DIVISOR: u32 = 10;
 
+/// A request that was running at a crash.
+#[derive(Debug, Clone, Copy)]
+struct CrashedRun {
+    fingerprint: u64,
+    /// Whether the crash is offset by completions since the crash before.
+    is_offset: bool,
+}
+
 /// Counts crashes per request and decides which requests are refused.
 ///
 /// # Examples
@@ -36,7 +48,7 @@
 ///     let instance = instance.to_owned();
 ///     let born_ms = None;
 ///     let start = EndpointStart::try_from(StartInput { instance, born_ms })?;
-///     Ok::<_, StartError>(CrashRecord { fingerprint: 7, start })
+///     Ok::<_, StartError>(CrashRecord { fingerprint: 7, start, completions: 0 })
 /// };
 /// let now = Duration::from_secs(1);
 /// assert!(registry.record(now, crash("till-1")?));
@@ -50,7 +62,7 @@
 pub struct PoisonRegistry {
     limits: PoisonLimits,
     records: VecDeque<(Duration, CrashRecord)>,
-    crashes: HashMap<EndpointStart, Vec<u64>>,
+    crashes: HashMap<EndpointStart, Vec<CrashedRun>>,
     suspects: HashMap<u64, SuspectRecord>,
     credit: CompletionCredit,
 }
@@ -68,19 +80,35 @@
     }
 
     /// Adds a record and returns whether it was new.
+    ///
+    /// Of two records of the same crash, the larger number of completions counts.
     pub fn record(&mut self, now: Duration, record: CrashRecord) -> bool {
         self.expire(now);
         let crash = self.crashes.entry(record.start.clone()).or_default();
-        if crash.contains(&record.fingerprint) {
+        let fingerprint = record.fingerprint;
+        let suspect = self.suspects.entry(fingerprint);
+        let suspect = suspect.or_insert(SuspectRecord::new(now));
+        if record.completions > 0 {
+            suspect.mark_completed();
+        }
+        if let Some(known) = crash.iter_mut().find(|run| run.fingerprint == fingerprint) {
+            if !known.is_offset && record.completions >= COMPLETIONS_BETWEEN_CRASHES {
+                known.is_offset = true;
+                suspect.offset_one();
+            }
             return false;
         }
-        crash.push(record.fingerprint);
-        let suspect = self.suspects.entry(record.fingerprint);
-        let suspect = suspect.or_insert(SuspectRecord::new(now));
+        let completions = record.completions.max(suspect.completions());
         suspect.record_crash(now);
-        if self.credit.spend(record.fingerprint) {
+        let is_offset =
+            self.credit.spend(fingerprint) || completions >= COMPLETIONS_BETWEEN_CRASHES;
+        if is_offset {
             suspect.offset_one();
         }
+        crash.push(CrashedRun {
+            fingerprint,
+            is_offset,
+        });
         self.records.push_back((now, record));
         if self.records.len() > RECORDS_MAX {
             self.forget_oldest();
@@ -94,11 +122,31 @@
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return;
         };
+        suspect.record_completions(1);
         if suspect.crashes_not_offset() > 0 && self.credit.spend(fingerprint) {
             suspect.offset_one();
         }
     }
 
+    /// Records that a backend server beside another node completed a request of this node.
+    ///
+    /// Such completions count only since a crash: of the completions before, the node beside each
+    /// backend server keeps its own.
+    pub fn record_peer_completion(&mut self, fingerprint: u64) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.record_completions(1);
+        }
+    }
+
+    /// Returns what is known of the completions of a request that was running at a crash.
+    pub fn evidence(&self, fingerprint: u64) -> Option<CompletionEvidence> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        Some(CompletionEvidence {
+            crashes: suspect.crashes(),
+            completions: suspect.completions(),
+        })
+    }
+
     /// Returns whether a request may run, and with what restriction.
     pub fn status(&self, now: Duration, fingerprint: u64) -> PoisonStatus {
         let Some(suspect) = self.suspects.get(&fingerprint) else {
@@ -137,7 +185,8 @@
         // frequent requests in flight. A request with successful completions is more likely
         // one of these than the cause, and it can't complete again while it is refused.
         let above_limit = above_limit && !suspect.has_offset_crash();
-        if above_limit || self.crashed_alone(fingerprint) {
+        let crashed_alone = self.crashed_alone(fingerprint) && !suspect.has_completed();
+        if above_limit || crashed_alone {
             self.limits.refusal_time
         } else {
             self.limits.refusal_time / SHARED_CRASH_REFUSAL_DIVISOR
@@ -145,7 +194,8 @@
     }
 
     fn crashed_alone(&self, fingerprint: u64) -> bool {
-        self.crashes.values().any(|crash| crash == &[fingerprint])
+        let mut crashes = self.crashes.values();
+        crashes.any(|crash| matches!(&**crash, [run] if run.fingerprint == fingerprint))
     }
 
     fn expire(&mut self, now: Duration) {
@@ -163,7 +213,7 @@
             return;
         };
         if let Some(crash) = self.crashes.get_mut(&record.start) {
-            crash.retain(|&fingerprint| fingerprint != record.fingerprint);
+            crash.retain(|run| run.fingerprint != record.fingerprint);
             if crash.is_empty() {
                 self.crashes.remove(&record.start);
             }
--- a/crates/node/src/crash/suspect_record.rs
+++ b/crates/node/src/crash/suspect_record.rs
@@ -9,6 +9,10 @@
     crashes: u32,
     /// Number of these crashes that successful completions offset.
     offset_crashes: u32,
+    /// Completions since the latest crash that this node knows of.
+    completions: u32,
+    /// Whether the request completed after one of the crashes.
+    has_completed: bool,
     /// Time at which the latest crash was recorded on this node.
     latest: Duration,
 }
@@ -18,6 +22,8 @@
         Self {
             crashes: 0,
             offset_crashes: 0,
+            completions: 0,
+            has_completed: false,
             latest: now,
         }
     }
@@ -25,9 +31,31 @@
     /// Adds a crash.
     pub(super) fn record_crash(&mut self, now: Duration) {
         self.crashes += 1;
+        self.completions = 0;
         self.latest = now;
     }
 
+    /// Adds completions since the latest crash.
+    pub(super) fn record_completions(&mut self, count: u32) {
+        self.completions = self.completions.saturating_add(count);
+        self.has_completed |= count > 0;
+    }
+
+    /// Returns the completions since the latest crash.
+    pub(super) const fn completions(&self) -> u32 {
+        self.completions
+    }
+
+    /// Returns whether the request completed after one of its crashes, on this node or another.
+    pub(super) const fn has_completed(&self) -> bool {
+        self.has_completed
+    }
+
+    /// Records that the request completed between two of its crashes.
+    pub(super) const fn mark_completed(&mut self) {
+        self.has_completed = true;
+    }
+
     /// Offsets one crash by successful completions.
     pub(super) fn offset_one(&mut self) {
         self.offset_crashes = (self.offset_crashes + 1).min(self.crashes);
--- a/crates/node/src/header_names.rs
+++ b/crates/node/src/header_names.rs
@@ -1,5 +1,7 @@
 //! Names of HTTP headers, and functions that read, set and remove headers.
 
+use std::str::FromStr;
+
 use http::{HeaderMap, HeaderName, HeaderValue, Uri, header, request::Parts};
 
 /// Names of the platform's headers in requests and responses.
@@ -47,6 +49,9 @@
 /// Reason why the request certainly didn't run:
 /// [`InboundRefusal`](crate::inbound::InboundRefusal).
 pub const PEER_REFUSAL_HEADER: HeaderName = HeaderName::from_static("geranium-refusal");
+/// Completions of a suspect: [`CompletionEvidence`](crate::crash::CompletionEvidence). A node of an
+/// earlier version doesn't read it, and counts each crash in full.
+pub const PEER_COMPLETIONS_HEADER: HeaderName = HeaderName::from_static("geranium-completions");
 /// Reason why a request that may have run has no usable response.
 pub const PEER_FAILURE_HEADER: HeaderName = HeaderName::from_static("geranium-broke");
 /// Diagnosis of a broken connection to a backend server:
@@ -67,13 +72,14 @@
     HeaderName::from_static("proxy-connection"),
 ];
 /// Headers that only nodes send to each other.
-const PEER_HEADERS: [HeaderName; 8] = [
+const PEER_HEADERS: [HeaderName; 9] = [
     PEER_REQUEST_HEADER,
     PEER_ADMISSION_HEADER,
     PEER_ACCOUNT_HEADER,
     PEER_LOAD_HEADER,
     PEER_REFUSAL_HEADER,
     PEER_FAILURE_HEADER,
+    PEER_COMPLETIONS_HEADER,
     PEER_DIAGNOSIS_HEADER,
     PEER_VERSION_HEADER,
 ];
@@ -133,6 +139,11 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Returns the parsed value of a header; none if it is missing or malformed.
+pub(crate) fn parse_header<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    header_text(headers, name)?.parse().ok()
+}
+
 /// Sets a header to `text`, or to `unprintable` if a header can't hold the text.
 pub fn set_header(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
     let value = HeaderValue::from_str(text);
--- a/crates/node/src/inbound/endpoint_call.rs
+++ b/crates/node/src/inbound/endpoint_call.rs
@@ -36,7 +36,7 @@
         start: EndpointStart,
     ) -> Result<Response<ResponseBody>, InboundError> {
         let id = request.headers.get(&self.headers.request_id).cloned();
-        let fingerprint = request.fingerprint;
+        let (fingerprint, evidence) = (request.fingerprint, request.completions);
         self.record_sent(&request, &slot);
         let outgoing = self.outgoing(request, start.instance());
         let idle_timeout = if idempotent {
@@ -59,7 +59,12 @@
             Err(ExchangeError::ResponseLost { reason }) => {
                 // The backend server's slot is free, whatever the diagnosis.
                 drop(slot);
-                let record = CrashRecord { fingerprint, start };
+                let completions = self.crashes.borrow().completions(fingerprint, evidence);
+                let record = CrashRecord {
+                    fingerprint,
+                    start,
+                    completions,
+                };
                 let now = self.inner.clock.now();
                 let diagnosis = self.broken.push(now, began, record).await.ok();
                 return Err(InboundError::ResponseLost { reason, diagnosis });
--- a/crates/node/src/inbound/inbound_request.rs
+++ b/crates/node/src/inbound/inbound_request.rs
@@ -6,7 +6,10 @@
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
-use crate::{accounts::AccountRule, rate_limit::RequestRate, request_origin::RequestOrigin};
+use crate::{
+    accounts::AccountRule, crash::CompletionEvidence, rate_limit::RequestRate,
+    request_origin::RequestOrigin,
+};
 
 /// A request for the backend server beside this node.
 #[derive(Debug, Clone)]
@@ -47,6 +50,8 @@
     pub instance: Option<String>,
     /// Limit of the backend server that the sender knows; none if it knows none.
     pub limit_hint: Option<RequestRate>,
+    /// Completions that the sender knows of; none unless the request was running at a crash.
+    pub completions: Option<CompletionEvidence>,
 }
 
 impl InboundRequest {
--- a/crates/node/src/node_core/crash_records.rs
+++ b/crates/node/src/node_core/crash_records.rs
@@ -35,6 +35,7 @@
             let record = CrashRecord {
                 fingerprint,
                 start: diagnosis.start,
+                completions: 0,
             };
             self.record_crash(record, Revision(0));
         }
--- a/crates/node/src/outbound/admission_query.rs
+++ b/crates/node/src/outbound/admission_query.rs
@@ -5,9 +5,11 @@
 use http_body_util::{BodyExt, Full};
 use tokio::time::Instant;
 
-use super::{TryFailure, TrySender, try_sender::parse_header};
+use super::{TryFailure, TrySender};
 use crate::{
-    header_names::{PEER_ADMISSION_HEADER, PEER_REFUSAL_HEADER, head_bytes, set_header},
+    header_names::{
+        PEER_ADMISSION_HEADER, PEER_REFUSAL_HEADER, head_bytes, parse_header, set_header,
+    },
     inbound::InboundRefusal,
     link::LinkTraffic,
     member::{MemberKey, MemberRecord},
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, Uri, header};
+use http::{HeaderMap, HeaderValue, Request, Response, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
@@ -15,9 +15,10 @@
     config::ConfigVersion,
     crash::BreakDiagnosis,
     header_names::{
-        PEER_ACCOUNT_HEADER, PEER_DIAGNOSIS_HEADER, PEER_FAILURE_HEADER, PEER_LOAD_HEADER,
-        PEER_REFUSAL_HEADER, PEER_REQUEST_HEADER, PEER_VERSION_HEADER, head_bytes, header_text,
-        set_header, strip_connection_headers, strip_peer_headers,
+        PEER_ACCOUNT_HEADER, PEER_COMPLETIONS_HEADER, PEER_DIAGNOSIS_HEADER, PEER_FAILURE_HEADER,
+        PEER_LOAD_HEADER, PEER_REFUSAL_HEADER, PEER_REQUEST_HEADER, PEER_VERSION_HEADER,
+        head_bytes, header_text, parse_header, set_header, strip_connection_headers,
+        strip_peer_headers,
     },
     inbound::{InboundError, InboundRefusal, InboundRequest, RefusalReason},
     link::LinkTraffic,
@@ -121,6 +122,7 @@
             ends_at: self.core.bound_by_shutdown(request.ends_at),
             instance: Some(record.start.instance().to_owned()),
             limit_hint: None,
+            completions: None,
             fingerprint: request.fingerprint,
         };
         let idempotent = request.route.kind.is_idempotent();
@@ -172,6 +174,10 @@
         let failure = header_text(response.headers(), &PEER_FAILURE_HEADER).map(ToOwned::to_owned);
         let diagnosis = header_text(response.headers(), &PEER_DIAGNOSIS_HEADER);
         let diagnosis = diagnosis.and_then(|text| serde_json::from_str(text).ok());
+        if refusal.is_none() && failure.is_none() && response.status().is_success() {
+            let mut crashes = self.core.crashes.borrow_mut();
+            crashes.record_peer_completion(self.request.fingerprint);
+        }
         let (mut head, body) = response.into_parts();
         strip_connection_headers(&mut head.headers);
         strip_peer_headers(&mut head.headers);
@@ -264,6 +270,13 @@
             };
             headers.insert(PEER_ACCOUNT_HEADER, header.value());
         }
+        if let Some(evidence) = self.core.crashes.borrow().evidence(request.fingerprint) {
+            set_header(
+                &mut headers,
+                &PEER_COMPLETIONS_HEADER,
+                &evidence.to_string(),
+            );
+        }
         let mut peer_request = Request::new(Full::new(request.body.clone()));
         *peer_request.method_mut() = request.method.clone();
         *peer_request.uri_mut() = path_only(&request.uri);
@@ -349,10 +362,3 @@
         Err(error) => Err(error.to_string()),
     }
 }
-
-pub(super) fn parse_header<T: std::str::FromStr>(
-    headers: &HeaderMap,
-    name: &header::HeaderName,
-) -> Option<T> {
-    header_text(headers, name)?.parse().ok()
-}
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -14,9 +14,9 @@
     delegation::{DELEGATED_CALL_PATH, DelegatedCallHandler},
     discovery::{UPDATE_PATH, UpdateHandler},
     header_names::{
-        PEER_ADMISSION_HEADER, PEER_DIAGNOSIS_HEADER, PEER_FAILURE_HEADER, PEER_LOAD_HEADER,
-        PEER_REFUSAL_HEADER, PEER_REQUEST_HEADER, PEER_VERSION_HEADER, header_text, set_header,
-        strip_connection_headers,
+        PEER_ADMISSION_HEADER, PEER_COMPLETIONS_HEADER, PEER_DIAGNOSIS_HEADER, PEER_FAILURE_HEADER,
+        PEER_LOAD_HEADER, PEER_REFUSAL_HEADER, PEER_REQUEST_HEADER, PEER_VERSION_HEADER,
+        header_text, parse_header, set_header, strip_connection_headers,
     },
     inbound::{AdmissionRequest, InboundError, InboundRefusal, InboundRequest, RefusalReason},
     node_core::{NodeCore, PeerCaller},
@@ -177,6 +177,7 @@
         let remaining = self.remaining(&head.headers);
         let instance =
             header_text(&head.headers, &header_names.expected_instance).map(ToOwned::to_owned);
+        let completions = parse_header(&head.headers, &PEER_COMPLETIONS_HEADER);
         let mut headers = head.headers;
         strip_connection_headers(&mut headers);
         if self.core.has_accounts() {
@@ -203,6 +204,7 @@
             ends_at: self.core.bound_peer_response(now + remaining),
             instance,
             limit_hint: peer_header.limit,
+            completions,
         }
     }
 }
--- a/crates/node/tests/all/eras.rs
+++ b/crates/node/tests/all/eras.rs
@@ -62,6 +62,7 @@
     let crash = CrashRecord {
         fingerprint: 7,
         start: start("i-1"),
+        completions: 0,
     };
     history.record(NOW, crash, revision(2, 3));
     assert_eq!(history.records_since(revision(1, 900)).len(), 1);
--- a/crates/node/tests/all/poison.rs
+++ b/crates/node/tests/all/poison.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
-use geranium_node::crash::{
-    CrashRecord, PoisonLimits, PoisonRegistry, PoisonStatus, request_fingerprint,
+use geranium_node::{
+    crash::{
+        CompletionEvidence, CrashHistory, CrashRecord, PoisonLimits, PoisonRegistry, PoisonStatus,
+        request_fingerprint,
+    },
+    store::Revision,
 };
 use http::{HeaderMap, Method, Uri};
 use proptest::prelude::*;
@@ -24,6 +28,7 @@
     CrashRecord {
         fingerprint,
         start: start(format!("till-{instance}-{announced}")),
+        completions: 0,
     }
 }
 
@@ -181,6 +186,84 @@
     assert_eq!(registry.status(SECOND, 0), PoisonStatus::Clear);
 }
 
+/// Guards against refusing a request that crashes met by chance: it completed between them, as only
+/// its sender or the node beside another backend server may know.
+#[test]
+fn crashes_between_completions_refuse_nothing() {
+    for completions in 0..6 {
+        let mut registry = PoisonRegistry::new(LIMITS);
+        for crash in 0..10 {
+            let record = CrashRecord {
+                completions: if crash == 0 { 0 } else { completions },
+                ..crash_record(POISON, crash, 1)
+            };
+            assert!(registry.record(SECOND, record));
+            let refused = is_refused(registry.status(SECOND, POISON));
+            assert_eq!(refused, crash > 0 && completions < 3, "{completions}");
+        }
+    }
+    let mut registry = PoisonRegistry::new(LIMITS);
+    for crash in 0..10 {
+        registry.record(SECOND, crash_record(POISON, crash, 1));
+        assert!(!is_refused(registry.status(SECOND, POISON)));
+        (0..3).for_each(|_| registry.record_peer_completion(POISON));
+    }
+}
+
+/// Guards against a refusal that stands because the completions became known after the crash.
+#[test]
+fn a_later_record_of_the_same_crash_brings_its_completions() {
+    let mut registry = PoisonRegistry::new(LIMITS);
+    registry.record(SECOND, crash_record(POISON, 0, 1));
+    registry.record(SECOND, crash_record(POISON, 1, 1));
+    assert!(is_refused(registry.status(SECOND, POISON)));
+    let record = CrashRecord {
+        completions: 10,
+        ..crash_record(POISON, 1, 1)
+    };
+    for _ in 0..2 {
+        assert!(!registry.record(SECOND, record.clone()));
+        assert_eq!(registry.status(SECOND, POISON), PoisonStatus::Suspect);
+    }
+}
+
+/// Guards against refusing a request for the whole time that has completed since its first crash.
+#[test]
+fn a_request_that_has_completed_is_refused_for_a_minute_at_most() {
+    let mut registry = PoisonRegistry::new(LIMITS);
+    registry.record(SECOND, crash_record(POISON, 0, 1));
+    registry.record_peer_completion(POISON);
+    registry.record(SECOND, crash_record(POISON, 1, 1));
+    let refused = [2, 61].map(|at| is_refused(registry.status(SECOND * at, POISON)));
+    assert_eq!(refused, [true, false]);
+}
+
+/// Guards against completions before a crash that count as completions after it, when their node
+/// doesn't know of the crash yet.
+#[test]
+fn a_sender_that_missed_a_crash_proves_nothing() {
+    let mut history = CrashHistory::default();
+    for (crash, counted) in [(0, 9), (1, 9), (2, 0)] {
+        let of_sender = Some(CompletionEvidence {
+            crashes: 1,
+            completions: 9,
+        });
+        assert_eq!(history.completions(POISON, of_sender), counted);
+        history.record(SECOND, crash_record(POISON, crash, 1), Revision(0));
+    }
+    history.record_peer_completion(POISON);
+    assert_eq!(history.completions(POISON, None), 1);
+}
+
+/// Guards against records that nodes of earlier versions can't exchange with those of this one.
+#[test]
+fn records_without_completions_stay_as_they_were() {
+    let record = crash_record(POISON, 0, 1);
+    let text = serde_json::to_string(&record).expect("plain fields");
+    assert!(!text.contains("completions"), "{text}");
+    assert_eq!(serde_json::from_str(&text).ok(), Some(record));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
--- a/crates/node/tests/all/starts.rs
+++ b/crates/node/tests/all/starts.rs
@@ -29,6 +29,7 @@
         let crash_record = CrashRecord {
             fingerprint: 7,
             start: born("i-1", 1_000 * (crash + 1)),
+            completions: 0,
         };
         assert!(history.record(NOW, crash_record, Revision(crash + 1)));
     }
