Keep a deregistration across a restart of the node

Cause: the starts that have left were kept in the memory of one process. A deregistration removed the announcement from the store, so the next process knew nothing of it and adopted the late heartbeat as a ready start.

Change: the announcement stays, as leaving for good, until another start takes its place or the lease ends. The next process restores it, also if a report came first, and ignores later reports of that start. The same holds for a notice of leaving in a response, which a heartbeat after a restart had undone. The write takes the place of the removal, so the store gets no further call.

--- a/crates/node/src/discovery/announce_at_registrar.rs
+++ b/crates/node/src/discovery/announce_at_registrar.rs
@@ -40,25 +40,23 @@
         &mut self,
         core: &NodeCore,
         registrar: SocketAddr,
-        desired: Option<&MemberRecord>,
+        desired: &MemberRecord,
         renew_at: &mut Instant,
     ) -> bool {
-        let change = match desired {
-            None => RegistrationChange::Remove,
-            Some(desired) if self.covers(desired) && self.is_at_registrar() => {
-                let is_current = self.registrars.current() == Some(registrar);
-                if is_current && Instant::now() < *renew_at {
-                    return true;
-                }
-                RegistrationChange::Keep
+        let change = if self.covers(desired) && self.is_at_registrar() {
+            let is_current = self.registrars.current() == Some(registrar);
+            if is_current && Instant::now() < *renew_at {
+                return true;
             }
-            Some(desired) => match encode_for(registrar, desired) {
+            RegistrationChange::Keep
+        } else {
+            match encode_for(registrar, desired) {
                 Ok(value) => RegistrationChange::Write { value },
                 Err(cause) => {
                     error!(core.log.logger(), "announcement not encoded"; "cause" => %cause);
                     return false;
                 }
-            },
+            }
         };
         let call = RegistrationCall {
             from: core.settings.peer_addr,
@@ -98,16 +96,16 @@
         &mut self,
         core: &NodeCore,
         registrar: SocketAddr,
-        desired: Option<&MemberRecord>,
+        desired: &MemberRecord,
         reply: RegistrationReply,
     ) {
-        match (reply, desired) {
-            (RegistrationReply::Kept, _) => {
+        match reply {
+            RegistrationReply::Kept => {
                 self.registrars.use_registrar(Some(registrar));
                 self.lease = self.lease.map(AnnouncementLease::of_registrar);
                 core.registrar.clear_lease();
             }
-            (RegistrationReply::Written { revision, lease }, Some(desired)) => {
+            RegistrationReply::Written { revision, lease } => {
                 let revision = Revision(revision);
                 self.registrars.use_registrar(Some(registrar));
                 self.lease = Some(AnnouncementLease::Registrar(lease));
@@ -124,23 +122,14 @@
                 };
                 self.record_written(core, record, revision);
             }
-            (RegistrationReply::Removed { revision }, _) => {
-                self.record_withdrawn(core, Revision(revision));
-            }
-            (RegistrationReply::Conflict { current }, _) => {
+            RegistrationReply::Conflict { current } => {
                 self.revision = Revision(current);
-                if desired.is_none() && current == 0 {
-                    self.record = None;
-                }
                 core.announcement_changed.notify_one();
             }
             // Writing the announcement again puts it under the registrar's present lease.
-            (
-                RegistrationReply::Unleased
-                | RegistrationReply::Written { .. }
-                | RegistrationReply::Failed,
-                _,
-            ) => {
+            RegistrationReply::Unleased
+            | RegistrationReply::Removed { .. }
+            | RegistrationReply::Failed => {
                 self.record = None;
                 core.announcement_changed.notify_one();
             }
--- a/crates/node/src/discovery/announcement.rs
+++ b/crates/node/src/discovery/announcement.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use slog::info;
 use tokio::time::Instant;
 
 use super::announcement_lease::AnnouncementLease;
@@ -82,14 +81,6 @@
         matches!(self.lease, Some(AnnouncementLease::Registrar(_)))
     }
 
-    /// Whether the store may hold an announcement that has to be removed.
-    ///
-    /// A store restored from an older copy may hold the announcement of a backend server that has
-    /// deregistered since.
-    pub(super) fn is_in_store(&self, core: &NodeCore) -> bool {
-        has_left(core) && (self.record.is_some() || self.revision != Revision(0))
-    }
-
     pub(super) fn record_written(
         &mut self,
         core: &NodeCore,
@@ -104,15 +95,6 @@
             .announce(core.clock.now(), desired, revision);
     }
 
-    pub(super) fn record_withdrawn(&mut self, core: &NodeCore, revision: Revision) {
-        self.record = None;
-        self.revision = Revision(0);
-        core.fleet
-            .borrow_mut()
-            .remove(core.settings.peer_addr, revision);
-        info!(core.log.logger(), "announcement withdrawn");
-    }
-
     /// Notifies the tasks that wait for the announcement, if the store holds the desired one.
     pub(super) fn notify_if_stored(&self, core: &NodeCore) {
         let stored = match desired(core) {
@@ -161,21 +143,14 @@
     present.map(|member| member.record.clone())
 }
 
-/// Returns whether the backend server has deregistered.
-fn has_left(core: &NodeCore) -> bool {
-    let tracker = core.inbound.tracker().borrow();
-    tracker
-        .current()
-        .is_some_and(|current| current.deregistered)
-}
-
-/// Returns the announcement that the store should hold; none when it should hold none.
+/// Returns the announcement that the store should hold; none while no backend server is known.
+///
+/// A backend server that has deregistered stays announced as leaving for good. If the node's process
+/// restarts, the next one learns from there that the start has ended, and ignores a heartbeat of it
+/// that is still on the way.
 pub(super) fn desired(core: &NodeCore) -> Option<MemberRecord> {
     let tracker = core.inbound.tracker().borrow();
     let current: &CurrentStart = tracker.current()?;
-    if current.deregistered {
-        return None;
-    }
     let leaving = current.leaving_since.is_some() || core.is_stopping();
     let report = &current.report;
     Some(MemberRecord {
@@ -186,6 +161,7 @@
         version: report.version.clone(),
         suspended: core.inbound.is_suspended(),
         slots: report.slots,
+        is_final: current.has_left_for_good(),
         state: if leaving {
             MemberState::Leaving
         } else {
--- a/crates/node/src/discovery/announcer.rs
+++ b/crates/node/src/discovery/announcer.rs
@@ -17,7 +17,7 @@
     delegation::DelegatingStore,
     member::MemberRecord,
     node_core::NodeCore,
-    store::{LeaseId, MetaStore, Revision, StoreError, StoreWrite},
+    store::{LeaseId, MetaStore, StoreError, StoreWrite},
 };
 
 /// Time after which the store removes an announcement whose lease isn't renewed. Nodes that send
@@ -102,12 +102,12 @@
             let Some(registrar) = self.registrar(core, delegating_store.is_direct()) else {
                 break;
             };
-            if desired.is_none() && !self.is_in_store(core) {
+            let Some(desired) = &desired else {
                 *renew_at = Instant::now() + RENEW_INTERVAL;
                 return Ok(());
-            }
+            };
             if self
-                .step_at_registrar(core, registrar, desired.as_ref(), renew_at)
+                .step_at_registrar(core, registrar, desired, renew_at)
                 .await
             {
                 return Ok(());
@@ -120,7 +120,7 @@
                 self.own_lease(core, delegating_store, renew_at).await?;
             }
             advance(renew_at);
-            return self.withdraw(core, delegating_store, key.as_str()).await;
+            return Ok(());
         };
         let lease = self.own_lease(core, delegating_store, renew_at).await?;
         if self.covers(&desired) {
@@ -206,33 +206,6 @@
             Err(failure) => Err(failure),
         }
     }
-
-    /// Removes the announcement when the backend server is gone.
-    async fn withdraw(
-        &mut self,
-        core: &NodeCore,
-        delegating_store: &DelegatingStore<impl MetaStore>,
-        key: &str,
-    ) -> Result<(), StoreError> {
-        if !self.is_in_store(core) {
-            return Ok(());
-        }
-        let removal = StoreWrite::remove(key, self.revision);
-        match delegating_store.commit(removal, "withdraw").await {
-            Ok(revision) => {
-                self.record_withdrawn(core, revision);
-                Ok(())
-            }
-            Err(StoreError::Conflict { current, .. }) => {
-                self.revision = current;
-                if current == Revision(0) {
-                    self.record = None;
-                }
-                Ok(())
-            }
-            Err(failure) => Err(failure),
-        }
-    }
 }
 
 /// Sets the time of the next renewal, if the present one has come.
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -45,6 +45,13 @@
     pub said_leaving: bool,
 }
 
+impl CurrentStart {
+    /// Returns whether no later report of the start readmits it.
+    pub const fn has_left_for_good(&self) -> bool {
+        self.deregistered || self.said_leaving
+    }
+}
+
 /// Tracks which start of the local backend server is current.
 ///
 /// The tracker also decides whether a request for that start is admitted.
@@ -59,12 +66,14 @@
 pub struct EndpointTracker {
     current: Option<CurrentStart>,
     retired: VecDeque<EndpointStart>,
+    /// Announcement of this node's earlier process, while no start is known.
+    announced: Option<MemberRecord>,
 }
 
 impl EndpointTracker {
     /// Processes a heartbeat and returns its effect.
     pub fn report(&mut self, now: Duration, report: EndpointReport) -> ReportOutcome {
-        if self.is_retired(&report.start) {
+        if self.is_retired(&report.start) || self.precedes_announced(&report.start) {
             return ReportOutcome::Stale;
         }
         let current = self.current.as_mut();
@@ -93,10 +102,19 @@
                 current.deregistered = true;
                 true
             }
-            _ => {
+            Some(_) => {
                 self.retire(start.with_default_born_ms(unix_ms));
                 false
             }
+            None => {
+                let announced = self.announced.take();
+                let announced = announced.filter(|record| record.start.ended_with(&start));
+                match &announced {
+                    Some(record) => self.adopt_left(now, record),
+                    None => self.retire(start.with_default_born_ms(unix_ms)),
+                }
+                announced.is_some()
+            }
         }
     }
 
@@ -129,11 +147,36 @@
     /// Restores the leaving state that this node announced before its restart.
     ///
     /// A ready start isn't restored but accepted at its next report. A leaving start is restored
-    /// because the acknowledgment of its leaving binds this process as well.
+    /// because the acknowledgment of its leaving binds this process as well, also if a late report
+    /// arrived before the announcement.
     pub fn restore(&mut self, now: Duration, record: &MemberRecord) {
-        if self.current.is_some() || record.state != MemberState::Leaving {
+        let Some(current) = &mut self.current else {
+            if record.state == MemberState::Leaving {
+                self.adopt_left(now, record);
+            } else {
+                self.announced = Some(record.clone());
+            }
             return;
+        };
+        match record.start.order(&current.report.start) {
+            StartOrder::Same => {
+                let is_later_report = record.sequence > current.report.sequence;
+                if record.state == MemberState::Leaving && (record.is_final || is_later_report) {
+                    current.leaving_since.get_or_insert(now);
+                    current.deregistered |= record.is_final;
+                }
+            }
+            StartOrder::Later if record.state == MemberState::Leaving => {
+                self.adopt_left(now, record);
+            }
+            StartOrder::Later | StartOrder::Earlier | StartOrder::Unknown => {}
         }
+    }
+
+    /// Makes a start the current one that an earlier process announced as leaving, or that has
+    /// deregistered since.
+    fn adopt_left(&mut self, now: Duration, record: &MemberRecord) {
+        let deregistered = record.is_final || record.state == MemberState::Ready;
         let report = EndpointReport {
             start: record.start.clone(),
             service: record.service.clone(),
@@ -145,6 +188,9 @@
             sequence: record.sequence,
         };
         self.adopt(now, report);
+        if let Some(current) = &mut self.current {
+            current.deregistered = deregistered;
+        }
     }
 
     /// Returns the current start unless it has announced that it is leaving. If another start
@@ -199,11 +245,18 @@
             deregistered: false,
             said_leaving: false,
         };
+        self.announced = None;
         if let Some(ended) = self.current.replace(next) {
             self.retire(ended.report.start);
         }
     }
 
+    /// Returns whether a start began before the one that an earlier process announced.
+    fn precedes_announced(&self, start: &EndpointStart) -> bool {
+        let announced = self.announced.as_ref();
+        announced.is_some_and(|record| start.order(&record.start) == StartOrder::Earlier)
+    }
+
     fn is_retired(&self, start: &EndpointStart) -> bool {
         self.retired.iter().any(|ended| start.ended_with(ended))
     }
@@ -232,7 +285,7 @@
     current.leaving_since = match report.state {
         ReportState::Leaving => current.leaving_since.or(Some(now)),
         // Heartbeats are sent every second or so, and may be older than the response.
-        ReportState::Ready if current.deregistered || current.said_leaving => current.leaving_since,
+        ReportState::Ready if current.has_left_for_good() => current.leaving_since,
         ReportState::Ready => None,
     };
     current.was_ready |= current.leaving_since.is_none();
--- a/crates/node/src/member/member_record.rs
+++ b/crates/node/src/member/member_record.rs
@@ -43,6 +43,11 @@
     pub slots: u32,
     /// Whether the backend server takes new requests.
     pub state: MemberState,
+    /// Whether the start has left for good: it has deregistered, or has said in a response that it
+    /// leaves. No later report readmits it. Nodes of earlier versions don't know the field, and
+    /// take such a member for one that is leaving.
+    #[serde(rename = "final", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_final: bool,
     /// Milliseconds for which the backend server is still slow after its start, counted from
     /// the announcement.
     pub cold_ms: u32,
--- a/crates/node/src/member/version_view.rs
+++ b/crates/node/src/member/version_view.rs
@@ -52,7 +52,8 @@
     ) -> Vec<SocketAddr> {
         let announced = self.views(service).filter(|(_, member)| {
             let runs_target = member.record.version.as_ref() == Some(target);
-            !member.has_lapsed() && runs_target == is_target
+            let is_there = !member.has_lapsed() && !member.record.is_final;
+            is_there && runs_target == is_target
         });
         let mut peers: Vec<SocketAddr> = announced
             .map(|(_, member)| member.record.peer_addr)
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -347,6 +347,7 @@
         MemberRecord {
             version: None,
             suspended: false,
+            is_final: false,
             slots: 3,
             ..record(2, "hofdi")
         },
--- a/crates/node/tests/all/fleet_load/simulated_fleet.rs
+++ b/crates/node/tests/all/fleet_load/simulated_fleet.rs
@@ -169,6 +169,7 @@
         data_centre: data_centre_name(receiver, data_centres),
         version: None,
         suspended: false,
+        is_final: false,
         slots: SLOTS,
         state: MemberState::Ready,
         link_mbps: 100,
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -153,6 +153,89 @@
     );
 }
 
+fn own_record(born_ms: u64, state: MemberState, is_final: bool) -> MemberRecord {
+    MemberRecord {
+        start: born("i-1", born_ms),
+        state,
+        is_final,
+        sequence: 6,
+        ..support::record(1)
+    }
+}
+
+/// Guards against a heartbeat from before a restart of the node that readmits requests to a start
+/// which had left for good, whether it arrives before or after the announcement.
+#[test]
+fn a_start_that_left_for_good_stays_so_after_a_restart() {
+    let record = own_record(TODAY, MemberState::Leaving, true);
+    let late = || born_report(TODAY, 900, ReportState::Ready);
+    let restore = |tracker: &mut EndpointTracker| tracker.restore(at(0), &record);
+    let report = |tracker: &mut EndpointTracker| {
+        tracker.report(at(0), late());
+    };
+    let orders: [[&dyn Fn(&mut EndpointTracker); 2]; 2] =
+        [[&restore, &report], [&report, &restore]];
+    for steps in orders {
+        let mut tracker = EndpointTracker::default();
+        for step in steps {
+            step(&mut tracker);
+        }
+        tracker.report(at(10), born_report(TODAY, 901, ReportState::Ready));
+        assert_eq!(
+            refusal(&tracker, at(5_000), "i-1"),
+            Some(RefusalReason::Leaving)
+        );
+        let current = tracker.current().expect("the start is known");
+        assert!(current.has_left_for_good());
+        let next = born_report(TODAY + 9_000, 1, ReportState::Ready);
+        assert_eq!(tracker.report(at(9_000), next), ReportOutcome::Adopted);
+        assert_eq!(refusal(&tracker, at(9_000), "i-1"), None);
+    }
+}
+
+/// Guards against a start that is adopted although the announcement names a later one.
+#[test]
+fn a_start_before_the_announced_one_is_stale() {
+    let mut tracker = EndpointTracker::default();
+    tracker.restore(at(0), &own_record(TODAY, MemberState::Ready, false));
+    let late = born_report(TODAY - 9_000, 40, ReportState::Ready);
+    assert_eq!(tracker.report(at(10), late), ReportOutcome::Stale);
+    let current = born_report(TODAY, 7, ReportState::Ready);
+    assert_eq!(tracker.report(at(20), current), ReportOutcome::Adopted);
+}
+
+/// Guards against a deregistration that a second restart forgets, because no heartbeat came between
+/// the first one and the deregistration.
+#[test]
+fn a_deregistration_of_the_announced_start_counts() {
+    let mut tracker = EndpointTracker::default();
+    tracker.restore(at(0), &own_record(TODAY, MemberState::Ready, false));
+    assert!(tracker.deregister(at(10), born("i-1", TODAY), TODAY + 10));
+    let current = tracker.current().expect("the start is known");
+    assert!(current.has_left_for_good());
+    assert_eq!(
+        refusal(&tracker, at(20), "i-1"),
+        Some(RefusalReason::Leaving)
+    );
+}
+
+/// Guards against an announcement of this process that ends the leaving or the service of the start
+/// that it is about.
+#[test]
+fn own_announcements_change_nothing() {
+    let mut tracker = EndpointTracker::default();
+    tracker.report(at(0), born_report(TODAY, 6, ReportState::Ready));
+    // A stopping node announces its backend server as leaving.
+    tracker.restore(at(10), &own_record(TODAY, MemberState::Leaving, false));
+    assert_eq!(refusal(&tracker, at(5_000), "i-1"), None);
+    tracker.deregister(at(5_010), born("i-1", TODAY), TODAY + 10);
+    tracker.restore(at(5_020), &own_record(TODAY, MemberState::Ready, false));
+    assert_eq!(
+        refusal(&tracker, at(9_000), "i-1"),
+        Some(RefusalReason::Leaving)
+    );
+}
+
 /// Guards against a restarted node that admits requests to a start first reported as leaving.
 #[test]
 fn one_first_heard_of_as_leaving_takes_no_work() {
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -34,6 +34,7 @@
         data_centre: "hofdi".to_owned(),
         version: None,
         suspended: false,
+        is_final: false,
         slots: 12,
         state: MemberState::Ready,
         link_mbps: 100,
