--- a/crates/node/src/crash/crash_history.rs
+++ b/crates/node/src/crash/crash_history.rs
@@ -64,11 +64,6 @@
         self.registry.record_completion(fingerprint);
     }
 
-    /// Records that a backend server beside another node completed a request of this node.
-    pub fn record_peer_completion(&mut self, fingerprint: u64) {
-        self.registry.record_peer_completion(fingerprint);
-    }
-
     /// Returns what this node knows of the completions of a request that was running at a crash;
     /// none for other requests.
     pub fn evidence(&self, fingerprint: u64) -> Option<CompletionEvidence> {
--- a/crates/node/src/crash/poison_registry.rs
+++ b/crates/node/src/crash/poison_registry.rs
@@ -122,22 +122,12 @@
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
             return;
         };
-        suspect.record_completions(1);
+        suspect.record_completion();
         if suspect.crashes_not_offset() > 0 && self.credit.spend(fingerprint) {
             suspect.offset_one();
         }
     }
 
-    /// Records that a backend server beside another node completed a request of this node.
-    ///
-    /// Such completions count only since a crash: of the completions before, the node beside each
-    /// backend server keeps its own.
-    pub fn record_peer_completion(&mut self, fingerprint: u64) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.record_completions(1);
-        }
-    }
-
     /// Returns what is known of the completions of a request that was running at a crash.
     pub fn evidence(&self, fingerprint: u64) -> Option<CompletionEvidence> {
         let suspect = self.suspects.get(&fingerprint)?;
--- a/crates/node/src/crash/suspect_record.rs
+++ b/crates/node/src/crash/suspect_record.rs
@@ -35,10 +35,10 @@
         self.latest = now;
     }
 
-    /// Adds completions since the latest crash.
-    pub(super) fn record_completions(&mut self, count: u32) {
-        self.completions = self.completions.saturating_add(count);
-        self.has_completed |= count > 0;
+    /// Adds a completion since the latest crash.
+    pub(super) const fn record_completion(&mut self) {
+        self.completions = self.completions.saturating_add(1);
+        self.has_completed = true;
     }
 
     /// Returns the completions since the latest crash.
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -174,10 +174,6 @@
         let failure = header_text(response.headers(), &PEER_FAILURE_HEADER).map(ToOwned::to_owned);
         let diagnosis = header_text(response.headers(), &PEER_DIAGNOSIS_HEADER);
         let diagnosis = diagnosis.and_then(|text| serde_json::from_str(text).ok());
-        if refusal.is_none() && failure.is_none() && response.status().is_success() {
-            let mut crashes = self.core.crashes.borrow_mut();
-            crashes.record_peer_completion(self.request.fingerprint);
-        }
         let (mut head, body) = response.into_parts();
         strip_connection_headers(&mut head.headers);
         strip_peer_headers(&mut head.headers);
--- a/crates/node/tests/all/poison.rs
+++ b/crates/node/tests/all/poison.rs
@@ -206,7 +206,7 @@
     for crash in 0..10 {
         registry.record(SECOND, crash_record(POISON, crash, 1));
         assert!(!is_refused(registry.status(SECOND, POISON)));
-        (0..3).for_each(|_| registry.record_peer_completion(POISON));
+        (0..3).for_each(|_| registry.record_completion(POISON));
     }
 }
 
@@ -232,7 +232,7 @@
 fn a_request_that_has_completed_is_refused_for_a_minute_at_most() {
     let mut registry = PoisonRegistry::new(LIMITS);
     registry.record(SECOND, crash_record(POISON, 0, 1));
-    registry.record_peer_completion(POISON);
+    registry.record_completion(POISON);
     registry.record(SECOND, crash_record(POISON, 1, 1));
     let refused = [2, 61].map(|at| is_refused(registry.status(SECOND * at, POISON)));
     assert_eq!(refused, [true, false]);
@@ -251,7 +251,7 @@
         assert_eq!(history.completions(POISON, of_sender), counted);
         history.record(SECOND, crash_record(POISON, crash, 1), Revision(0));
     }
-    history.record_peer_completion(POISON);
+    history.record_completion(POISON);
     assert_eq!(history.completions(POISON, None), 1);
 }
 
