Probe response sizes that refuse every request of a route

Cause: a request is refused if a response of the route's mean size can't be sent in time. The first response is the mean, and once the mean alone exceeds the link, no request runs that could correct it.

Change: a refusal that would stand on an idle link too is the estimate's. If no response has come for 2 s, a request runs as a probe, further ones after 2 to 30 s. A smaller response to a probe replaces the mean.

--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -360,7 +360,7 @@
         let permit = self.admit_fingerprint(&request).await?;
         let start = self.admit(&request)?;
         self.adopt_limit_hint(&start, request.limit_hint);
-        let reservation = self.reserve_link(&request)?;
+        let link_admission = self.reserve_link(&request)?;
         let slot = self.wait_for_slot(&request).await?;
         self.bound_end(&mut request);
         // While this request waited, it may have become a suspect of a crash on another node, or
@@ -387,13 +387,9 @@
         if response.status().is_success() {
             self.crashes.borrow_mut().record_completion(fingerprint);
         }
+        self.record_response_size(route_hash, &link_admission, &response);
         let bytes = response.body().size_hint().exact();
-        if let Some(bytes) = bytes {
-            self.inner
-                .response_sizes
-                .borrow_mut()
-                .observe(route_hash, bytes);
-        }
+        let reservation = link_admission.into_reservation();
         let reservation = reservation.or_else(|| self.schedule_long_response(unscheduled?, bytes?));
         Ok(response.map(|body| body.with_reservation(reservation)))
     }
--- a/crates/node/src/inbound/link_admission.rs
+++ b/crates/node/src/inbound/link_admission.rs
@@ -2,14 +2,15 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use http::HeaderValue;
+use http::{HeaderValue, Response};
+use hyper::body::Body;
 use tokio::time::Instant;
 
 use super::{InboundError, InboundProxy, InboundRequest, RefusalReason, inbound_proxy::refused};
 use crate::{
     link::{LinkReservation, ReservationRequest},
     request_origin::RequestOrigin,
-    response_body::SHORT_RESPONSE_MAX_BYTES,
+    response_body::{ResponseBody, SHORT_RESPONSE_MAX_BYTES},
 };
 
 /// Data kept from a request to schedule its response if that turns out long.
@@ -23,16 +24,38 @@
     arrived: Instant,
 }
 
+/// Admission of a request by the instance's link.
+#[derive(Debug)]
+pub(super) enum LinkAdmission {
+    /// The response is expected to be short, or goes to a caller on this instance.
+    Unneeded,
+    /// The link is reserved for a long response.
+    Reserved(LinkReservation),
+    /// The response is expected to be too long for the link, and shows whether that still holds.
+    Probe,
+}
+
+impl LinkAdmission {
+    pub(super) fn into_reservation(self) -> Option<LinkReservation> {
+        match self {
+            Self::Reserved(reservation) => Some(reservation),
+            Self::Unneeded | Self::Probe => None,
+        }
+    }
+}
+
 impl InboundProxy {
     /// Reserves the link for a long response to another node. Refuses the request if the response
     /// couldn't arrive in time.
+    ///
+    /// Where the expected size alone speaks against it, a request runs now and then as a probe.
     pub(super) fn reserve_link(
         &self,
         request: &InboundRequest,
-    ) -> Result<Option<LinkReservation>, InboundError> {
+    ) -> Result<LinkAdmission, InboundError> {
         let bytes = self.inner.response_sizes.borrow().get(request.route_hash);
         if bytes <= SHORT_RESPONSE_MAX_BYTES || request.origin() == RequestOrigin::Caller {
-            return Ok(None);
+            return Ok(LinkAdmission::Unneeded);
         }
         let (clock, link) = (self.inner.clock, &self.inner.link);
         let reservation_request = ReservationRequest {
@@ -50,12 +73,40 @@
             ),
             receiver: request.sender,
         };
+        if link.exceeds_link(clock, reservation_request) {
+            let mut sizes = self.inner.response_sizes.borrow_mut();
+            return match sizes.begin_probe(clock.now(), request.route_hash) {
+                Ok(()) => Ok(LinkAdmission::Probe),
+                Err(retry_after) => refused(RefusalReason::LinkFull, retry_after),
+            };
+        }
         match link.reserve(clock, self.request_id_of(request), reservation_request) {
-            Ok(reservation) => Ok(Some(reservation)),
+            Ok(reservation) => Ok(LinkAdmission::Reserved(reservation)),
             Err(retry_after) => refused(RefusalReason::LinkFull, retry_after),
         }
     }
 
+    /// Records the size of a response that was admitted to the link by `link_admission`.
+    ///
+    /// The failure of a probe says nothing about the size of the route's other responses.
+    pub(super) fn record_response_size(
+        &self,
+        route_hash: u64,
+        link_admission: &LinkAdmission,
+        response: &Response<ResponseBody>,
+    ) {
+        let now = self.inner.clock.now();
+        let bytes = response.body().size_hint().exact();
+        let mut sizes = self.inner.response_sizes.borrow_mut();
+        match (link_admission, bytes) {
+            (LinkAdmission::Probe, _) if response.status().is_success() => {
+                sizes.observe_probe(now, route_hash, bytes);
+            }
+            (LinkAdmission::Probe, _) | (_, None) => {}
+            (_, Some(bytes)) => sizes.observe(now, route_hash, bytes),
+        }
+    }
+
     /// Schedules on the link a response for another node that turned out long.
     ///
     /// After a start no response sizes are known. If the first long responses were all sent at
--- a/crates/node/src/link/link_schedule.rs
+++ b/crates/node/src/link/link_schedule.rs
@@ -26,6 +26,9 @@
 /// Longest wait for the link of a late response that is ready. Beyond it the response would
 /// displace another that can be in time.
 const LATE_WAIT_MAX: Duration = Duration::from_millis(100);
+/// Longest time in seconds that a transfer is expected to take. A backend server may state a length
+/// that no link could ever carry.
+const TRANSFER_TIME_MAX_S: f64 = 86_400.0;
 /// Lower bound of the advised retry delay after a refused reservation.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 
@@ -189,7 +192,23 @@
 
     /// Returns the time until a reservation is possible, or `None` if it is possible now.
     pub fn refusal(&self, now: Duration, request: ReservationRequest) -> Option<Duration> {
-        let free = self.backlog(now);
+        self.refusal_behind(self.backlog(now), now, request)
+    }
+
+    /// Whether a response couldn't arrive in time on an idle link either.
+    ///
+    /// Such a refusal rests on the expected size alone.
+    pub fn exceeds_link(&self, now: Duration, request: ReservationRequest) -> bool {
+        self.refusal_behind(Duration::ZERO, now, request).is_some()
+    }
+
+    /// Returns the time until a reservation is possible on a link that is free in `free`.
+    fn refusal_behind(
+        &self,
+        free: Duration,
+        now: Duration,
+        request: ReservationRequest,
+    ) -> Option<Duration> {
         let expected_sent_at =
             now + free.max(request.ready_in) + self.transfer_time(request.bytes as f64);
         let excess = if self.can_be_in_time(now, request) {
@@ -330,7 +349,8 @@
     }
 
     fn transfer_time(&self, bytes: f64) -> Duration {
-        Duration::from_secs_f64(bytes / self.bytes_per_s)
+        let seconds = (bytes / self.bytes_per_s).min(TRANSFER_TIME_MAX_S);
+        Duration::from_secs_f64(seconds)
     }
 
     fn queued_bytes_at(&self, now: Duration) -> f64 {
--- a/crates/node/src/link/link_scheduler.rs
+++ b/crates/node/src/link/link_scheduler.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Whether a response couldn't arrive in time on an idle link either.
+    pub fn exceeds_link(&self, clock: NodeClock, request: ReservationRequest) -> bool {
+        self.schedule().exceeds_link(clock.now(), request)
+    }
+
     /// Reserves the link for a long response that is ready, without checking its capacity.
     pub fn reserve_unchecked(
         self: &Rc<Self>,
--- a/crates/node/src/member/mod.rs
+++ b/crates/node/src/member/mod.rs
@@ -20,6 +20,7 @@
 mod moving_mean;
 mod pick_cost;
 mod pick_query;
+mod probe_schedule;
 mod response_sizes;
 mod service_pool;
 mod version_filter;
--- a/crates/node/src/node_core/request_outcomes.rs
+++ b/crates/node/src/node_core/request_outcomes.rs
@@ -58,9 +58,11 @@
     ) {
         let bytes = response.body().size_hint().exact();
         if let Some(bytes) = bytes.filter(|_| response.status().is_success()) {
-            self.response_sizes
-                .borrow_mut()
-                .observe(request.route.route_hash, bytes);
+            self.response_sizes.borrow_mut().observe(
+                self.clock.now(),
+                request.route.route_hash,
+                bytes,
+            );
         }
         // The local inbound proxy records the requests that the local backend server
         // completed.
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod deadlines;
 mod eras;
+mod estimates;
 mod fair_queue;
 mod fleet;
 mod fleet_load;
