Bound every time that is read from outside

What callers saw: one request with X-Geraniumspring-Deadline-Ms of 22 zeros ended the process of the node that took it, with all other requests there.

Cause: the value fits a Duration, but the sum with the time of arrival overflows, which is a panic and aborts a release build.

--- a/crates/node/src/config/route_rule.rs
+++ b/crates/node/src/config/route_rule.rs
@@ -5,11 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{ConfigError, RequestKind, RouteInput, WeightedRoundRobin};
-
-/// Longest time in seconds of a route or limit; a longer one is reduced to it.
-///
-/// One year is longer than a process runs, and far from an overflow of its clock.
-const TIME_MAX_S: f64 = 31_536_000.0;
+use crate::bounded_time::BoundedTime;
 
 /// A checked route, by which requests are sent to services.
 #[derive(Debug)]
@@ -78,10 +74,9 @@
 ///
 /// Seconds out of range are refused with an error that names `field`.
 pub(super) fn checked_time(seconds: f64, field: &str) -> Result<Duration, ConfigError> {
-    if seconds > 0.0 && seconds.is_finite() {
-        Ok(Duration::from_secs_f64(seconds.min(TIME_MAX_S)))
-    } else {
-        let field = field.to_owned();
-        Err(ConfigError::TimeOutOfRange { field })
-    }
+    let time = BoundedTime::try_from(seconds).map(Duration::from);
+    let time = time.ok().filter(|time| !time.is_zero());
+    time.ok_or_else(|| ConfigError::TimeOutOfRange {
+        field: field.to_owned(),
+    })
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod admin;
 pub mod admission;
 pub mod boot_clock;
+pub mod bounded_time;
 pub mod config;
 pub mod connection_limits;
 pub mod crash;
--- a/crates/node/src/outbound/outbound_proxy.rs
+++ b/crates/node/src/outbound/outbound_proxy.rs
@@ -18,6 +18,7 @@
     try_sender::path_only,
 };
 use crate::{
+    bounded_time::BoundedTime,
     config::{MeshConfig, RouteRule},
     crash::request_fingerprint,
     header_names::{host_of, normalized_host, strip_connection_headers, strip_peer_headers},
@@ -344,6 +345,8 @@
     fn deadline_of(&self, headers: &HeaderMap) -> Option<Duration> {
         let value = headers.get(&self.core.headers.deadline_ms)?;
         let millis: f64 = value.to_str().ok()?.trim().parse().ok()?;
-        Duration::try_from_secs_f64(millis / 1_000.0).ok()
+        BoundedTime::try_from(millis / 1_000.0)
+            .ok()
+            .map(Duration::from)
     }
 }
--- a/crates/node/src/rollout/rollout_order.rs
+++ b/crates/node/src/rollout/rollout_order.rs
@@ -4,11 +4,10 @@
 
 use snafu::Snafu;
 
-use crate::member::{EndpointVersion, VersionError};
-
-/// Longest time of a rollout in seconds; a longer one is reduced to it. One year is far from an
-/// overflow of a process's clock.
-const DURATION_MAX_S: f64 = 31_536_000.0;
+use crate::{
+    bounded_time::BoundedTime,
+    member::{EndpointVersion, VersionError},
+};
 
 /// Fields of an order before they are checked.
 #[derive(Debug, Clone, PartialEq)]
@@ -97,16 +96,17 @@
         if target.is_empty() {
             return Err(RolloutOrderError::NoVersion { service });
         }
-        if !(duration_s > 0.0 && duration_s.is_finite()) {
+        let duration = BoundedTime::try_from(duration_s).map(Duration::from);
+        let Some(duration) = duration.ok().filter(|duration| !duration.is_zero()) else {
             return Err(RolloutOrderError::BadDuration {
                 service,
                 duration_s,
             });
-        }
+        };
         Ok(Self {
             service,
             target: EndpointVersion::try_from(target)?,
-            duration: Duration::from_secs_f64(duration_s.min(DURATION_MAX_S)),
+            duration,
         })
     }
 }
