Compare a response's id before its status is read

Cause: 421 was taken for a refusal of the waiting order before the id of the response was compared. A refusal says "not run", so the order was sent on.

Change: the id is compared first. A 421 with another id or none is a lost response.

--- a/crates/node/src/inbound/endpoint_call.rs
+++ b/crates/node/src/inbound/endpoint_call.rs
@@ -116,6 +116,10 @@
     ) -> Result<(), InboundError> {
         let headers = response.headers();
         let status = response.status();
+        if id.is_some() && headers.get(&self.headers.request_id) != id {
+            // The response belongs to an earlier request; it came late or twice.
+            return response_lost("the answer names another request");
+        }
         if status == StatusCode::MISDIRECTED_REQUEST {
             if let Some(actual) = header_text(headers, &self.headers.instance) {
                 let now = self.inner.clock.now();
@@ -125,10 +129,6 @@
             }
             return refused(RefusalReason::OtherInstance, RETRY_OTHER_NODE_AFTER);
         }
-        if id.is_some() && headers.get(&self.headers.request_id) != id {
-            // The response belongs to an earlier request; it came late or twice.
-            return response_lost("the answer names another request");
-        }
         self.broken.record_response(start, times.sent_at);
         self.record_notice(start, headers, times);
         self.record_server_load(start, headers, slot);
--- a/crates/standins/src/endpoint_fault.rs
+++ b/crates/standins/src/endpoint_fault.rs
@@ -12,6 +12,8 @@
     LosesAnswer,
     /// Runs the request and responds with the identifier of another request.
     CrossesAnswer,
+    /// Runs the request and responds with 421 and the identifier of another request.
+    CrossesRefusal,
     /// Runs the request and responds without a signature.
     Unsigned,
     /// Runs the request and responds with a `Content-Encoding`.
--- a/crates/standins/src/endpoint_server.rs
+++ b/crates/standins/src/endpoint_server.rs
@@ -213,7 +213,10 @@
     let id = text(&head.headers, "x-geraniumspring-request-id");
     let expected = text(&head.headers, "x-geraniumspring-expected-instance");
     if !expected.is_empty() && expected != options.instance {
-        let headers = [("x-geraniumspring-instance-id", &*options.instance)];
+        let headers = [
+            ("x-geraniumspring-instance-id", &*options.instance),
+            ("x-geraniumspring-request-id", &*id),
+        ];
         return reply(StatusCode::MISDIRECTED_REQUEST, &headers, Bytes::new());
     }
     if options.fault == EndpointFault::Sheds {
@@ -324,6 +327,10 @@
             let other = ("x-geraniumspring-request-id", "another-request");
             reply(StatusCode::OK, &[signature, other], response_body)
         }
+        EndpointFault::CrossesRefusal => {
+            let other = ("x-geraniumspring-request-id", "another-request");
+            reply(StatusCode::MISDIRECTED_REQUEST, &[other], Bytes::new())
+        }
         EndpointFault::Unsigned => reply(StatusCode::OK, &[echo], response_body),
         EndpointFault::Encoded => reply(
             StatusCode::OK,
