Cut responses that a backend server doesn't end

Cause: a response has to begin before the request's end, and nothing bounded its body, as answers that are ready are delivered late.

Change: after the request's end a streamed body is cut once the node has waited 2 s for the backend server, or read 4 MiB of a body without a stated length; one that states over 1 GiB is cut at once. Time that the reader or the link takes doesn't count. The caller's connection closes, so that the response can't look complete; a log event names the request and a counter counts.

--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -375,6 +375,7 @@
         self.admit_by_breaker()?;
         let ends_at = request.ends_at + RESPONSE_GRACE_TIME;
         let (route_hash, fingerprint) = (request.route_hash, request.fingerprint);
+        let request_id = self.request_id_of(&request);
         let unscheduled = self.unscheduled_response(&request);
         let began = Instant::now();
         let running = self.call(request, idempotent, slot, start.clone());
@@ -391,6 +392,7 @@
         let bytes = response.body().size_hint().exact();
         let reservation = link_admission.into_reservation();
         let reservation = reservation.or_else(|| self.schedule_long_response(unscheduled?, bytes?));
+        let response = self.bound_stream(response, request_id.as_ref(), ends_at);
         Ok(response.map(|body| body.with_reservation(reservation)))
     }
 
--- a/crates/node/src/inbound/link_admission.rs
+++ b/crates/node/src/inbound/link_admission.rs
@@ -150,7 +150,7 @@
     }
 
     /// Returns the identifier of a request, for the log.
-    fn request_id_of(&self, request: &InboundRequest) -> Option<HeaderValue> {
+    pub(super) fn request_id_of(&self, request: &InboundRequest) -> Option<HeaderValue> {
         request.headers.get(&self.headers.request_id).cloned()
     }
 }
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -8,6 +8,7 @@
 
 mod admission_preview;
 mod crash_admission;
+mod endless_response;
 mod endpoint_breaker;
 mod endpoint_call;
 mod endpoint_confirm;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod header_names;
 pub mod http_listener;
 pub mod inbound;
+mod late_body;
 pub mod link;
 pub mod member;
 pub mod node;
--- a/crates/node/src/rate_limit/notice_reporter.rs
+++ b/crates/node/src/rate_limit/notice_reporter.rs
@@ -9,7 +9,9 @@
 use slog::{info, warn};
 
 use super::{LimitUsage, RequestRate};
-use crate::{event_log::EventLog, member::EndpointStart, pace::PaceReporter};
+use crate::{
+    event_log::EventLog, late_body::EndlessBodyReporter, member::EndpointStart, pace::PaceReporter,
+};
 
 /// Metrics of the requests at the local backend server.
 #[derive(Debug, Clone)]
@@ -17,6 +19,7 @@
     /// Named rate in requests per second; -1 without a limit.
     rate: Gauge<f64>,
     sent: Counter<u64>,
+    endless: Counter<u64>,
 }
 
 /// Value of the rate's gauge while no limit is named.
@@ -30,6 +33,7 @@
         Self {
             rate,
             sent: meter.u64_counter("geranium_endpoint_requests").build(),
+            endless: meter.u64_counter("geranium_endless_responses").build(),
         }
     }
 }
@@ -52,6 +56,11 @@
         PaceReporter::new(self.log.clone())
     }
 
+    /// Returns the reporter of bodies that the backend server doesn't end, with the same log.
+    pub fn endless_body_reporter(&self) -> EndlessBodyReporter {
+        EndlessBodyReporter::new(self.log.clone(), self.counters.endless.clone())
+    }
+
     /// Counts a request that is passed on to the backend server.
     pub fn record_sent(&self, is_nested: bool) {
         let kind = if is_nested { "nested" } else { "new" };
--- a/crates/node/src/response_body.rs
+++ b/crates/node/src/response_body.rs
@@ -9,9 +9,11 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use serde::Serialize;
+use snafu::Snafu;
 
 use crate::{
-    inbound::RunSlot, link::LinkReservation, node_core::OpenRequestGuard, outbound::InFlightGuard,
+    inbound::RunSlot, late_body::LateBody, link::LinkReservation, node_core::OpenRequestGuard,
+    outbound::InFlightGuard,
 };
 
 #[derive(Debug)]
@@ -24,6 +26,20 @@
     },
 }
 
+/// Reason why the body of a response ends before it is complete.
+#[derive(Debug, Snafu)]
+pub enum BodyError {
+    /// The connection on which the body arrives broke.
+    #[snafu(display("{source}"), context(false))]
+    Broken {
+        /// Error of the connection.
+        source: hyper::Error,
+    },
+    /// The backend server goes on to send after the request's end.
+    #[snafu(display("the response doesn't end"))]
+    Endless,
+}
+
 /// Body of a response, with the resources that are held until its end.
 ///
 /// A stream that breaks ends with an error, and the server then closes the
@@ -35,6 +51,7 @@
     in_flight_guard: Option<InFlightGuard>,
     open_request_guard: Option<OpenRequestGuard>,
     reservation: Option<LinkReservation>,
+    late_body: Option<LateBody>,
 }
 
 /// Largest body of a short response, in bytes.
@@ -133,6 +150,13 @@
         self
     }
 
+    /// Cuts a body that the backend server doesn't end.
+    #[must_use]
+    pub(crate) fn with_late_body(mut self, late_body: LateBody) -> Self {
+        self.late_body = Some(late_body);
+        self
+    }
+
     /// Counts the request as open until the end of the body.
     #[must_use]
     pub fn with_open_request_guard(mut self, guard: OpenRequestGuard) -> Self {
@@ -140,6 +164,11 @@
         self
     }
 
+    /// Whether the body is passed on as it arrives.
+    pub(crate) const fn is_stream(&self) -> bool {
+        matches!(self.source, BodySource::Stream { .. })
+    }
+
     const fn from_source(source: BodySource) -> Self {
         Self {
             source,
@@ -147,6 +176,7 @@
             in_flight_guard: None,
             open_request_guard: None,
             reservation: None,
+            late_body: None,
         }
     }
 
@@ -164,17 +194,33 @@
     fn poll_stream(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let BodySource::Stream { incoming, unsent } = &mut self.source else {
             return Poll::Ready(None);
         };
+        let late_body = self.late_body.as_mut();
+        if late_body.is_some_and(|late| late.poll_end(cx)) {
+            return Poll::Ready(Some(Err(BodyError::Endless)));
+        }
         if unsent.is_empty() {
-            match ready!(Pin::new(incoming).poll_frame(cx)) {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(data) => *unsent = data,
+            let late_body = self.late_body.as_mut();
+            match Pin::new(incoming).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => {
+                        if late_body.is_some_and(|late| late.record_bytes(data.len())) {
+                            return Poll::Ready(Some(Err(BodyError::Endless)));
+                        }
+                        *unsent = data;
+                    }
                     Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
                 },
-                ended => return Poll::Ready(ended),
+                Poll::Ready(ended) => {
+                    return Poll::Ready(ended.map(|result| result.map_err(BodyError::from)));
+                }
+                Poll::Pending if late_body.is_some_and(|late| late.poll_wait(cx)) => {
+                    return Poll::Ready(Some(Err(BodyError::Endless)));
+                }
+                Poll::Pending => return Poll::Pending,
             }
         }
         let turn_bytes = match &mut self.reservation {
@@ -202,12 +248,12 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let this = self.get_mut();
         if let BodySource::Whole(bytes) = &mut this.source {
             let bytes = bytes.take();
