Hold the link's admission in a struct

Clippy warns of an enum whose variants differ by 296 bytes; the admission is a reservation, if any, and whether it is a probe. One test says its two orders in plain steps. No change of behaviour.

--- a/crates/node/src/inbound/inbound_proxy.rs
+++ b/crates/node/src/inbound/inbound_proxy.rs
@@ -390,7 +390,7 @@
         }
         self.record_response_size(route_hash, &link_admission, &response);
         let bytes = response.body().size_hint().exact();
-        let reservation = link_admission.into_reservation();
+        let reservation = link_admission.reservation;
         let reservation = reservation.or_else(|| self.schedule_long_response(unscheduled?, bytes?));
         let response = self.bound_stream(response, request_id.as_ref(), ends_at);
         Ok(response.map(|body| body.with_reservation(reservation)))
--- a/crates/node/src/inbound/link_admission.rs
+++ b/crates/node/src/inbound/link_admission.rs
@@ -26,20 +26,18 @@
 
 /// Admission of a request by the instance's link.
 #[derive(Debug)]
-pub(super) enum LinkAdmission {
-    /// The response is expected to be short, or goes to a caller on this instance.
-    Unneeded,
-    /// The link is reserved for a long response.
-    Reserved(LinkReservation),
-    /// The response is expected to be too long for the link, and shows whether that still holds.
-    Probe,
+pub(super) struct LinkAdmission {
+    /// Reservation for a long response; none for a short one, and for a caller on this instance.
+    pub(super) reservation: Option<LinkReservation>,
+    /// Whether the response is expected to be too long for the link, and shows if that still holds.
+    is_probe: bool,
 }
 
 impl LinkAdmission {
-    pub(super) fn into_reservation(self) -> Option<LinkReservation> {
-        match self {
-            Self::Reserved(reservation) => Some(reservation),
-            Self::Unneeded | Self::Probe => None,
+    const fn unreserved(is_probe: bool) -> Self {
+        Self {
+            reservation: None,
+            is_probe,
         }
     }
 }
@@ -55,7 +53,7 @@
     ) -> Result<LinkAdmission, InboundError> {
         let bytes = self.inner.response_sizes.borrow().get(request.route_hash);
         if bytes <= SHORT_RESPONSE_MAX_BYTES || request.origin() == RequestOrigin::Caller {
-            return Ok(LinkAdmission::Unneeded);
+            return Ok(LinkAdmission::unreserved(false));
         }
         let (clock, link) = (self.inner.clock, &self.inner.link);
         let reservation_request = ReservationRequest {
@@ -76,12 +74,15 @@
         if link.exceeds_link(clock, reservation_request) {
             let mut sizes = self.inner.response_sizes.borrow_mut();
             return match sizes.begin_probe(clock.now(), request.route_hash) {
-                Ok(()) => Ok(LinkAdmission::Probe),
+                Ok(()) => Ok(LinkAdmission::unreserved(true)),
                 Err(retry_after) => refused(RefusalReason::LinkFull, retry_after),
             };
         }
         match link.reserve(clock, self.request_id_of(request), reservation_request) {
-            Ok(reservation) => Ok(LinkAdmission::Reserved(reservation)),
+            Ok(reservation) => Ok(LinkAdmission {
+                reservation: Some(reservation),
+                is_probe: false,
+            }),
             Err(retry_after) => refused(RefusalReason::LinkFull, retry_after),
         }
     }
@@ -98,12 +99,12 @@
         let now = self.inner.clock.now();
         let bytes = response.body().size_hint().exact();
         let mut sizes = self.inner.response_sizes.borrow_mut();
-        match (link_admission, bytes) {
-            (LinkAdmission::Probe, _) if response.status().is_success() => {
-                sizes.observe_probe(now, route_hash, bytes);
+        if !link_admission.is_probe {
+            if let Some(bytes) = bytes {
+                sizes.observe(now, route_hash, bytes);
             }
-            (LinkAdmission::Probe, _) | (_, None) => {}
-            (_, Some(bytes)) => sizes.observe(now, route_hash, bytes),
+        } else if response.status().is_success() {
+            sizes.observe_probe(now, route_hash, bytes);
         }
     }
 
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -169,16 +169,14 @@
 fn a_start_that_left_for_good_stays_so_after_a_restart() {
     let record = own_record(TODAY, MemberState::Leaving, true);
     let late = || born_report(TODAY, 900, ReportState::Ready);
-    let restore = |tracker: &mut EndpointTracker| tracker.restore(at(0), &record);
-    let report = |tracker: &mut EndpointTracker| {
-        tracker.report(at(0), late());
-    };
-    let orders: [[&dyn Fn(&mut EndpointTracker); 2]; 2] =
-        [[&restore, &report], [&report, &restore]];
-    for steps in orders {
+    for report_first in [false, true] {
         let mut tracker = EndpointTracker::default();
-        for step in steps {
-            step(&mut tracker);
+        if report_first {
+            tracker.report(at(0), late());
+        }
+        tracker.restore(at(0), &record);
+        if !report_first {
+            tracker.report(at(0), late());
         }
         tracker.report(at(10), born_report(TODAY, 901, ReportState::Ready));
         assert_eq!(
