Adopt a new start after one that left, whatever the clocks say

If the address goes to another machine whose clock is behind, the reports of its backend server were taken for late ones of an earlier start, and ignored for as long as the process runs.

Change: after a start that has left for good, one under another identifier is adopted. Starts before an announced one that is ready are no longer stale after a restart, for the same reason: the next heartbeat corrects a late one.

--- a/crates/node/src/crash/mod.rs
+++ b/crates/node/src/crash/mod.rs
@@ -11,16 +11,19 @@
 //! proxies refuse it to callers, and inbound proxies to other nodes.
 //!
 //! Every request that was running at a crash gets a record, also those that didn't cause
-//! it. Requests sent after the first break get none, even if the probe after that break remained
-//! unclear, unless the start has responded since. Suspects run again one at a time on each backend server, so that few of them
-//! share a second crash. Successful completions clear them: each `CREDIT_PER_CRASH`
-//! completions offset one crash. A crash is offset as well if the request completed
-//! `COMPLETIONS_BETWEEN_CRASHES` times since its crash before: a request that crashes each server
-//! doesn't complete. The sender of a suspect tells the node beside the backend server what it knows
-//! of that ([`CompletionEvidence`]), and the record of the next crash tells all nodes. A request with `REFUSAL_CRASHES` crashes that aren't
-//! offset, and that wasn't the only one running at any crash, or that has completed since its first one,
-//! is refused for a tenth of `REFUSAL_TIME`. After more crashes, it is refused for all of it, unless completions
-//! offset one.
+//! it. Requests sent after the first break get none, even if the probe after that break
+//! remained unclear, unless the start has responded since. Suspects run again one at a time
+//! on each backend server, so that few of them share a second crash. Successful completions
+//! clear them: each `CREDIT_PER_CRASH` completions offset one crash. A crash is offset as
+//! well if the request completed `COMPLETIONS_BETWEEN_CRASHES` times since its crash before:
+//! a request that crashes each server doesn't complete. The sender of a suspect tells the
+//! node beside the backend server what it knows of that ([`CompletionEvidence`]), and the
+//! record of the next crash tells all nodes.
+//!
+//! A request with `REFUSAL_CRASHES` crashes that aren't offset is refused for a tenth of
+//! `REFUSAL_TIME` if it wasn't the only one running at any crash, or has completed since its
+//! first one, and for all of it otherwise. After more crashes, it is refused for all of it,
+//! unless completions offset one.
 
 mod break_diagnosis;
 mod broken_runs;
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -73,7 +73,7 @@
 impl EndpointTracker {
     /// Processes a heartbeat and returns its effect.
     pub fn report(&mut self, now: Duration, report: EndpointReport) -> ReportOutcome {
-        if self.is_retired(&report.start) || self.precedes_announced(&report.start) {
+        if self.is_retired(&report.start) {
             return ReportOutcome::Stale;
         }
         let current = self.current.as_mut();
@@ -81,6 +81,14 @@
             current.map(|current| (report.start.order(&current.report.start), current));
         match order_and_current {
             Some((StartOrder::Same, current)) => update(current, now, report),
+            // The instance's address may have been given to another machine, whose clock differs.
+            Some((StartOrder::Earlier, current))
+                if current.has_left_for_good()
+                    && current.report.start.instance() != report.start.instance() =>
+            {
+                self.adopt(now, report);
+                ReportOutcome::Adopted
+            }
             Some((StartOrder::Earlier, _)) => ReportOutcome::Stale,
             Some((StartOrder::Later | StartOrder::Unknown, _)) | None => {
                 self.adopt(now, report);
@@ -251,12 +259,6 @@
         }
     }
 
-    /// Returns whether a start began before the one that an earlier process announced.
-    fn precedes_announced(&self, start: &EndpointStart) -> bool {
-        let announced = self.announced.as_ref();
-        announced.is_some_and(|record| start.order(&record.start) == StartOrder::Earlier)
-    }
-
     fn is_retired(&self, start: &EndpointStart) -> bool {
         self.retired.iter().any(|ended| start.ended_with(ended))
     }
