Keep the link's own retry delay where it is shorter than the next probe

Cause: a request with little time left exceeds the link whatever the size expected, and was told to come back at the next probe, seconds later, which also paused its member for others' long responses for the longest time.

Change: the shorter of both times is named.

--- a/crates/node/src/inbound/link_admission.rs
+++ b/crates/node/src/inbound/link_admission.rs
@@ -71,19 +71,23 @@
             ),
             receiver: request.sender,
         };
+        let mut next_probe = None;
         if link.exceeds_link(clock, reservation_request) {
             let mut sizes = self.inner.response_sizes.borrow_mut();
-            return match sizes.begin_probe(clock.now(), request.route_hash) {
-                Ok(()) => Ok(LinkAdmission::unreserved(true)),
-                Err(retry_after) => refused(RefusalReason::LinkFull, retry_after),
-            };
+            match sizes.begin_probe(clock.now(), request.route_hash) {
+                Ok(()) => return Ok(LinkAdmission::unreserved(true)),
+                Err(wait) => next_probe = Some(wait),
+            }
         }
         match link.reserve(clock, self.request_id_of(request), reservation_request) {
             Ok(reservation) => Ok(LinkAdmission {
                 reservation: Some(reservation),
                 is_probe: false,
             }),
-            Err(retry_after) => refused(RefusalReason::LinkFull, retry_after),
+            Err(wait) => {
+                let retry_after = next_probe.map_or(wait, |probe| probe.min(wait));
+                refused(RefusalReason::LinkFull, retry_after)
+            }
         }
     }
 
