Log whether an acknowledged leaving is stored, restored, or ignored

An acknowledged leaving left no line, nor did a report that was ignored as late, nor an announcement from which a process learned that its backend server leaves.

Change: the lines 'leaving acknowledged' (with whether the store holds it), 'backend server report ignored' and 'leaving restored'. No decision changes.

--- a/crates/node/src/discovery/apply_updates.rs
+++ b/crates/node/src/discovery/apply_updates.rs
@@ -98,7 +98,11 @@
 ) {
     let now = core.clock.now();
     if record.peer_addr == core.settings.peer_addr {
-        core.inbound.tracker().borrow_mut().restore(now, &record);
+        if core.inbound.tracker().borrow_mut().restore(now, &record) {
+            info!(core.log.logger(), "leaving restored";
+                "instance" => %record.start, "final" => record.is_final,
+                "revision" => revision.0);
+        }
         if core.inbound.tracker().borrow().current().is_none() {
             *core.earlier_record.borrow_mut() = Some(record.clone());
             core.earlier_record_received.notify_one();
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -157,7 +157,16 @@
     /// A ready start isn't restored but accepted at its next report. A leaving start is restored
     /// because the acknowledgment of its leaving binds this process as well, also if a late report
     /// arrived before the announcement.
-    pub fn restore(&mut self, now: Duration, record: &MemberRecord) {
+    ///
+    /// Returns whether the announcement made a start leave, which this process didn't know of.
+    pub fn restore(&mut self, now: Duration, record: &MemberRecord) -> bool {
+        let leaving_before = self.leaving_start();
+        self.apply_announced(now, record);
+        let leaving = self.leaving_start();
+        leaving.is_some() && leaving != leaving_before
+    }
+
+    fn apply_announced(&mut self, now: Duration, record: &MemberRecord) {
         let Some(current) = &mut self.current else {
             if record.state == MemberState::Leaving {
                 self.adopt_left(now, record);
@@ -209,6 +218,13 @@
         staying.then(|| current.report.start.clone())
     }
 
+    /// Returns the current start if it is leaving.
+    fn leaving_start(&self) -> Option<EndpointStart> {
+        let current = self.current.as_ref();
+        let leaving = current.filter(|current| current.leaving_since.is_some());
+        leaving.map(|current| current.report.start.clone())
+    }
+
     /// Returns the current start of the local backend server, if one is known.
     pub const fn current(&self) -> Option<&CurrentStart> {
         self.current.as_ref()
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -52,6 +52,12 @@
                 "slots" => slots,
                 "sequence" => sequence);
         }
+        if outcome == ReportOutcome::Stale {
+            info!(self.log.logger(), "backend server report ignored";
+                "instance" => %start,
+                "state" => <&'static str>::from(state),
+                "sequence" => sequence);
+        }
         outcome
     }
 
@@ -76,7 +82,9 @@
     /// node process wouldn't know of it. The store usually responds in milliseconds, and the sender
     /// of a report waits one second for the acknowledgment. The wait ends after `ACK_TIMEOUT`, so a
     /// report is also acknowledged while the store is unavailable.
-    pub async fn until_announced(&self) {
+    ///
+    /// Returns whether the store holds the announcement.
+    pub async fn until_announced(&self) -> bool {
         let wait = async {
             while self.announcement_outdated.get() {
                 self.announcement_written.notified().await;
@@ -84,6 +92,13 @@
             self.inbound.broken_runs().until_peers_notified().await;
         };
         let _written = timeout(ACK_TIMEOUT, wait).await;
+        !self.announcement_outdated.get()
+    }
+
+    /// Logs the acknowledgment of a leaving, and whether the store holds it.
+    pub fn log_leaving_acknowledged(&self, instance: &str, is_stored: bool) {
+        info!(self.log.logger(), "leaving acknowledged";
+            "instance" => instance, "stored" => is_stored);
     }
 
     fn is_known_service(&self, service: &str) -> bool {
