Acknowledge a leaving only once the store holds it

What callers saw: after a backend server's leaving was acknowledged, 20 to 60 of 60 requests reached it, if its node's process ended while the store couldn't be written.

Cause: the acknowledgment waited 0.4 s for the store and was sent all the same. Only the process that sent it knew of the leaving. The next one read an announcement that said ready, and believed it with the health check, or believed a late heartbeat. Class: an acknowledgment whose effect doesn't outlive the process that gives it.

Requests are kept away from the report on, acknowledged or not, as before. Reports of a ready backend server are acknowledged as before. Whether the store holds the announcement is found again in each step of the announcer, also when the store lost it, rather than from a mark that a report sets and a later deregistration took back.

Ruled out: a longer wait with a 2xx at its end, which leaves the class. A copy of the leaving at other nodes, which is lost when all nodes end at once.

Checks that were wrong, each replaced: leaving::*_while_the_store_is_away, store_faults::a_late_write_*, store_faults::a_write_with_a_lost_answer_* asked for 200 while the store couldn't be written or its response was lost. They ask now that nothing is acknowledged before the store holds it, and that the acknowledgment follows once the store is back; what they asked of requests is unchanged.

--- a/crates/node/src/discovery/announcement.rs
+++ b/crates/node/src/discovery/announcement.rs
@@ -95,14 +95,14 @@
             .announce(core.clock.now(), desired, revision);
     }
 
-    /// Notifies the tasks that wait for the announcement, if the store holds the desired one.
-    pub(super) fn notify_if_stored(&self, core: &NodeCore) {
+    /// Records whether the store holds the desired announcement, and wakes the tasks that wait for it.
+    pub(super) fn record_stored(&self, core: &NodeCore) {
         let stored = match desired(core) {
             Some(desired) => self.covers(&desired),
             None => self.record.is_none(),
         };
+        core.announcement_outdated.set(!stored);
         if stored {
-            core.announcement_outdated.set(false);
             core.announcement_written.notify_waiters();
         }
     }
--- a/crates/node/src/discovery/announcer.rs
+++ b/crates/node/src/discovery/announcer.rs
@@ -57,9 +57,9 @@
             .await;
         let registrar = announcement.registrars.current();
         core.registrar.record_own_registrar(registrar);
+        announcement.record_stored(&core);
         match outcome {
             Ok(()) => {
-                announcement.notify_if_stored(&core);
                 pause = RETRY_PAUSE_MIN;
                 select! {
                     () = core.announcement_changed.notified() => {}
@@ -94,6 +94,7 @@
             self.lease = None;
             self.record = None;
         }
+        self.record_stored(core);
         if !core.knows_local_members() {
             *renew_at = Instant::now() + RENEW_INTERVAL;
             return Ok(());
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -13,8 +13,11 @@
     node_clock::NodeClock,
 };
 
-/// Longest time that the acknowledgment of a report waits for the store.
+/// Longest time that the acknowledgment of a ready backend server's report waits for the store.
 const ACK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time that the acknowledgment of a leaving waits for the store. The backend server takes
+/// an acknowledgment for a second.
+const LEAVING_ACK_TIMEOUT: Duration = Duration::from_millis(800);
 
 impl NodeCore {
     /// Handles a heartbeat of the backend server and returns its effect.
@@ -77,14 +80,10 @@
 
     /// Waits until a change of the backend server is written to the store.
     ///
-    /// If the change revealed a crash, the wait includes reporting it to other nodes. If the node
-    /// were killed between acknowledging that the backend server leaves and writing it, the next
-    /// node process wouldn't know of it. The store usually responds in milliseconds, and the sender
-    /// of a report waits one second for the acknowledgment. The wait ends after `ACK_TIMEOUT`, so a
-    /// report is also acknowledged while the store is unavailable.
-    ///
-    /// Returns whether the store holds the announcement.
-    pub async fn until_announced(&self) -> bool {
+    /// If the change revealed a crash, the wait includes reporting it to other nodes. It ends after
+    /// `ACK_TIMEOUT`, so a report of a ready backend server is also acknowledged while the store is
+    /// unavailable.
+    pub async fn until_announced(&self) {
         let wait = async {
             while self.announcement_outdated.get() {
                 self.announcement_written.notified().await;
@@ -92,13 +91,41 @@
             self.inbound.broken_runs().until_peers_notified().await;
         };
         let _written = timeout(ACK_TIMEOUT, wait).await;
-        !self.announcement_outdated.get()
     }
 
-    /// Logs the acknowledgment of a leaving, and whether the store holds it.
-    pub fn log_leaving_acknowledged(&self, instance: &str, is_stored: bool) {
-        info!(self.log.logger(), "leaving acknowledged";
-            "instance" => instance, "stored" => is_stored);
+    /// Waits until the store holds the leaving of `start`, and returns whether it does.
+    ///
+    /// The acknowledgment of a leaving binds the next process of this node as well, which knows
+    /// only what the store holds. The wait ends after `LEAVING_ACK_TIMEOUT`; without an
+    /// acknowledgment the backend server says again that it leaves.
+    pub async fn until_leaving_stored(&self, start: &EndpointStart) -> bool {
+        let wait = async {
+            while !self.is_leaving_stored(start) {
+                self.announcement_written.notified().await;
+            }
+            self.inbound.broken_runs().until_peers_notified().await;
+        };
+        let _stored = timeout(LEAVING_ACK_TIMEOUT, wait).await;
+        let is_stored = self.is_leaving_stored(start);
+        if is_stored {
+            info!(self.log.logger(), "leaving acknowledged"; "instance" => %start);
+        }
+        is_stored
+    }
+
+    /// Returns whether the next process of this node would learn that `start` leaves.
+    fn is_leaving_stored(&self, start: &EndpointStart) -> bool {
+        let tracker = self.inbound.tracker().borrow();
+        let Some(current) = tracker.current() else {
+            return false;
+        };
+        if !current.report.start.ended_with(start) {
+            // Requests for another start than the current one aren't admitted.
+            return true;
+        }
+        current.leaving_since.is_some()
+            && self.knows_local_members()
+            && !self.announcement_outdated.get()
     }
 
     fn is_known_service(&self, service: &str) -> bool {
