Announce the number of a leaving that a stopping node takes

What callers saw: 40 to 60 of 60 requests reached a backend server whose leaving a stopping node had acknowledged, after the node's restart and a late heartbeat. The store was sound all the while.

Cause: a stopping node announces its backend server as leaving. When the server then says itself that it leaves, that announcement counted as saying the same, although it has the number of an earlier heartbeat. The next process restored that number, so a late heartbeat between the two counted as later than the leaving, and readmitted requests.

Change: an announcement covers a leaving only if its number is at least as great. It costs one write where a backend server leaves while its node stops, none otherwise.

--- a/crates/node/src/member/member_record.rs
+++ b/crates/node/src/member/member_record.rs
@@ -65,15 +65,18 @@
 impl MemberRecord {
     /// Whether `other` needn't be announced while this announcement is in the store.
     ///
-    /// The two may differ in `cold_ms`, `sequence` and `registrar`: other nodes have no use for a
-    /// new value of these alone.
+    /// The two may differ in `cold_ms` and `registrar`: other nodes have no use for a new value of
+    /// these alone. They may differ in `sequence` unless `other` says leaving: by that number the next
+    /// process of the node tells heartbeats from before the leaving, and this announcement may say
+    /// leaving because the node stops.
     pub fn covers(&self, other: &Self) -> bool {
+        let is_known = other.state == MemberState::Ready || self.sequence >= other.sequence;
         let other = Self {
             cold_ms: self.cold_ms,
             sequence: self.sequence,
             registrar: self.registrar,
             ..other.clone()
         };
-        *self == other
+        is_known && *self == other
     }
 }
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -239,6 +239,25 @@
     );
 }
 
+/// Guards against an announcement of a stopping node that stands for a later leaving of its backend
+/// server: a late heartbeat that is numbered between the two would count after a restart.
+#[test]
+fn an_announcement_of_a_stopping_node_covers_no_later_leaving() {
+    let stopping = MemberRecord {
+        sequence: 1,
+        ..own_record(TODAY, MemberState::Leaving, false)
+    };
+    let leaving = own_record(TODAY, MemberState::Leaving, false);
+    assert!(!stopping.covers(&leaving));
+    assert!(leaving.covers(&stopping));
+    let ready = own_record(TODAY, MemberState::Ready, false);
+    let later = MemberRecord {
+        sequence: 90,
+        ..ready.clone()
+    };
+    assert!(ready.covers(&later));
+}
+
 /// Guards against a restarted node that admits requests to a start first reported as leaving.
 #[test]
 fn one_first_heard_of_as_leaving_takes_no_work() {
