Announce a deregistered start that isn't known otherwise

What callers saw: 20 to 60 of 60 requests reached a backend server whose deregistration was acknowledged by a process that knew neither a report nor an announcement of it, after the next restart and a late heartbeat.

Cause: such a deregistration was kept in the memory of the process alone, and nothing was announced. The announcement of the start had ended with its lease, or hadn't been read.

Change: once the announcements have been read, a start of which only the deregistration is known is announced as left, and acknowledged when the store holds that. Before, the deregistration isn't acknowledged. A deregistration of another start no longer forgets the announced one.

--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -115,8 +115,9 @@
                 false
             }
             None => {
-                let announced = self.announced.take();
-                let announced = announced.filter(|record| record.start.ended_with(&start));
+                let announced = self
+                    .announced
+                    .take_if(|record| record.start.ended_with(&start));
                 match &announced {
                     Some(record) => self.adopt_left(now, record),
                     None => self.retire(start.with_default_born_ms(unix_ms)),
@@ -126,6 +127,21 @@
         }
     }
 
+    /// Makes the start of `report` the current one, which has deregistered, if neither a report nor an
+    /// announcement of any start is known. Returns whether it did.
+    ///
+    /// Such a start is announced as left, so that a later process of the node knows of it.
+    pub fn adopt_unreported(&mut self, now: Duration, report: EndpointReport) -> bool {
+        let is_unknown = self.current.is_none() && self.announced.is_none();
+        if is_unknown {
+            self.adopt(now, report);
+            if let Some(current) = &mut self.current {
+                current.deregistered = true;
+            }
+        }
+        is_unknown
+    }
+
     /// Processes a response in which `start` says that it leaves. Returns `true` if it is the current
     /// start and hadn't said so in a response before.
     pub fn record_leaving(&mut self, now: Duration, start: &EndpointStart) -> bool {
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -8,7 +8,7 @@
 
 use super::NodeCore;
 use crate::{
-    inbound::{EndpointReport, ReportOutcome},
+    inbound::{EndpointReport, ReportOutcome, ReportState},
     member::EndpointStart,
     node_clock::NodeClock,
 };
@@ -65,19 +65,38 @@
     }
 
     /// Handles the deregistration of a start of the backend server.
+    ///
+    /// A start that is neither announced nor reported may have been both in an earlier process of
+    /// this node. It is announced as left, once the announcements have been read.
     pub fn deregister(&self, start: EndpointStart) {
-        let start_text = start.to_string();
-        let is_current = self.inbound.tracker().borrow_mut().deregister(
-            self.clock.now(),
-            start,
-            NodeClock::unix_ms(),
-        );
+        let now = self.clock.now();
+        let unix_ms = NodeClock::unix_ms();
+        let mut tracker = self.inbound.tracker().borrow_mut();
+        let is_current = tracker.deregister(now, start.clone(), unix_ms);
+        let is_adopted = !is_current
+            && self.knows_local_members()
+            && tracker.adopt_unreported(now, self.unreported_leaving(start.clone(), unix_ms));
+        drop(tracker);
         info!(self.log.logger(), "backend server deregistered";
-            "instance" => start_text, "here" => is_current);
-        self.announcement_outdated.set(is_current);
+            "instance" => %start, "here" => is_current);
+        self.announcement_outdated.set(is_current || is_adopted);
         self.announcement_changed.notify_one();
     }
 
+    /// Returns a report of leaving for a start of which only the deregistration is known.
+    fn unreported_leaving(&self, start: EndpointStart, unix_ms: u64) -> EndpointReport {
+        EndpointReport {
+            start: start.with_default_born_ms(unix_ms),
+            service: self.settings.service.clone(),
+            data_centre: self.settings.data_centre.clone(),
+            version: None,
+            slots: 1,
+            state: ReportState::Leaving,
+            cold: Duration::ZERO,
+            sequence: 0,
+        }
+    }
+
     /// Waits until a change of the backend server is written to the store.
     ///
     /// If the change revealed a crash, the wait includes reporting it to other nodes. It ends after
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -239,6 +239,39 @@
     );
 }
 
+/// Guards against a deregistration that is never announced, as its start is unknown to this process.
+#[test]
+fn a_deregistration_of_an_unknown_start_is_kept() {
+    let left = || EndpointReport {
+        start: born("i-1", TODAY + 500),
+        ..report("i-1", 0, ReportState::Leaving)
+    };
+    let mut tracker = EndpointTracker::default();
+    assert!(!tracker.deregister(at(10), start("i-1"), TODAY + 500));
+    assert!(tracker.adopt_unreported(at(10), left()));
+    let current = tracker.current().expect("the start is known");
+    assert!(current.has_left_for_good());
+    let late = born_report(TODAY, 41, ReportState::Ready);
+    assert_eq!(tracker.report(at(20), late), ReportOutcome::Stale);
+    assert_eq!(
+        refusal(&tracker, at(30), "i-1"),
+        Some(RefusalReason::Leaving)
+    );
+    let next = born_report(TODAY + 900, 1, ReportState::Ready);
+    assert_eq!(tracker.report(at(900), next), ReportOutcome::Adopted);
+    assert!(!tracker.adopt_unreported(at(910), left()));
+    assert_eq!(refusal(&tracker, at(920), "i-1"), None);
+}
+
+/// Guards against a late deregistration of an earlier start that forgets the announced one.
+#[test]
+fn a_deregistration_of_another_start_leaves_the_announced_one() {
+    let mut tracker = EndpointTracker::default();
+    tracker.restore(at(0), &own_record(TODAY, MemberState::Ready, false));
+    assert!(!tracker.deregister(at(10), born("i-0", TODAY - 500), TODAY));
+    assert!(tracker.deregister(at(20), start("i-1"), TODAY + 20));
+}
+
 /// Guards against an announcement of a stopping node that stands for a later leaving of its backend
 /// server: a late heartbeat that is numbered between the two would count after a restart.
 #[test]
