Don't let a late deregistration acknowledge a pending leaving

Cause: a deregistration of another start cleared the mark that the announcement is outdated, which a report of leaving had set and whose write was pending. The next report of leaving was acknowledged at once, although the store didn't hold it.

Change: the mark is only set by calls of backend servers, and cleared by the announcer.

--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -79,7 +79,9 @@
         drop(tracker);
         info!(self.log.logger(), "backend server deregistered";
             "instance" => %start, "here" => is_current);
-        self.announcement_outdated.set(is_current || is_adopted);
+        if is_current || is_adopted {
+            self.announcement_outdated.set(true);
+        }
         self.announcement_changed.notify_one();
     }
 
