Keep a start that left ended when a response names it

Cause: a 421 that names another instance than the current one dropped the current start and took the named one off the ended starts, also if that one had said that it leaves and got its acknowledgment. A late heartbeat from before then readmitted requests to it.

Change: ended starts are kept with whether they have left, and only those that haven't are taken off.

Evidence: gate::a_start_that_left_stays_ended_when_a_response_names_it fails without the change.

--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -7,7 +7,7 @@
 
 /// Number of ended starts that are remembered. A delayed heartbeat of one of them is ignored.
 /// Heartbeats are late by seconds; a backend server takes longer to restart.
-const RETIRED_MAX: usize = 16;
+const ENDED_MAX: usize = 16;
 
 /// Effect of a heartbeat on the tracker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -46,12 +46,25 @@
 }
 
 impl CurrentStart {
+    /// Returns whether the start has said that it leaves, in a report, a deregistration or a response.
+    fn has_left(&self) -> bool {
+        self.report.state == ReportState::Leaving || self.has_left_for_good()
+    }
+
     /// Returns whether no later report of the start readmits it.
     pub const fn has_left_for_good(&self) -> bool {
         self.deregistered || self.said_leaving
     }
 }
 
+/// A start that is no longer the current one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct EndedStart {
+    start: EndpointStart,
+    /// Whether it has said that it leaves.
+    has_left: bool,
+}
+
 /// Tracks which start of the local backend server is current.
 ///
 /// The tracker also decides whether a request for that start is admitted.
@@ -65,7 +78,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointTracker {
     current: Option<CurrentStart>,
-    retired: VecDeque<EndpointStart>,
+    ended: VecDeque<EndedStart>,
     /// Announcement of this node's earlier process, while no start is known.
     announced: Option<MemberRecord>,
 }
@@ -73,7 +86,7 @@
 impl EndpointTracker {
     /// Processes a heartbeat and returns its effect.
     pub fn report(&mut self, now: Duration, report: EndpointReport) -> ReportOutcome {
-        if self.is_retired(&report.start) {
+        if self.has_ended(&report.start) {
             return ReportOutcome::Stale;
         }
         let current = self.current.as_mut();
@@ -111,7 +124,7 @@
                 true
             }
             Some(_) => {
-                self.retire(start.with_default_born_ms(unix_ms));
+                self.end(start.with_default_born_ms(unix_ms), true);
                 false
             }
             None => {
@@ -120,7 +133,7 @@
                     .take_if(|record| record.start.ended_with(&start));
                 match &announced {
                     Some(record) => self.adopt_left(now, record),
-                    None => self.retire(start.with_default_born_ms(unix_ms)),
+                    None => self.end(start.with_default_born_ms(unix_ms), true),
                 }
                 announced.is_some()
             }
@@ -155,15 +168,18 @@
 
     /// Processes the instance identifier that the backend server gave in a response. Returns the
     /// previous start if it ended without announcing that it was leaving.
+    ///
+    /// A start of that identifier which was taken for ended may be used again, unless it has said that
+    /// it leaves.
     pub fn record_instance(&mut self, instance: &str) -> Option<EndpointStart> {
-        self.retired
-            .retain(|retired| retired.instance() != instance);
+        self.ended
+            .retain(|ended| ended.has_left || ended.start.instance() != instance);
         let is_other_start = |current: &CurrentStart| current.report.start.instance() != instance;
         if !self.current.as_ref().is_some_and(is_other_start) {
             return None;
         }
         let ended = self.current.take()?;
-        self.retire(ended.report.start.clone());
+        self.end(ended.report.start.clone(), ended.has_left());
         let unannounced = ended.leaving_since.is_none();
         unannounced.then_some(ended.report.start)
     }
@@ -287,22 +303,26 @@
         };
         self.announced = None;
         if let Some(ended) = self.current.replace(next) {
-            self.retire(ended.report.start);
+            let has_left = ended.has_left();
+            self.end(ended.report.start, has_left);
         }
     }
 
-    fn is_retired(&self, start: &EndpointStart) -> bool {
-        self.retired.iter().any(|ended| start.ended_with(ended))
+    fn has_ended(&self, start: &EndpointStart) -> bool {
+        let mut starts = self.ended.iter();
+        starts.any(|ended| start.ended_with(&ended.start))
     }
 
-    fn retire(&mut self, start: EndpointStart) {
-        if self.is_retired(&start) {
+    fn end(&mut self, start: EndpointStart, has_left: bool) {
+        let mut starts = self.ended.iter_mut();
+        if let Some(ended) = starts.find(|ended| start.ended_with(&ended.start)) {
+            ended.has_left |= has_left;
             return;
         }
-        if self.retired.len() == RETIRED_MAX {
-            self.retired.pop_front();
+        if self.ended.len() == ENDED_MAX {
+            self.ended.pop_front();
         }
-        self.retired.push_back(start);
+        self.ended.push_back(EndedStart { start, has_left });
     }
 }
 
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -272,6 +272,26 @@
     assert!(tracker.deregister(at(20), start("i-1"), TODAY + 20));
 }
 
+/// Guards against a response that names the instance of a start which has left, and lets a late heartbeat
+/// readmit it.
+#[test]
+fn a_start_that_left_stays_ended_when_a_response_names_it() {
+    for is_deregistered in [false, true] {
+        let mut tracker = EndpointTracker::default();
+        tracker.report(at(0), report("i-1", 4, ReportState::Ready));
+        if is_deregistered {
+            tracker.deregister(at(10), start("i-1"), TODAY);
+        } else {
+            tracker.report(at(10), report("i-1", 6, ReportState::Leaving));
+        }
+        tracker.record_instance("i-2");
+        tracker.record_instance("i-1");
+        let late = report("i-1", 5, ReportState::Ready);
+        assert_eq!(tracker.report(at(20), late), ReportOutcome::Stale);
+        assert_eq!(refusal(&tracker, at(30), "i-1"), Some(RefusalReason::Shut));
+    }
+}
+
 /// Guards against an announcement of a stopping node that stands for a later leaving of its backend
 /// server: a late heartbeat that is numbered between the two would count after a restart.
 #[test]
