Give a restored leaving no second grace time

Cause: a late heartbeat that a new process adopted before it had read the announcements counted as readiness in this process, so the leaving that it then read was given the grace time in which requests on their way are still admitted. An earlier process had given that already.

Change: the grace time counts as over, as it does where the announcement comes first. Found by reading; not seen in a run.

Evidence: gate::a_restored_leaving_has_no_grace_time fails without the change.

--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -211,7 +211,11 @@
             StartOrder::Same => {
                 let is_later_report = record.sequence > current.report.sequence;
                 if record.state == MemberState::Leaving && (record.is_final || is_later_report) {
-                    current.leaving_since.get_or_insert(now);
+                    if current.leaving_since.is_none() {
+                        // An earlier process acknowledged the leaving, at an unknown time.
+                        current.leaving_since = Some(now);
+                        current.was_ready = false;
+                    }
                     current.deregistered |= record.is_final;
                 }
             }
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -272,6 +272,21 @@
     assert!(tracker.deregister(at(20), start("i-1"), TODAY + 20));
 }
 
+/// Guards against a second grace time for a start whose leaving an earlier process acknowledged, when a
+/// late heartbeat comes before the announcement.
+#[test]
+fn a_restored_leaving_has_no_grace_time() {
+    for is_final in [false, true] {
+        let mut tracker = EndpointTracker::default();
+        tracker.report(at(0), born_report(TODAY, 5, ReportState::Ready));
+        assert!(tracker.restore(at(10), &own_record(TODAY, MemberState::Leaving, is_final)));
+        assert_eq!(
+            refusal(&tracker, at(10), "i-1"),
+            Some(RefusalReason::Leaving)
+        );
+    }
+}
+
 /// Guards against a response that names the instance of a start which has left, and lets a late heartbeat
 /// readmit it.
 #[test]
