Keep the later start that a deregistration names

Cause: a deregistration that names a later start of the current one's identifier counted for the current start. None of the later start's reports had arrived; a late one made it the current, ready start although its deregistration was acknowledged.

Change: the later start becomes the one that has left.

--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -53,6 +53,16 @@
         self.report.state == ReportState::Leaving || self.has_left_for_good()
     }
 
+    /// Records the deregistration of `start`, which is this start or a later one of the same identifier.
+    fn deregister(&mut self, now: Duration, start: EndpointStart) {
+        self.leaving_since.get_or_insert(now);
+        self.deregistered = true;
+        if start.order(&self.report.start) == StartOrder::Later {
+            // No report of the later start has arrived, and late ones don't count any more.
+            self.report.start = start;
+        }
+    }
+
     /// Returns whether no later report of the start readmits it.
     pub const fn has_left_for_good(&self) -> bool {
         self.deregistered || self.said_leaving
@@ -121,8 +131,7 @@
     pub fn deregister(&mut self, now: Duration, start: EndpointStart, unix_ms: u64) -> bool {
         match &mut self.current {
             Some(current) if current.report.start.ended_with(&start) => {
-                current.leaving_since.get_or_insert(now);
-                current.deregistered = true;
+                current.deregister(now, start);
                 true
             }
             Some(_) => {
@@ -134,7 +143,12 @@
                     .announced
                     .take_if(|record| record.start.ended_with(&start));
                 match &announced {
-                    Some(record) => self.adopt_left(now, record),
+                    Some(record) => {
+                        self.adopt_left(now, record);
+                        if let Some(current) = &mut self.current {
+                            current.deregister(now, start);
+                        }
+                    }
                     None => self.end(start.with_default_born_ms(unix_ms), true),
                 }
                 announced.is_some()
