End the grace time of a leaving that was repeated after a restart

Cause: a deregistration that is repeated to a process which a late heartbeat had made believe in a ready start began the grace time again, and the announcement of the first one, read later, didn't end it.

Change: an announcement that is read before the first own one ends the grace time.

Evidence: the fourth history of leaving_history::histories_that_lost_a_leaving_keep_it.

--- a/crates/node/src/discovery/apply_updates.rs
+++ b/crates/node/src/discovery/apply_updates.rs
@@ -98,7 +98,13 @@
 ) {
     let now = core.clock.now();
     if record.peer_addr == core.settings.peer_addr {
-        if core.inbound.tracker().borrow_mut().restore(now, &record) {
+        let mut tracker = core.inbound.tracker().borrow_mut();
+        let is_restored = tracker.restore(now, &record);
+        if !core.knows_local_members() {
+            tracker.end_grace_time();
+        }
+        drop(tracker);
+        if is_restored {
             info!(core.log.logger(), "leaving restored";
                 "instance" => %record.start, "final" => record.is_final,
                 "revision" => revision.0);
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -214,6 +214,15 @@
         leaving.is_some() && leaving != leaving_before
     }
 
+    /// Ends the grace time of a leaving start, of whose leaving an earlier process may have been told.
+    pub fn end_grace_time(&mut self) {
+        if let Some(current) = &mut self.current
+            && current.leaving_since.is_some()
+        {
+            current.was_ready = false;
+        }
+    }
+
     fn apply_announced(&mut self, now: Duration, record: &MemberRecord) {
         let Some(current) = &mut self.current else {
             if record.state == MemberState::Leaving {
@@ -227,12 +236,12 @@
             StartOrder::Same => {
                 let is_later_report = record.sequence > current.report.sequence;
                 if record.state == MemberState::Leaving && (record.is_final || is_later_report) {
-                    if current.leaving_since.is_none() {
-                        // An earlier process acknowledged the leaving, at an unknown time.
-                        current.leaving_since = Some(now);
-                        current.was_ready = false;
-                    }
+                    let is_news = current.leaving_since.is_none();
+                    current.leaving_since.get_or_insert(now);
                     current.deregistered |= record.is_final;
+                    if is_news {
+                        self.end_grace_time();
+                    }
                 }
             }
             StartOrder::Later if record.state == MemberState::Leaving => {
