Keep a start that left in the announcement of one that may be earlier

Cause: a late heartbeat of an earlier start takes the place of one that left, as clocks of machines may differ. Its announcement replaced that of the one that left, which may still run; after a restart a late heartbeat of that one readmitted requests.

Change: such an announcement names the start that left, and the next process ignores its reports. Nodes of earlier versions don't know the field.

--- a/crates/node/src/discovery/announcement.rs
+++ b/crates/node/src/discovery/announcement.rs
@@ -162,6 +162,7 @@
         suspended: core.inbound.is_suspended(),
         slots: report.slots,
         is_final: current.has_left_for_good(),
+        left_before: tracker.left_before().cloned(),
         state: if leaving {
             MemberState::Leaving
         } else {
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -91,6 +91,8 @@
 pub struct EndpointTracker {
     current: Option<CurrentStart>,
     ended: VecDeque<EndedStart>,
+    /// Start that left and was replaced by one that may be earlier, so that it may still run.
+    left_before: Option<EndpointStart>,
     /// Announcement of this node's earlier process, while no start is known.
     announced: Option<MemberRecord>,
 }
@@ -111,11 +113,18 @@
                 if current.has_left_for_good()
                     && current.report.start.instance() != report.start.instance() =>
             {
+                self.left_before = Some(current.report.start.clone());
                 self.adopt(now, report);
                 ReportOutcome::Adopted
             }
             Some((StartOrder::Earlier, _)) => ReportOutcome::Stale,
-            Some((StartOrder::Later | StartOrder::Unknown, _)) | None => {
+            Some((order, current)) => {
+                let may_run = order == StartOrder::Unknown && current.has_left();
+                self.left_before = may_run.then(|| current.report.start.clone());
+                self.adopt(now, report);
+                ReportOutcome::Adopted
+            }
+            None => {
                 self.adopt(now, report);
                 ReportOutcome::Adopted
             }
@@ -224,6 +233,12 @@
     }
 
     fn apply_announced(&mut self, now: Duration, record: &MemberRecord) {
+        if let Some(left) = &record.left_before
+            && self.current.is_none()
+        {
+            self.end(left.clone(), true);
+            self.left_before = Some(left.clone());
+        }
         let Some(current) = &mut self.current else {
             if record.state == MemberState::Leaving {
                 self.adopt_left(now, record);
@@ -287,6 +302,11 @@
         leaving.map(|current| current.report.start.clone())
     }
 
+    /// Returns the start that left and was replaced by one that may be earlier, if there is one.
+    pub const fn left_before(&self) -> Option<&EndpointStart> {
+        self.left_before.as_ref()
+    }
+
     /// Returns the current start of the local backend server, if one is known.
     pub const fn current(&self) -> Option<&CurrentStart> {
         self.current.as_ref()
--- a/crates/node/src/member/member_record.rs
+++ b/crates/node/src/member/member_record.rs
@@ -48,6 +48,10 @@
     /// take such a member for one that is leaving.
     #[serde(rename = "final", default, skip_serializing_if = "std::ops::Not::not")]
     pub is_final: bool,
+    /// Start that left before the announced one was heard of, and may still run: late reports of it
+    /// don't count. Nodes of earlier versions don't know the field.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub left_before: Option<EndpointStart>,
     /// Milliseconds for which the backend server is still slow after its start, counted from
     /// the announcement.
     pub cold_ms: u32,
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -348,6 +348,7 @@
             version: None,
             suspended: false,
             is_final: false,
+            left_before: None,
             slots: 3,
             ..record(2, "hofdi")
         },
--- a/crates/node/tests/all/fleet_load/simulated_fleet.rs
+++ b/crates/node/tests/all/fleet_load/simulated_fleet.rs
@@ -170,6 +170,7 @@
         version: None,
         suspended: false,
         is_final: false,
+        left_before: None,
         slots: SLOTS,
         state: MemberState::Ready,
         link_mbps: 100,
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod gate;
 mod guide;
 mod keep_alive;
+mod leaving_history;
 mod link;
 mod link_load;
 mod link_shortage;
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -35,6 +35,7 @@
         version: None,
         suspended: false,
         is_final: false,
+        left_before: None,
         slots: 12,
         state: MemberState::Ready,
         link_mbps: 100,
