--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -14,7 +14,8 @@
 pub enum ReportOutcome {
     /// Another start of the backend server became the current one.
     Adopted,
-    /// The announced state or number of slots changed.
+    /// The announced state or number of slots changed, or this process hears of the leaving for the
+    /// first time.
     Changed,
     /// The announced state and number of slots are the same as before.
     Unchanged,
@@ -39,8 +40,9 @@
     pub leaving_since: Option<Duration>,
     /// Whether the start has been ready during the lifetime of this process.
     pub was_ready: bool,
-    /// Whether the start has reported to this process that it leaves.
-    pub reported_leaving: bool,
+    /// Sequence number of the first report to this process in which the start leaves; `None` if
+    /// there is none, or a later one said that it is ready.
+    pub leaving_sequence: Option<u64>,
     /// Whether the start has deregistered.
     pub deregistered: bool,
     /// Whether the start has said in a response that it leaves.
@@ -282,7 +284,7 @@
         };
         self.adopt(now, report);
         if let Some(current) = &mut self.current {
-            current.reported_leaving = false;
+            current.leaving_sequence = None;
             current.deregistered = deregistered;
         }
     }
@@ -341,6 +343,7 @@
 
     fn adopt(&mut self, now: Duration, report: EndpointReport) {
         let leaving = report.state == ReportState::Leaving;
+        let sequence = report.sequence;
         let next = CurrentStart {
             announced_sequence: report.sequence,
             cold: report.cold,
@@ -348,7 +351,7 @@
             report,
             leaving_since: leaving.then_some(now),
             was_ready: !leaving,
-            reported_leaving: leaving,
+            leaving_sequence: leaving.then_some(sequence),
             deregistered: false,
             said_leaving: false,
         };
@@ -388,9 +391,11 @@
     let announced = |report: &EndpointReport| (report.state, report.slots);
     let leaving = report.state == ReportState::Leaving;
     // An earlier process may have announced the leaving because it stopped, with a lower number.
-    let first_leaving = leaving && !current.reported_leaving;
+    let first_leaving = leaving && current.leaving_sequence.is_none();
     let changed = first_leaving || announced(&report) != announced(&current.report);
-    current.reported_leaving = leaving;
+    if changed {
+        current.leaving_sequence = leaving.then_some(report.sequence);
+    }
     current.leaving_since = match report.state {
         ReportState::Leaving => current.leaving_since.or(Some(now)),
         // Heartbeats are sent every second or so, and may be older than the response.
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -68,7 +68,7 @@
     ///
     /// A start that is neither announced nor reported may have been both in an earlier process of
     /// this node. It is announced as left, once the announcements have been read.
-    pub fn deregister(&self, start: EndpointStart) {
+    pub fn deregister(&self, start: &EndpointStart) {
         let now = self.clock.now();
         let unix_ms = NodeClock::unix_ms();
         let mut tracker = self.inbound.tracker().borrow_mut();
--- a/crates/node/tests/all/leaving_history.rs
+++ b/crates/node/tests/all/leaving_history.rs
@@ -63,6 +63,10 @@
 }
 
 /// A backend server, the node beside it, and the store.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "events change each of them independently"
+)]
 #[derive(Debug)]
 struct LeavingHistory {
     now: Duration,
