Count a leaving by response for the start that said so

Cause: a response doesn't name its start. The server had started again under its identifier, and said that it leaves before its first heartbeat had arrived. The notice counted for the start before, and was forgotten when the heartbeat came. A notice in flight while the heartbeat came was ignored, too.

Change: the response to a request that was sent after a start had begun is of that start. The time of the request is kept with the notice, and a start that is adopted later, and had begun by then, has left.

--- a/crates/node/src/inbound/endpoint_limit.rs
+++ b/crates/node/src/inbound/endpoint_limit.rs
@@ -7,6 +7,7 @@
 use super::{InboundProxy, InboundRequest, RunSlot};
 use crate::{
     member::{EndpointStart, StartOrder},
+    node_clock::NodeClock,
     rate_limit::{EndpointNotice, ExchangeTimes, LimitLoad, LimitNotice, RequestRate},
 };
 
@@ -36,19 +37,20 @@
 
     /// Processes what a start of the backend server says of itself in a response.
     ///
-    /// A response of a start that isn't the current one any more is ignored.
+    /// A response of a start that isn't the current one any more is ignored, unless it says that the
+    /// backend server leaves.
     pub(super) fn record_notice(
         &self,
         start: &EndpointStart,
         headers: &HeaderMap,
         times: ExchangeTimes,
     ) {
-        if !self.is_current(start) {
-            return;
-        }
         let notice = EndpointNotice::read(headers, &self.headers);
         if notice.is_leaving {
-            self.record_leaving(times.received_at, start);
+            self.record_leaving(times, start);
+        }
+        if !self.is_current(start) {
+            return;
         }
         if notice.limit == LimitNotice::Malformed {
             self.notice_reporter
@@ -65,8 +67,14 @@
     }
 
     /// Records that the backend server leaves, and has that announced.
-    fn record_leaving(&self, now: Duration, start: &EndpointStart) {
-        if self.tracker.borrow_mut().record_leaving(now, start) {
+    fn record_leaving(&self, times: ExchangeTimes, start: &EndpointStart) {
+        let now = times.received_at;
+        let took = now.saturating_sub(times.sent_at);
+        let sent_unix_ms = NodeClock::unix_ms().saturating_sub(took.as_millis() as u64);
+        let mut tracker = self.tracker.borrow_mut();
+        let is_new = tracker.record_leaving(now, start, sent_unix_ms);
+        drop(tracker);
+        if is_new {
             self.notice_reporter.record_leaving(start);
             self.announcement_changed.notify_one();
         }
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -45,8 +45,9 @@
     pub leaving_sequence: Option<u64>,
     /// Whether the start has deregistered.
     pub deregistered: bool,
-    /// Whether the start has said in a response that it leaves.
-    pub said_leaving: bool,
+    /// Time at which the request was sent in whose response the start said last that it leaves, in Unix
+    /// milliseconds; `None` if it hasn't said so.
+    pub said_leaving_at: Option<u64>,
 }
 
 impl CurrentStart {
@@ -65,9 +66,16 @@
         }
     }
 
+    /// Whether this start may have answered a request that was sent to `start` at `sent_unix_ms`.
+    fn may_have_answered(&self, start: &EndpointStart, sent_unix_ms: u64) -> bool {
+        let own = &self.report.start;
+        let had_begun = own.born_ms().is_none_or(|born_ms| born_ms <= sent_unix_ms);
+        own.ended_with(start) || (own.instance() == start.instance() && had_begun)
+    }
+
     /// Returns whether no later report of the start readmits it.
     pub const fn has_left_for_good(&self) -> bool {
-        self.deregistered || self.said_leaving
+        self.deregistered || self.said_leaving_at.is_some()
     }
 }
 
@@ -123,7 +131,12 @@
             Some((order, current)) => {
                 let may_run = order == StartOrder::Unknown && current.has_left();
                 self.left_before = may_run.then(|| current.report.start.clone());
+                let said_leaving_at = current.said_leaving_at;
+                let is_same_instance = current.report.start.instance() == report.start.instance();
                 self.adopt(now, report);
+                if is_same_instance {
+                    self.inherit_leaving(now, said_leaving_at);
+                }
                 ReportOutcome::Adopted
             }
             None => {
@@ -182,15 +195,27 @@
         is_unknown
     }
 
-    /// Processes a response in which `start` says that it leaves. Returns `true` if it is the current
-    /// start and hadn't said so in a response before.
-    pub fn record_leaving(&mut self, now: Duration, start: &EndpointStart) -> bool {
+    /// Processes a response that says that the backend server leaves. Returns `true` if the current
+    /// start hadn't said so in a response before.
+    ///
+    /// The request was sent to `start` at the Unix time `sent_unix_ms`, in milliseconds. A response
+    /// doesn't name its start: where a later one with the same identifier had begun by then, the
+    /// response is of that one.
+    pub fn record_leaving(
+        &mut self,
+        now: Duration,
+        start: &EndpointStart,
+        sent_unix_ms: u64,
+    ) -> bool {
         let current = self.current.as_mut();
-        let Some(current) = current.filter(|current| current.report.start.ended_with(start)) else {
+        let Some(current) =
+            current.filter(|current| current.may_have_answered(start, sent_unix_ms))
+        else {
             return false;
         };
         current.leaving_since.get_or_insert(now);
-        !std::mem::replace(&mut current.said_leaving, true)
+        let said_before = current.said_leaving_at.replace(sent_unix_ms);
+        said_before.is_none()
     }
 
     /// Processes the instance identifier that the backend server gave in a response. Returns the
@@ -341,6 +366,21 @@
         }
     }
 
+    /// Counts a leaving that was said in the response to a request sent at `said_leaving_at`, for the
+    /// current start if it had begun by then.
+    fn inherit_leaving(&mut self, now: Duration, said_leaving_at: Option<u64>) {
+        let Some((current, sent_unix_ms)) = self.current.as_mut().zip(said_leaving_at) else {
+            return;
+        };
+        let born_ms = current.report.start.born_ms();
+        if born_ms.is_some_and(|born_ms| born_ms <= sent_unix_ms) {
+            current.leaving_since.get_or_insert(now);
+            current.said_leaving_at = said_leaving_at;
+            // It said so before its first report.
+            current.was_ready = false;
+        }
+    }
+
     fn adopt(&mut self, now: Duration, report: EndpointReport) {
         let leaving = report.state == ReportState::Leaving;
         let sequence = report.sequence;
@@ -353,7 +393,7 @@
             was_ready: !leaving,
             leaving_sequence: leaving.then_some(sequence),
             deregistered: false,
-            said_leaving: false,
+            said_leaving_at: None,
         };
         self.announced = None;
         if let Some(ended) = self.current.replace(next) {
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -428,8 +428,8 @@
 fn leaving_by_response_is_final_for_its_start() {
     let mut tracker = EndpointTracker::default();
     tracker.report(at(0), born_report(TODAY, 4, ReportState::Ready));
-    assert!(tracker.record_leaving(at(10), &born("i-1", TODAY)));
-    assert!(!tracker.record_leaving(at(20), &born("i-1", TODAY)));
+    assert!(tracker.record_leaving(at(10), &born("i-1", TODAY), TODAY + 10));
+    assert!(!tracker.record_leaving(at(20), &born("i-1", TODAY), TODAY + 20));
     tracker.report(at(30), born_report(TODAY, 5, ReportState::Ready));
     assert_eq!(refusal(&tracker, at(30), "i-1"), None, "the grace time");
     let leaving = Some(RefusalReason::Leaving);
@@ -437,6 +437,30 @@
     let next = born_report(TODAY + 9_000, 1, ReportState::Ready);
     assert_eq!(tracker.report(at(9_000), next), ReportOutcome::Adopted);
     assert_eq!(refusal(&tracker, at(9_001), "i-1"), None);
-    assert!(!tracker.record_leaving(at(9_010), &born("i-1", TODAY)));
+    assert!(!tracker.record_leaving(at(9_010), &born("i-1", TODAY), TODAY + 8_000));
     assert_eq!(refusal(&tracker, at(12_000), "i-1"), None);
 }
+
+/// Guards against a leaving that counts for the start before, because the backend server started again
+/// under its identifier and said so in a response before its first heartbeat.
+#[test]
+fn leaving_by_response_counts_for_the_start_that_said_so() {
+    let next = || born_report(TODAY + 1_000, 1, ReportState::Ready);
+    for is_reported_first in [false, true] {
+        let mut tracker = EndpointTracker::default();
+        tracker.report(at(0), born_report(TODAY, 4, ReportState::Ready));
+        if is_reported_first {
+            tracker.report(at(1_400), next());
+        }
+        tracker.record_leaving(at(1_400), &born("i-1", TODAY), TODAY + 1_200);
+        if !is_reported_first {
+            tracker.report(at(1_500), next());
+        }
+        let current = tracker.current().expect("the start is known");
+        assert!(current.has_left_for_good());
+        assert_eq!(
+            refusal(&tracker, at(3_400), "i-1"),
+            Some(RefusalReason::Leaving)
+        );
+    }
+}
