Keep a version on trial while both versions fail

Cause: while most of the earlier version's servers count as failing, too, as on a machine without processor time, the comparison neither condemned the target version nor called it suspicious. A trial that isn't suspicious passes, so the version was moved in.

Change: the state of the earlier version keeps the target version from being condemned, no longer from being suspicious. A suspicious trial or step moves to other servers or waits, and is rolled back when overdue. A target version that works while the earlier one fails isn't suspicious, and is moved in.

--- a/crates/node/src/rollout/version_comparison.rs
+++ b/crates/node/src/rollout/version_comparison.rs
@@ -40,7 +40,8 @@
 const ROUTE_JUDGED_RUNS: u64 = 20;
 /// Share of failing servers from which on the version may be bad, like [`BAD_FAILING_SHARE`].
 const SUSPICIOUS_FAILING_SHARE: f64 = 0.35;
-/// Share of failing servers of the current version from which on versions can't be compared.
+/// Share of failing servers of the current version from which on the target version isn't condemned.
+/// While its own servers on trial fail as well, it doesn't get more requests either.
 const USUAL_FAILING_MAX: f64 = 0.6;
 /// Number of failing servers that condemn a version, if there are as many. Fewer may have a fault of
 /// their own at the same time.
@@ -309,7 +310,9 @@
         let needed = servers.clamp(1, FAILING_SERVERS_MIN);
         let usual_share = current.failing_share();
         ComparisonVerdict {
-            is_bad: target.failing >= needed && target.exceeds(usual_share, BAD_FAILING_SHARE),
+            is_bad: usual_share < USUAL_FAILING_MAX
+                && target.failing >= needed
+                && target.exceeds(usual_share, BAD_FAILING_SHARE),
             is_certain: target.chance(current) <= CHANCE_MAX,
             is_suspicious: on_trial.exceeds(usual_share, SUSPICIOUS_FAILING_SHARE),
             target_runs: self.target_runs,
@@ -375,10 +378,8 @@
     }
 
     /// Whether a share of the servers fails, beyond the `usual` share of the current version.
-    ///
-    /// Always false while most servers of the current version fail as well.
     fn exceeds(self, usual: f64, share: f64) -> bool {
         let needed = usual + (1.0 - usual) * share;
-        self.failing > 0 && usual < USUAL_FAILING_MAX && self.failing_share() >= needed
+        self.failing > 0 && self.failing_share() >= needed
     }
 }
--- a/crates/node/tests/all/rollout/stages.rs
+++ b/crates/node/tests/all/rollout/stages.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use geranium_node::rollout::{
-    ComparisonVerdict, OrderState, RolloutInputs, RolloutPhase, RolloutRecord, RolloutStage,
-    StageChange, StageStep, WaitReason,
+    ComparisonSide, ComparisonVerdict, OrderState, RolloutInputs, RolloutPhase, RolloutRecord,
+    RolloutStage, RunCounts, StageChange, StageStep, VersionComparison, WaitReason,
 };
 
 use super::record;
+use crate::support::peer_addr;
 
 const DURATION: Duration = Duration::from_secs(16);
 
@@ -135,6 +136,67 @@
     assert_eq!(waits, StageStep::Wait(WaitReason::ServersFail));
 }
 
+/// Returns the verdict on two versions with two servers each, of which these shares of the runs fail.
+fn compare(current_failures: u64, target_failures: u64) -> ComparisonVerdict {
+    const ROUTE: u64 = 7;
+    let mut comparison = VersionComparison::default();
+    let observe = |comparison: &mut VersionComparison, side, number, failures| {
+        let counts = RunCounts {
+            runs: 10,
+            failures,
+            ..RunCounts::default()
+        };
+        comparison.observe(side, peer_addr(number), ROUTE, &counts);
+    };
+    for round in 0..6 {
+        comparison.start_round();
+        for number in [1, 2] {
+            let failures = if round == 0 { 0 } else { current_failures };
+            observe(&mut comparison, ComparisonSide::Current, number, failures);
+        }
+        for number in [11, 12] {
+            observe(
+                &mut comparison,
+                ComparisonSide::Target,
+                number,
+                target_failures,
+            );
+        }
+    }
+    comparison.verdict(2, |_| true)
+}
+
+/// Guards against completing a bad version because the servers of the earlier one fail, too. A version
+/// that works while the earlier one fails is moved in.
+#[test]
+fn a_trial_waits_while_both_versions_fail() {
+    let both_fail = compare(8, 10);
+    assert!(
+        !both_fail.is_bad && both_fail.is_suspicious,
+        "{both_fail:?}"
+    );
+    let inputs = RolloutInputs {
+        verdict: both_fail,
+        target_servers: 2,
+        ..SOUND
+    };
+    for stage in [
+        stage(RolloutPhase::Canary, 0.08),
+        stage(RolloutPhase::Ramp, 0.25),
+    ] {
+        let waits = stage.next(seconds(10), &inputs);
+        let stays = match &waits {
+            StageStep::Wait(reason) => *reason == WaitReason::ServersFail,
+            StageStep::Change(change) => change.share <= 0.25,
+        };
+        assert!(stays, "{waits:?}");
+    }
+    let mended = compare(8, 0);
+    assert!(!mended.is_bad && !mended.is_suspicious, "{mended:?}");
+    let worse = compare(0, 10);
+    assert!(worse.is_bad, "{worse:?}");
+}
+
 /// Guards against condemning a good version in its trial when several of its backend servers happen to
 /// have a fault of their own. A larger share leaves no time for more evidence.
 #[test]
