Soak: backend servers that leave while something says that they are ready

An overlay draws backend servers that deregister first and serve on, heartbeats from before that arrive again and again, health checks that pass, and kills of the nodes beside them.

--- a/crates/rig/src/rig_endpoint.rs
+++ b/crates/rig/src/rig_endpoint.rs
@@ -57,6 +57,8 @@
     born_ms: u64,
     sequence: u64,
     reported: HeartbeatState,
+    /// Whether the running start has deregistered; it reports no more.
+    has_deregistered: bool,
     server: Option<EndpointServer>,
     fault: EndpointFault,
     work: Duration,
@@ -84,6 +86,7 @@
             born_ms: 0,
             sequence: 0,
             reported: HeartbeatState::Ready,
+            has_deregistered: false,
             server: None,
             fault: EndpointFault::Sound,
             work: RUN_TIME,
@@ -195,6 +198,35 @@
         let _unacknowledged = timeout(limit, acknowledged).await;
     }
 
+    /// Returns a heartbeat that is held up on its way.
+    pub fn held_heartbeat(&self) -> Heartbeat {
+        self.state().next_heartbeat(&self.machine)
+    }
+
+    /// Posts a heartbeat that was held up.
+    pub async fn post_late(&self, heartbeat: &Heartbeat) {
+        // The node may be down.
+        let _acknowledged = post(&self.machine, &heartbeat.path(), heartbeat.body()).await;
+    }
+
+    /// Deregisters the backend server, which serves on and whose health checks pass. Returns when its
+    /// node acknowledges this, or after `limit`.
+    pub async fn deregister_first(&self, limit: Duration) {
+        let (instance, born_ms) = {
+            let mut state = self.state();
+            state.has_deregistered = true;
+            (state.instance(&self.machine), state.born_ms)
+        };
+        let path = deregistration_path(&instance);
+        let acknowledged = async {
+            while !post(&self.machine, &path, deregistration_body(born_ms)).await {
+                sleep(HEARTBEAT_INTERVAL / 4).await;
+            }
+            self.record_drain(instance, born_ms);
+        };
+        let _unacknowledged = timeout(limit, acknowledged).await;
+    }
+
     /// Deregisters the backend server and stops it.
     pub async fn deregister(&self) {
         let (instance, born_ms) = {
@@ -301,6 +333,7 @@
         self.born_ms = NodeClock::unix_ms().max(self.born_ms + 1);
         self.sequence = 0;
         self.reported = HeartbeatState::Ready;
+        self.has_deregistered = false;
         let options = self.options(machine);
         self.server = Some(EndpointServer::start(machine.addrs.endpoint, options));
     }
@@ -364,7 +397,7 @@
         let heartbeat = {
             let mut state = state.lock().expect("not poisoned");
             state.restart_crashed(&machine);
-            let running = state.server.is_some();
+            let running = state.server.is_some() && !state.has_deregistered;
             running.then(|| state.next_heartbeat(&machine))
         };
         if let Some(heartbeat) = heartbeat {
--- a/crates/rig/src/soak/fault_injector.rs
+++ b/crates/rig/src/soak/fault_injector.rs
@@ -29,6 +29,10 @@
 /// Time for which a backend server serves after that, slightly more than nodes may
 /// need to stop sending.
 const DRAIN_SERVE_TIME: Duration = Duration::from_millis(2_600);
+/// Number of times that a heartbeat from before a leaving arrives late.
+const LATE_HEARTBEATS: usize = 11;
+/// Interval between them.
+const LATE_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(900);
 /// Time from the request to terminate to the kill.
 const TERMINATE_GRACE: Duration = Duration::from_secs(6);
 /// Values that another program writes to the store: bytes that aren't text, a
@@ -179,6 +183,9 @@
             FaultKind::NodeHangup => signal_nodes(fleet, &fault.targets, ProcessSignal::Hangup),
             FaultKind::EndpointLeave if begins => self.drain_endpoints(fleet, &fault.targets),
             FaultKind::ForeignWriter if begins => self.write_foreign_values(fleet, &fault.targets),
+            FaultKind::EndpointLeavesMisleadingly => {
+                self.leave_misleadingly(fleet, &fault.targets, begins);
+            }
             FaultKind::NodeTerminate | FaultKind::EndpointLeave | FaultKind::ForeignWriter => {}
             FaultKind::StoreCopy if begins => fleet.store.set_faults(KvFault::Reset),
             FaultKind::StoreCopy => self.restore_store(fleet),
@@ -241,6 +248,19 @@
         }
     }
 
+    /// Begins the leaving of backend servers, and later kills the nodes beside them.
+    fn leave_misleadingly(&mut self, fleet: &mut RigFleet, targets: &[usize], begins: bool) {
+        for &target in targets {
+            let node = &mut fleet.nodes[target];
+            if !begins {
+                node.kill();
+            } else if node.endpoint.is_running() {
+                let endpoint = Arc::clone(&node.endpoint);
+                self.tasks.push(tokio::spawn(leave_misleadingly(endpoint)));
+            }
+        }
+    }
+
     fn drain_endpoints(&mut self, fleet: &RigFleet, targets: &[usize]) {
         for &target in targets {
             let endpoint = Arc::clone(&fleet.nodes[target].endpoint);
@@ -251,6 +271,19 @@
     }
 }
 
+/// Deregisters a backend server that serves on, sends an earlier heartbeat late and several times, and
+/// replaces the server.
+async fn leave_misleadingly(endpoint: Arc<RigEndpoint>) {
+    let late = endpoint.held_heartbeat();
+    endpoint.deregister_first(DRAIN_ACK_TIMEOUT).await;
+    for _ in 0..LATE_HEARTBEATS {
+        sleep(LATE_HEARTBEAT_INTERVAL).await;
+        endpoint.post_late(&late).await;
+    }
+    endpoint.deregister().await;
+    endpoint.restart_new_identifier();
+}
+
 async fn drain_and_replace(endpoint: Arc<RigEndpoint>) {
     endpoint.drain(DRAIN_ACK_TIMEOUT).await;
     sleep(DRAIN_SERVE_TIME).await;
--- a/crates/rig/src/soak/fault_kind.rs
+++ b/crates/rig/src/soak/fault_kind.rs
@@ -84,6 +84,9 @@
     /// Backend servers say in their responses that they leave, report that they are ready, and are
     /// replaced.
     EndpointSaysLeaving,
+    /// Backend servers deregister and serve on, while heartbeats from before arrive late and health
+    /// checks say that they are well. Their nodes are killed meanwhile.
+    EndpointLeavesMisleadingly,
 }
 
 impl FaultKind {
@@ -100,11 +103,15 @@
     /// reason.
     pub const NOTICE_OVERLAY_KINDS: [Self; 2] = [Self::EndpointLimits, Self::EndpointSaysLeaving];
 
+    /// Kinds of the overlay of leavings, drawn separately for the same reason.
+    pub const LEAVING_OVERLAY_KINDS: [Self; 1] = [Self::EndpointLeavesMisleadingly];
+
     /// Returns the kinds from which a plan without overlaid faults is drawn.
     pub fn base_kinds() -> &'static [Self] {
         let overlay_count = Self::OVERLAY_KINDS.len()
             + Self::LAST_OVERLAY_KINDS.len()
-            + Self::NOTICE_OVERLAY_KINDS.len();
+            + Self::NOTICE_OVERLAY_KINDS.len()
+            + Self::LEAVING_OVERLAY_KINDS.len();
         &Self::VARIANTS[..Self::VARIANTS.len() - overlay_count]
     }
 
@@ -129,7 +136,11 @@
     pub const fn hides_crashes(self) -> bool {
         let restarts = matches!(
             self,
-            Self::NodeKill | Self::NodeTerminate | Self::HerdKill | Self::EndpointReset
+            Self::NodeKill
+                | Self::NodeTerminate
+                | Self::HerdKill
+                | Self::EndpointReset
+                | Self::EndpointLeavesMisleadingly
         );
         restarts || self.hides_departed_callers() || matches!(self, Self::HopReset)
     }
--- a/crates/rig/src/soak/soak_options.rs
+++ b/crates/rig/src/soak/soak_options.rs
@@ -41,6 +41,10 @@
     /// seeds that found a fault before there were any.
     #[arg(long)]
     pub without_notices: bool,
+    /// Leave out backend servers that leave while late heartbeats and health checks say that they
+    /// are ready, to replay seeds that found a fault before there were any.
+    #[arg(long)]
+    pub without_leavings: bool,
     /// Print the plan of each run.
     #[arg(long)]
     pub plan: bool,
--- a/crates/rig/src/soak/soak_plan.rs
+++ b/crates/rig/src/soak/soak_plan.rs
@@ -38,6 +38,13 @@
 /// Range of the time in which they say so. A limit holds from three seconds on.
 const NOTICE_LENGTH_MS: std::ops::Range<u64> = 4_000..9_000;
 
+/// Mean time between two starts of leavings.
+const LEAVING_GAP_MS: u64 = 5_000;
+/// Mixed into the seed of leavings, so that their draws differ from the others'.
+const LEAVING_SEED: u64 = 0x6c65_6176;
+/// Range of the time after which the nodes beside leaving backend servers are killed.
+const LEAVING_LENGTH_MS: std::ops::Range<u64> = 200..2_500;
+
 /// One fault of a plan.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct PlannedFault {
@@ -170,6 +177,36 @@
         self.faults.sort_by_key(|fault| fault.start_ms);
     }
 
+    /// Adds backend servers that leave while something says that they are ready.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use geranium_rig::soak::SoakPlan;
+    ///
+    /// let base = SoakPlan::draw(7, 20, 8);
+    /// let mut plan = base.clone();
+    /// plan.add_leavings(20, 8);
+    /// assert!(base.faults.iter().all(|fault| plan.faults.contains(fault)));
+    /// ```
+    pub fn add_leavings(&mut self, seconds: u64, nodes: usize) {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ LEAVING_SEED);
+        let mut start_ms = FIRST_MS;
+        while start_ms < seconds * 1_000 {
+            let kinds = FaultKind::LEAVING_OVERLAY_KINDS;
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            let count = rng.random_range(1..=nodes.div_ceil(4));
+            self.faults.push(PlannedFault {
+                kind,
+                targets: (0..nodes).sample(&mut rng, count),
+                start_ms,
+                end_ms: start_ms + rng.random_range(LEAVING_LENGTH_MS),
+            });
+            start_ms += rng.random_range(0..2 * LEAVING_GAP_MS);
+        }
+        self.faults.sort_by_key(|fault| fault.start_ms);
+    }
+
     /// Draws a plan as [`SoakPlan::draw_with_overlay`] does, with restores of the
     /// store.
     ///
--- a/crates/rig/src/soak/soak_run.rs
+++ b/crates/rig/src/soak/soak_run.rs
@@ -45,6 +45,9 @@
         if !options.plain && !options.without_notices {
             plan.add_notices(options.seconds, options.nodes);
         }
+        if !options.plain && !options.without_leavings {
+            plan.add_leavings(options.seconds, options.nodes);
+        }
         if options.plan {
             plan.faults.iter().for_each(|fault| println!("{fault}"));
         }
--- a/crates/rig/tests/all/soaks.rs
+++ b/crates/rig/tests/all/soaks.rs
@@ -15,6 +15,7 @@
         plain: false,
         without_last: true,
         without_notices: true,
+        without_leavings: true,
         plan: false,
         lines: None,
     }
@@ -100,6 +101,21 @@
     assert!(held.expect("the fleet starts"), "seed 505");
 }
 
+/// Guards against requests for a backend server whose leaving was acknowledged during an outage of the
+/// store, when its node is killed and an earlier heartbeat arrives late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_acknowledged_leaving_outlives_its_node() {
+    let options = SoakOptions {
+        seconds: 20,
+        nodes: 8,
+        rate: 15.0,
+        without_leavings: false,
+        ..options(8003)
+    };
+    let held = run_soak(&options).await;
+    assert!(held.expect("the fleet starts"), "seed 8003");
+}
+
 /// Guards against requests beyond the limits that backend servers name in their responses, and for
 /// those that say there that they leave.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
