--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -1,14 +1,13 @@
 //! Tracks which start of the local backend server is current and whether it is sent requests.
 
-use std::{collections::VecDeque, time::Duration};
+use std::time::Duration;
 
-use super::{EndpointReport, RefusalReason, ReportState};
+use super::{
+    EndpointReport, RefusalReason, ReportState, current_start::CurrentStart,
+    ended_starts::EndedStarts,
+};
 use crate::member::{EndpointStart, MemberRecord, MemberState, StartOrder};
 
-/// Number of ended starts that are remembered. A delayed heartbeat of one of them is ignored.
-/// Heartbeats are late by seconds; a backend server takes longer to restart.
-const ENDED_MAX: usize = 16;
-
 /// Effect of a heartbeat on the tracker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReportOutcome {
@@ -25,68 +24,6 @@
     Foreign,
 }
 
-/// The current start of the local backend server, as its reports describe it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CurrentStart {
-    /// Last report that was accepted.
-    pub report: EndpointReport,
-    /// Sequence number of the report that last changed the announcement.
-    pub announced_sequence: u64,
-    /// Slow-start time that was left at the first report.
-    pub cold: Duration,
-    /// End of the slow start.
-    pub cold_until: Duration,
-    /// Time at which the start began to leave; `None` if it isn't leaving.
-    pub leaving_since: Option<Duration>,
-    /// Whether the start has been ready during the lifetime of this process.
-    pub was_ready: bool,
-    /// Sequence number of the first report to this process in which the start leaves; `None` if
-    /// there is none, or a later one said that it is ready.
-    pub leaving_sequence: Option<u64>,
-    /// Whether the start has deregistered.
-    pub deregistered: bool,
-    /// Time at which the request was sent in whose response the start said last that it leaves, in Unix
-    /// milliseconds; `None` if it hasn't said so.
-    pub said_leaving_at: Option<u64>,
-}
-
-impl CurrentStart {
-    /// Returns whether the start has said that it leaves, in a report, a deregistration or a response.
-    fn has_left(&self) -> bool {
-        self.report.state == ReportState::Leaving || self.has_left_for_good()
-    }
-
-    /// Records the deregistration of `start`, which is this start or a later one of the same identifier.
-    fn deregister(&mut self, now: Duration, start: EndpointStart) {
-        self.leaving_since.get_or_insert(now);
-        self.deregistered = true;
-        if start.order(&self.report.start) == StartOrder::Later {
-            // No report of the later start has arrived, and late ones don't count any more.
-            self.report.start = start;
-        }
-    }
-
-    /// Whether this start may have answered a request that was sent to `start` at `sent_unix_ms`.
-    fn may_have_answered(&self, start: &EndpointStart, sent_unix_ms: u64) -> bool {
-        let own = &self.report.start;
-        let had_begun = own.born_ms().is_none_or(|born_ms| born_ms <= sent_unix_ms);
-        own.ended_with(start) || (own.instance() == start.instance() && had_begun)
-    }
-
-    /// Returns whether no later report of the start readmits it.
-    pub const fn has_left_for_good(&self) -> bool {
-        self.deregistered || self.said_leaving_at.is_some()
-    }
-}
-
-/// A start that is no longer the current one.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct EndedStart {
-    start: EndpointStart,
-    /// Whether it has said that it leaves.
-    has_left: bool,
-}
-
 /// Tracks which start of the local backend server is current.
 ///
 /// The tracker also decides whether a request for that start is admitted.
@@ -100,7 +37,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointTracker {
     current: Option<CurrentStart>,
-    ended: VecDeque<EndedStart>,
+    ended: EndedStarts,
     /// Start that left and was replaced by one that may be earlier, so that it may still run.
     left_before: Option<EndpointStart>,
     /// Announcement of this node's earlier process, while no start is known.
@@ -110,14 +47,14 @@
 impl EndpointTracker {
     /// Processes a heartbeat and returns its effect.
     pub fn report(&mut self, now: Duration, report: EndpointReport) -> ReportOutcome {
-        if self.has_ended(&report.start) {
+        if self.ended.contains(&report.start) {
             return ReportOutcome::Stale;
         }
         let current = self.current.as_mut();
         let order_and_current =
             current.map(|current| (report.start.order(&current.report.start), current));
         match order_and_current {
-            Some((StartOrder::Same, current)) => update(current, now, report),
+            Some((StartOrder::Same, current)) => current.update(now, report),
             // The instance's address may have been given to another machine, whose clock differs.
             Some((StartOrder::Earlier, current))
                 if current.has_left_for_good()
@@ -159,7 +96,7 @@
                 true
             }
             Some(_) => {
-                self.end(start.with_default_born_ms(unix_ms), true);
+                self.ended.insert(start.with_default_born_ms(unix_ms), true);
                 false
             }
             None => {
@@ -173,7 +110,7 @@
                             current.deregister(now, start);
                         }
                     }
-                    None => self.end(start.with_default_born_ms(unix_ms), true),
+                    None => self.ended.insert(start.with_default_born_ms(unix_ms), true),
                 }
                 announced.is_some()
             }
@@ -224,14 +161,14 @@
     /// A start of that identifier which was taken for ended may be used again, unless it has said that
     /// it leaves.
     pub fn record_instance(&mut self, instance: &str) -> Option<EndpointStart> {
-        self.ended
-            .retain(|ended| ended.has_left || ended.start.instance() != instance);
+        self.ended.remove_running(instance);
         let is_other_start = |current: &CurrentStart| current.report.start.instance() != instance;
         if !self.current.as_ref().is_some_and(is_other_start) {
             return None;
         }
         let ended = self.current.take()?;
-        self.end(ended.report.start.clone(), ended.has_left());
+        self.ended
+            .insert(ended.report.start.clone(), ended.has_left());
         let unannounced = ended.leaving_since.is_none();
         unannounced.then_some(ended.report.start)
     }
@@ -263,7 +200,7 @@
         if let Some(left) = &record.left_before
             && self.current.is_none()
         {
-            self.end(left.clone(), true);
+            self.ended.insert(left.clone(), true);
             self.left_before = Some(left.clone());
         }
         let Some(current) = &mut self.current else {
@@ -398,56 +335,7 @@
         self.announced = None;
         if let Some(ended) = self.current.replace(next) {
             let has_left = ended.has_left();
-            self.end(ended.report.start, has_left);
-        }
-    }
-
-    fn has_ended(&self, start: &EndpointStart) -> bool {
-        let mut starts = self.ended.iter();
-        starts.any(|ended| start.ended_with(&ended.start))
-    }
-
-    fn end(&mut self, start: EndpointStart, has_left: bool) {
-        let mut starts = self.ended.iter_mut();
-        if let Some(ended) = starts.find(|ended| start.ended_with(&ended.start)) {
-            ended.has_left |= has_left;
-            return;
+            self.ended.insert(ended.report.start, has_left);
         }
-        if self.ended.len() == ENDED_MAX {
-            self.ended.pop_front();
-        }
-        self.ended.push_back(EndedStart { start, has_left });
-    }
-}
-
-fn update(current: &mut CurrentStart, now: Duration, report: EndpointReport) -> ReportOutcome {
-    if report.service != current.report.service {
-        // A start serves the same service for its whole lifetime.
-        return ReportOutcome::Foreign;
-    }
-    if report.sequence <= current.report.sequence {
-        return ReportOutcome::Stale;
-    }
-    let announced = |report: &EndpointReport| (report.state, report.slots);
-    let leaving = report.state == ReportState::Leaving;
-    // An earlier process may have announced the leaving because it stopped, with a lower number.
-    let first_leaving = leaving && current.leaving_sequence.is_none();
-    let changed = first_leaving || announced(&report) != announced(&current.report);
-    if changed {
-        current.leaving_sequence = leaving.then_some(report.sequence);
-    }
-    current.leaving_since = match report.state {
-        ReportState::Leaving => current.leaving_since.or(Some(now)),
-        // Heartbeats are sent every second or so, and may be older than the response.
-        ReportState::Ready if current.has_left_for_good() => current.leaving_since,
-        ReportState::Ready => None,
-    };
-    current.was_ready |= current.leaving_since.is_none();
-    current.report = report;
-    if changed {
-        current.announced_sequence = current.report.sequence;
-        ReportOutcome::Changed
-    } else {
-        ReportOutcome::Unchanged
     }
 }
--- a/crates/node/src/inbound/mod.rs
+++ b/crates/node/src/inbound/mod.rs
@@ -8,6 +8,8 @@
 
 mod admission_preview;
 mod crash_admission;
+mod current_start;
+mod ended_starts;
 mod endless_response;
 mod endpoint_breaker;
 mod endpoint_call;
@@ -29,11 +31,12 @@
 pub use crate::admission::{
     AdmissionDecision, AdmissionQueue, AdmissionRequest, DisplacedRequest, QueueKey,
 };
+pub use current_start::CurrentStart;
 pub use endpoint_breaker::EndpointBreaker;
 pub use endpoint_confirm::confirm_endpoint;
 pub use endpoint_health::HealthCheckResponse;
 pub use endpoint_report::{EndpointReport, ReportState};
-pub use endpoint_tracker::{CurrentStart, EndpointTracker, ReportOutcome};
+pub use endpoint_tracker::{EndpointTracker, ReportOutcome};
 pub use inbound_proxy::{InboundError, InboundProxy, InboundSettings};
 pub use inbound_refusal::{InboundRefusal, RefusalReason};
 pub use inbound_request::InboundRequest;
