Apply a leaving of a start whose clock was set back

Cause: reports of one identifier are ordered by the start's time. A backend server that starts again under its identifier after its clock was set back has an earlier time than the start before; its reports counted as late ones. They were acknowledged and ignored, the leaving too, while requests that expect the identifier went on to reach the process.

A leaving of an earlier start that isn't known counts for the current start of its identifier now, and is acknowledged only once the store holds it. If the report was a late one after all, the next report of the current start readmits requests. A later start whose clock is still behind is adopted after such a leaving. Reports of starts that are known to have ended are ignored as before.

--- a/crates/node/src/inbound/current_start.rs
+++ b/crates/node/src/inbound/current_start.rs
@@ -28,6 +28,9 @@
     /// Time at which the request was sent in whose response the start said last that it leaves, in Unix
     /// milliseconds; `None` if it hasn't said so.
     pub said_leaving_at: Option<u64>,
+    /// Start of the same identifier, earlier by its clock, that said last that it leaves; `None` once
+    /// this start has reported as ready since.
+    pub misdated: Option<EndpointStart>,
 }
 
 impl CurrentStart {
@@ -46,6 +49,31 @@
         }
     }
 
+    /// Records that `start`, which is earlier than this one by its clock, says that it leaves. Returns
+    /// whether this start wasn't leaving before.
+    ///
+    /// The clock may have been set back between the two, and then `start` is the running one. If its
+    /// report was late instead, the next report of this start readmits requests.
+    pub(super) fn leave_as(&mut self, now: Duration, start: EndpointStart) -> bool {
+        let was_leaving = self.leaving_since.is_some();
+        self.leaving_since.get_or_insert(now);
+        self.report.state = ReportState::Leaving;
+        self.misdated = Some(start);
+        !was_leaving
+    }
+
+    /// Whether `start` began after one of the same identifier whose clock had been set back.
+    pub(super) fn is_followed_by(&self, start: &EndpointStart) -> bool {
+        self.misdated.as_ref().is_some_and(|misdated| {
+            start.instance() == misdated.instance() && start.order(misdated) == StartOrder::Later
+        })
+    }
+
+    /// Whether a leaving of `start` is announced as one of this start.
+    pub(crate) fn stands_for(&self, start: &EndpointStart) -> bool {
+        self.report.start.ended_with(start) || self.misdated.as_ref() == Some(start)
+    }
+
     /// Whether this start may have answered a request that was sent to `start` at `sent_unix_ms`.
     pub(super) fn may_have_answered(&self, start: &EndpointStart, sent_unix_ms: u64) -> bool {
         let own = &self.report.start;
@@ -81,6 +109,9 @@
             ReportState::Ready if self.has_left_for_good() => self.leaving_since,
             ReportState::Ready => None,
         };
+        if !leaving {
+            self.misdated = None;
+        }
         self.was_ready |= self.leaving_since.is_none();
         self.report = report;
         if changed {
--- a/crates/node/src/inbound/ended_starts.rs
+++ b/crates/node/src/inbound/ended_starts.rs
@@ -29,6 +29,11 @@
         starts.any(|ended| start.ended_with(&ended.start))
     }
 
+    /// Returns whether this very start has ended.
+    pub(super) fn contains_exactly(&self, start: &EndpointStart) -> bool {
+        self.starts.iter().any(|ended| ended.start == *start)
+    }
+
     /// Adds a start. `has_left` tells whether it has said that it leaves.
     pub(super) fn insert(&mut self, start: EndpointStart, has_left: bool) {
         let mut starts = self.starts.iter_mut();
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -47,7 +47,17 @@
 impl EndpointTracker {
     /// Processes a heartbeat and returns its effect.
     pub fn report(&mut self, now: Duration, report: EndpointReport) -> ReportOutcome {
-        if self.ended.contains(&report.start) {
+        if report.state == ReportState::Leaving
+            && self.is_current_service(&report.service)
+            && let Some(is_news) = self.leave_misdated(now, &report.start)
+        {
+            return if is_news {
+                ReportOutcome::Changed
+            } else {
+                ReportOutcome::Unchanged
+            };
+        }
+        if !self.is_current(&report.start) && self.ended.contains(&report.start) {
             return ReportOutcome::Stale;
         }
         let current = self.current.as_mut();
@@ -64,6 +74,10 @@
                 self.adopt(now, report);
                 ReportOutcome::Adopted
             }
+            Some((StartOrder::Earlier, current)) if current.is_followed_by(&report.start) => {
+                self.adopt(now, report);
+                ReportOutcome::Adopted
+            }
             Some((StartOrder::Earlier, _)) => ReportOutcome::Stale,
             Some((order, current)) => {
                 let may_run = order == StartOrder::Unknown && current.has_left();
@@ -90,6 +104,9 @@
     /// with that identifier. If there is none, it applies to every start with that identifier that
     /// began before `unix_ms`: a later one is a different start.
     pub fn deregister(&mut self, now: Duration, start: EndpointStart, unix_ms: u64) -> bool {
+        if self.leave_misdated(now, &start).is_some() {
+            return true;
+        }
         match &mut self.current {
             Some(current) if current.report.start.ended_with(&start) => {
                 current.deregister(now, start);
@@ -259,6 +276,30 @@
         staying.then(|| current.report.start.clone())
     }
 
+    /// Records the leaving of a start that isn't known and is earlier, by its clock, than the current
+    /// one of the same identifier. Returns whether that wasn't leaving before, and `None` if `start` is
+    /// no such start.
+    ///
+    /// Requests that expect the identifier reach whichever of the two is running.
+    fn leave_misdated(&mut self, now: Duration, start: &EndpointStart) -> Option<bool> {
+        let current = self.current.as_mut()?;
+        let own = &current.report.start;
+        let is_earlier =
+            own.instance() == start.instance() && start.order(own) == StartOrder::Earlier;
+        let is_misdated = is_earlier && !self.ended.contains_exactly(start);
+        is_misdated.then(|| current.leave_as(now, start.clone()))
+    }
+
+    fn is_current_service(&self, service: &str) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|current| current.report.service == service)
+    }
+
+    fn is_current(&self, start: &EndpointStart) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|current| current.report.start == *start)
+    }
+
     /// Returns the current start if it is leaving.
     fn leaving_start(&self) -> Option<EndpointStart> {
         let current = self.current.as_ref();
@@ -331,6 +372,7 @@
             leaving_sequence: leaving.then_some(sequence),
             deregistered: false,
             said_leaving_at: None,
+            misdated: None,
         };
         self.announced = None;
         if let Some(ended) = self.current.replace(next) {
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -140,7 +140,7 @@
         let Some(current) = tracker.current() else {
             return false;
         };
-        if !current.report.start.ended_with(start) {
+        if !current.stands_for(start) {
             // Requests for another start than the current one aren't admitted.
             return true;
         }
--- a/crates/node/tests/all/gate.rs
+++ b/crates/node/tests/all/gate.rs
@@ -369,6 +369,62 @@
     assert_eq!(refusal(&tracker, at(12_000), "i-1"), None);
 }
 
+/// Guards against an acknowledged leaving that isn't applied, as the backend server's clock was set back
+/// before it started again under its identifier.
+#[test]
+fn a_start_with_an_earlier_clock_leaves() {
+    let mut tracker = EndpointTracker::default();
+    tracker.report(at(0), born_report(TODAY, 40, ReportState::Ready));
+    for (sequence, outcome) in [(2, ReportOutcome::Changed), (3, ReportOutcome::Unchanged)] {
+        let leaving = born_report(TODAY - 60_000, sequence, ReportState::Leaving);
+        assert_eq!(tracker.report(at(9_000), leaving), outcome);
+    }
+    let late = born_report(TODAY - 60_000, 1, ReportState::Ready);
+    assert_eq!(tracker.report(at(9_010), late), ReportOutcome::Stale);
+    let left = Some(RefusalReason::Leaving);
+    assert_eq!(refusal(&tracker, at(9_000) + GRACE, "i-1"), left);
+}
+
+/// Guards against a deregistration that isn't applied, as the backend server's clock was set back.
+#[test]
+fn a_start_with_an_earlier_clock_deregisters() {
+    let mut tracker = EndpointTracker::default();
+    tracker.report(at(0), born_report(TODAY, 40, ReportState::Ready));
+    let earlier = born("i-1", TODAY - 60_000);
+    assert!(tracker.deregister(at(9_000), earlier, TODAY - 51_000));
+    let left = Some(RefusalReason::Leaving);
+    assert_eq!(refusal(&tracker, at(9_000) + GRACE, "i-1"), left);
+}
+
+/// Guards against a running start that is kept from requests by a late leaving of an earlier one.
+#[test]
+fn a_late_leaving_of_an_unknown_start_ends_with_the_next_report() {
+    let mut tracker = EndpointTracker::default();
+    tracker.report(at(0), born_report(TODAY, 40, ReportState::Ready));
+    let late = born_report(TODAY - 60_000, 9, ReportState::Leaving);
+    assert_eq!(tracker.report(at(100), late), ReportOutcome::Changed);
+    let next = born_report(TODAY, 41, ReportState::Ready);
+    assert_eq!(tracker.report(at(1_500), next), ReportOutcome::Changed);
+    assert_eq!(refusal(&tracker, at(3_000), "i-1"), None);
+}
+
+/// Guards against a backend server that is never used again, as its clock stays behind after it was set
+/// back.
+#[test]
+fn the_start_after_one_with_an_earlier_clock_takes_work() {
+    let mut tracker = EndpointTracker::default();
+    tracker.report(at(0), born_report(TODAY, 40, ReportState::Ready));
+    let leaving = born_report(TODAY - 60_000, 2, ReportState::Leaving);
+    tracker.report(at(9_000), leaving);
+    let next = |sequence| born_report(TODAY - 40_000, sequence, ReportState::Ready);
+    assert_eq!(tracker.report(at(20_000), next(1)), ReportOutcome::Adopted);
+    assert_eq!(
+        tracker.report(at(21_000), next(2)),
+        ReportOutcome::Unchanged
+    );
+    assert_eq!(refusal(&tracker, at(21_000), "i-1"), None);
+}
+
 /// Guards against a repeated deregistration that ends the next start of the same identifier.
 #[test]
 fn a_deregistration_ends_one_start_of_an_identifier() {
