Draw histories in which a backend server's clock is set back

The drawn histories of leavings now also set the clock back between two starts, with and without the identifier of the one before, and count a leaving as acknowledged where the node acknowledges because another start of the identifier is current.

Reports that were held up before the clock was set back are left out: they can't be told from those of a next start.

--- a/crates/node/src/inbound/current_start.rs
+++ b/crates/node/src/inbound/current_start.rs
@@ -70,7 +70,7 @@
     }
 
     /// Whether a leaving of `start` is announced as one of this start.
-    pub(crate) fn stands_for(&self, start: &EndpointStart) -> bool {
+    pub fn stands_for(&self, start: &EndpointStart) -> bool {
         self.report.start.ended_with(start) || self.misdated.as_ref() == Some(start)
     }
 
--- a/crates/node/tests/all/leaving_history.rs
+++ b/crates/node/tests/all/leaving_history.rs
@@ -36,6 +36,8 @@
     NextStart {
         /// Whether it has the identifier of the one before.
         keeps_instance: bool,
+        /// Whether its clock was set back to before the start of the running one.
+        is_set_back: bool,
     },
     /// The node is told to stop.
     Stop,
@@ -53,7 +55,9 @@
         4 => (0..8_usize).prop_map(HistoryEvent::LateReport),
         2 => Just(HistoryEvent::Leave),
         2 => any::<bool>().prop_map(|has_born| HistoryEvent::Deregister { has_born }),
-        1 => any::<bool>().prop_map(|keeps_instance| HistoryEvent::NextStart { keeps_instance }),
+        1 => (any::<bool>(), prop::bool::weighted(0.3)).prop_map(|(keeps_instance, is_set_back)| {
+            HistoryEvent::NextStart { keeps_instance, is_set_back }
+        }),
         1 => Just(HistoryEvent::Stop),
         3 => Just(HistoryEvent::NodeRestart),
         2 => Just(HistoryEvent::StoreLost),
@@ -77,6 +81,8 @@
     store_is_lost: bool,
     stored: Option<MemberRecord>,
     running: EndpointStart,
+    /// Earliest time of a start, in Unix milliseconds.
+    earliest_born_ms: u64,
     /// Whether an earlier start had the identifier of the running one. A deregistration that doesn't say
     /// when its start began then names both.
     is_ambiguous: bool,
@@ -98,6 +104,7 @@
             store_is_lost: false,
             stored: None,
             running: born("i-1", FIRST_BORN_MS),
+            earliest_born_ms: FIRST_BORN_MS,
             is_ambiguous: false,
             is_leaving: false,
             has_deregistered: false,
@@ -170,19 +177,20 @@
         }
     }
 
-    /// Acknowledges the leaving of the running start if the node does.
-    fn acknowledge(&mut self) {
+    /// Acknowledges the leaving of the running start, which the call named `named`, if the node does.
+    fn acknowledge(&mut self, named: &EndpointStart) {
         self.call_store();
         let is_stored = match self.tracker.current() {
-            Some(current) if current.report.start.ended_with(&self.running) => {
+            Some(current) if current.stands_for(named) => {
                 let desired = self.desired();
                 let stored = self.stored.as_ref().zip(desired.as_ref());
                 current.leaving_since.is_some()
                     && self.has_read
                     && stored.is_some_and(|(stored, desired)| stored.covers(desired))
             }
-            // The node acknowledges, but other starts' announcements say nothing of this one.
-            Some(_) | None => false,
+            // The node acknowledges at once, and admits requests that expect the identifier.
+            Some(current) => current.report.start.instance() == self.running.instance(),
+            None => false,
         };
         if is_stored {
             self.acknowledged.push((self.running.clone(), self.now));
@@ -200,23 +208,31 @@
         let is_current = self.tracker.deregister(self.now, named.clone(), unix_ms);
         if !is_current && self.has_read {
             let report = EndpointReport {
-                start: named.with_default_born_ms(unix_ms),
+                start: named.clone().with_default_born_ms(unix_ms),
                 state: ReportState::Leaving,
                 sequence: 0,
                 ..self.next_report()
             };
             self.tracker.adopt_unreported(self.now, report);
         }
-        self.acknowledge();
+        self.acknowledge(&named);
     }
 
-    fn next_start(&mut self, keeps_instance: bool) {
+    fn next_start(&mut self, keeps_instance: bool, is_set_back: bool) {
         let instance = if keeps_instance {
             self.running.instance().to_owned()
         } else {
             format!("i-{}", self.now.as_millis())
         };
-        self.running = born(instance, self.unix_ms());
+        let born_ms = if is_set_back {
+            // Held-up reports of earlier starts can't be told from those of a next start any more.
+            self.held.clear();
+            self.earliest_born_ms -= 1;
+            self.earliest_born_ms
+        } else {
+            self.unix_ms()
+        };
+        self.running = born(instance, born_ms);
         self.is_ambiguous = keeps_instance;
         self.is_leaving = false;
         self.has_deregistered = false;
@@ -232,7 +248,8 @@
                 let report = self.next_report();
                 self.tracker.report(self.now, report);
                 if self.is_leaving {
-                    self.acknowledge();
+                    let named = self.running.clone();
+                    self.acknowledge(&named);
                 }
             }
             HistoryEvent::HeldReport => {
@@ -246,7 +263,10 @@
             }
             HistoryEvent::Leave => self.is_leaving = true,
             HistoryEvent::Deregister { has_born } => self.deregister(has_born),
-            HistoryEvent::NextStart { keeps_instance } => self.next_start(keeps_instance),
+            HistoryEvent::NextStart {
+                keeps_instance,
+                is_set_back,
+            } => self.next_start(keeps_instance, is_set_back),
             HistoryEvent::Stop => self.is_stopping = true,
             HistoryEvent::NodeRestart => {
                 self.tracker = EndpointTracker::default();
@@ -309,9 +329,11 @@
     const DEREGISTER: HistoryEvent = Deregister { has_born: false };
     const SAME_INSTANCE: HistoryEvent = NextStart {
         keeps_instance: true,
+        is_set_back: false,
     };
     const OTHER_INSTANCE: HistoryEvent = NextStart {
         keeps_instance: false,
+        is_set_back: false,
     };
     let histories: [&[HistoryEvent]; 5] = [
         // Leaving was announced for a stop already, and restored.
