Count runs with an unclear break as crashes once a later probe shows it

Cause, from the nodes' logs: the break at the second server was "unclear" after 248 ms. 26 ms later the probe after another request to the same start said "crashed", but judged that request only; the earlier ones waited for the next start's first report. 8 ms after it the caller sent the request to the third server.

The probe that shows the crash now counts for the runs of that start whose own probe was unclear, and peers are told before the later request gets its diagnosis. Runs that a start answered after, or that broke before its first break, don't count, as before.

A caller that resends before any later probe isn't helped.

--- a/crates/node/src/crash/broken_runs.rs
+++ b/crates/node/src/crash/broken_runs.rs
@@ -127,6 +127,25 @@
             .is_some_and(|first| first.start == *start && first.is_unclear)
     }
 
+    /// Takes the records of the runs that broke at the first break of a start, if a probe after it was
+    /// unclear.
+    ///
+    /// A later probe has shown meanwhile that the start doesn't run any more.
+    pub(super) fn take_unclear(&self, start: &EndpointStart) -> Vec<CrashRecord> {
+        let first = self.first_break.borrow();
+        let Some(first) = first
+            .as_ref()
+            .filter(|first| first.start == *start && first.is_unclear)
+        else {
+            return Vec::new();
+        };
+        let mut recent = self.recent.borrow_mut();
+        let runs = recent.extract_if(.., |run| {
+            run.record.start == *start && run.cause == BreakCause::Unclear && run.at >= first.at
+        });
+        runs.map(|run| run.record).collect()
+    }
+
     /// Forgets the first break of a start that responded to a probe.
     pub(super) fn clear_first_break(&self, start: &EndpointStart) {
         let mut first = self.first_break.borrow_mut();
--- a/crates/node/src/crash/crash_watch.rs
+++ b/crates/node/src/crash/crash_watch.rs
@@ -86,6 +86,9 @@
         "cause" => <&'static str>::from(cause),
         "took_ms" => begun.elapsed().as_millis() as u64,
         "only_trials" => core.inbound.is_breaker_open());
+    if cause == BreakCause::Crashed {
+        publish_unclear(&core, &store, &start).await;
+    }
     report_later_runs(&core, cause, &start, &mut runs);
     if runs.is_empty() {
         return;
@@ -104,6 +107,17 @@
     report_diagnosis(runs, &BreakDiagnosis { cause, start });
 }
 
+/// Publishes the runs of a crashed start whose own probe was unclear.
+async fn publish_unclear(core: &Rc<NodeCore>, store: &Rc<impl MetaStore>, start: &EndpointStart) {
+    let records = core.inbound.broken_runs().take_unclear(start);
+    if records.is_empty() {
+        return;
+    }
+    warn!(core.log.logger(), "backend server crashed";
+        "instance" => %start, "runs" => records.len(), "evidence" => "a later probe");
+    publish_crashes(Rc::clone(core), Rc::clone(store), records).await;
+}
+
 /// Removes the runs that were sent after a first break at which the start may have crashed.
 ///
 /// They never count as crashes. Their senders get no diagnosis when it is known that the start
