Draw the overlays of a soak's plan with one function

The three drawers repeated one another but for kinds, seed, gap and lengths, which FaultOverlay now holds.

--- a/crates/rig/src/soak/mod.rs
+++ b/crates/rig/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod breach;
 mod fault_injector;
 mod fault_kind;
+mod fault_overlay;
 mod notice_check;
 mod promise_check;
 mod recovery_check;
--- a/crates/rig/src/soak/soak_plan.rs
+++ b/crates/rig/src/soak/soak_plan.rs
@@ -5,22 +5,17 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use serde::Serialize;
 
-use super::FaultKind;
+use super::{FaultKind, fault_overlay::FaultOverlay};
 
 /// Time before the first fault, so that the load is running by then.
 const FIRST_MS: u64 = 1_000;
 /// Range of a fault's duration.
-const LENGTH_MS: std::ops::Range<u64> = 200..5_000;
+pub(super) const LENGTH_MS: std::ops::Range<u64> = 200..5_000;
 /// Mean time between two starts. Faults last some 2.5 s, so about four are active
 /// at any moment.
 const GAP_MS: u64 = 650;
 /// Probability that a draw repeats the last kind, which makes series of faults.
 const SERIES_PROBABILITY: f64 = 0.25;
-/// Mean time between two starts of overlaid faults.
-const OVERLAY_GAP_MS: u64 = 2_000;
-/// Mixed into the seed of overlaid faults, so that their draws differ from the
-/// plan's.
-const OVERLAY_SEED: u64 = 0x6f76_6572;
 /// Mean time between two starts of the last overlay's faults, which are restores of the
 /// store.
 const LAST_OVERLAY_GAP_MS: u64 = 6_000;
@@ -31,20 +26,6 @@
 /// copy.
 const STORE_OUTAGE_MS: std::ops::Range<u64> = 100..1_500;
 
-/// Mean time between two starts of what backend servers say in responses.
-const NOTICE_GAP_MS: u64 = 3_000;
-/// Mixed into the seed of these, so that their draws differ from the others'.
-const NOTICE_SEED: u64 = 0x6e6f_7469;
-/// Range of the time in which they say so. A limit holds from three seconds on.
-const NOTICE_LENGTH_MS: std::ops::Range<u64> = 4_000..9_000;
-
-/// Mean time between two starts of leavings.
-const LEAVING_GAP_MS: u64 = 5_000;
-/// Mixed into the seed of leavings, so that their draws differ from the others'.
-const LEAVING_SEED: u64 = 0x6c65_6176;
-/// Range of the time after which the nodes beside leaving backend servers are killed.
-const LEAVING_LENGTH_MS: std::ops::Range<u64> = 200..2_500;
-
 /// One fault of a plan.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct PlannedFault {
@@ -129,21 +110,7 @@
     /// ```
     pub fn draw_with_overlay(seed: u64, seconds: u64, nodes: usize) -> Self {
         let mut plan = Self::draw(seed, seconds, nodes);
-        let mut rng = StdRng::seed_from_u64(seed ^ OVERLAY_SEED);
-        let mut start_ms = FIRST_MS;
-        while start_ms < seconds * 1_000 {
-            let kind =
-                FaultKind::OVERLAY_KINDS[rng.random_range(0..FaultKind::OVERLAY_KINDS.len())];
-            let count = rng.random_range(1..=nodes.div_ceil(3));
-            plan.faults.push(PlannedFault {
-                kind,
-                targets: (0..nodes).sample(&mut rng, count),
-                start_ms,
-                end_ms: start_ms + rng.random_range(LENGTH_MS),
-            });
-            start_ms += rng.random_range(0..2 * OVERLAY_GAP_MS);
-        }
-        plan.faults.sort_by_key(|fault| fault.start_ms);
+        plan.add_overlay(&FaultOverlay::FAULTS, seconds, nodes);
         plan
     }
 
@@ -160,21 +127,7 @@
     /// assert!(base.faults.iter().all(|fault| plan.faults.contains(fault)));
     /// ```
     pub fn add_notices(&mut self, seconds: u64, nodes: usize) {
-        let mut rng = StdRng::seed_from_u64(self.seed ^ NOTICE_SEED);
-        let mut start_ms = FIRST_MS;
-        while start_ms < seconds * 1_000 {
-            let kinds = FaultKind::NOTICE_OVERLAY_KINDS;
-            let kind = kinds[rng.random_range(0..kinds.len())];
-            let count = rng.random_range(1..=nodes.div_ceil(3));
-            self.faults.push(PlannedFault {
-                kind,
-                targets: (0..nodes).sample(&mut rng, count),
-                start_ms,
-                end_ms: start_ms + rng.random_range(NOTICE_LENGTH_MS),
-            });
-            start_ms += rng.random_range(0..2 * NOTICE_GAP_MS);
-        }
-        self.faults.sort_by_key(|fault| fault.start_ms);
+        self.add_overlay(&FaultOverlay::NOTICES, seconds, nodes);
     }
 
     /// Adds backend servers that leave while something says that they are ready.
@@ -190,19 +143,22 @@
     /// assert!(base.faults.iter().all(|fault| plan.faults.contains(fault)));
     /// ```
     pub fn add_leavings(&mut self, seconds: u64, nodes: usize) {
-        let mut rng = StdRng::seed_from_u64(self.seed ^ LEAVING_SEED);
+        self.add_overlay(&FaultOverlay::LEAVINGS, seconds, nodes);
+    }
+
+    fn add_overlay(&mut self, overlay: &FaultOverlay, seconds: u64, nodes: usize) {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ overlay.seed);
         let mut start_ms = FIRST_MS;
         while start_ms < seconds * 1_000 {
-            let kinds = FaultKind::LEAVING_OVERLAY_KINDS;
-            let kind = kinds[rng.random_range(0..kinds.len())];
-            let count = rng.random_range(1..=nodes.div_ceil(4));
+            let kind = overlay.kinds[rng.random_range(0..overlay.kinds.len())];
+            let count = rng.random_range(1..=nodes.div_ceil(overlay.nodes_per_target));
             self.faults.push(PlannedFault {
                 kind,
                 targets: (0..nodes).sample(&mut rng, count),
                 start_ms,
-                end_ms: start_ms + rng.random_range(LEAVING_LENGTH_MS),
+                end_ms: start_ms + rng.random_range(overlay.length_ms.clone()),
             });
-            start_ms += rng.random_range(0..2 * LEAVING_GAP_MS);
+            start_ms += rng.random_range(0..2 * overlay.gap_ms);
         }
         self.faults.sort_by_key(|fault| fault.start_ms);
     }
