--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod drill;
+mod frozen;
 mod limit;
 mod rollout;
 mod stalled;
@@ -13,6 +14,7 @@
         "drill" => drill::play(case),
         "rollout" => rollout::play(case),
         "stalled" => stalled::play(case),
+        "frozen" => frozen::play(case),
         "limit" => limit::play(case),
         _ => crate::cannot_run("unknown case"),
     }
