--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -1,8 +1,7 @@
 //! The cases.
 
-mod drill;
 mod frozen;
-mod limit;
+mod leaving;
 mod rollout;
 mod stalled;
 
@@ -11,11 +10,11 @@
 /// Plays a case; returns whether the rule was broken.
 pub fn play(name: &str, case: &Case) -> bool {
     match name {
-        "drill" => drill::play(case),
+        "lease" => leaving::play_lease(case),
+        "drill" => leaving::play_drill(case),
         "rollout" => rollout::play(case),
         "stalled" => stalled::play(case),
         "frozen" => frozen::play(case),
-        "limit" => limit::play(case),
         _ => crate::cannot_run("unknown case"),
     }
 }
--- a/review/harness-2/src/cases/drill.rs
+++ b/review/harness-2/src/cases/leaving.rs
@@ -1,5 +1,4 @@
-//! DRAIN: an endpoint that has deregistered, while the node beside it is stopped and started again
-//! and the store comes back from an older copy.
+//! DRAIN: an endpoint that has deregistered, while the node beside it is stopped and started again.
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -20,11 +19,46 @@
 const TOUCH: Duration = Duration::from_secs(3);
 const GRACE: Duration = Duration::from_secs(6);
 /// Time for which the endpoint serves after its acknowledgment: `DrainS`, and many seconds longer.
-const SERVES: Duration = Duration::from_secs(14);
+const SERVES: Duration = Duration::from_secs(16);
 /// Age of the copy at the time of the acknowledgment.
 const COPY_AGE: Duration = Duration::from_millis(1_500);
 
-pub fn play(case: &Case) -> bool {
+/// What happens between the end of the node and its next start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Away {
+    /// It is started again at once.
+    Short,
+    /// It is away until its announcement has ended with its lease.
+    Lease,
+    /// The store comes back from an older copy.
+    Drill,
+}
+
+/// The node is away for some seconds.
+pub fn play_lease(case: &Case) -> bool {
+    play(
+        case,
+        if case.trouble {
+            Away::Lease
+        } else {
+            Away::Short
+        },
+    )
+}
+
+/// The store comes back from an older copy.
+pub fn play_drill(case: &Case) -> bool {
+    play(
+        case,
+        if case.trouble {
+            Away::Drill
+        } else {
+            Away::Short
+        },
+    )
+}
+
+fn play(case: &Case, away: Away) -> bool {
     let store = KvServer::start(1);
     let routes = [
         RouteEntry::new("/orders/", "unsafe", "orders"),
@@ -88,14 +122,27 @@
     }
     machines[3].kill();
     case.note("it has ended");
-    if case.trouble {
-        store.set_faults(KvFault::Busy);
-        thread::sleep(Duration::from_millis(300));
-        drop(store.state().restore_from(copy));
-        store.set_faults(KvFault::Sound);
-        case.note("the store is back from the copy");
-    } else {
-        thread::sleep(Duration::from_millis(300));
+    match away {
+        Away::Short => thread::sleep(Duration::from_millis(300)),
+        Away::Lease => {
+            let inbound = machines[3].inbound().to_string();
+            let is_announced = || {
+                let keys = store.state().keys("geranium/member/");
+                keys.iter().any(|key| key.ends_with(&inbound))
+            };
+            let ended = Instant::now();
+            while is_announced() && ended.elapsed() < Duration::from_secs(8) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            case.note("its announcement has ended with its lease");
+        }
+        Away::Drill => {
+            store.set_faults(KvFault::Busy);
+            thread::sleep(Duration::from_millis(300));
+            drop(store.state().restore_from(copy));
+            store.set_faults(KvFault::Sound);
+            case.note("the store is back from the copy");
+        }
     }
     thread::sleep(Duration::from_millis(200));
     machines[3].start();
