--- a/review/harness-2/src/cases/frozen.rs
+++ b/review/harness-2/src/cases/frozen.rs
@@ -57,6 +57,8 @@
             machines.push(machine);
         }
     }
+    // The tenth machine, so that a freeze stops a tenth of them.
+    machines.push(case.machine("tenth", ZONES[2], "prices", &store));
     for machine in &mut machines {
         machine.start();
     }
--- a/review/harness-2/src/cases/stalled.rs
+++ b/review/harness-2/src/cases/stalled.rs
@@ -21,6 +21,8 @@
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 const FREEZE: Duration = Duration::from_secs(5);
 const CLIENT_WAITS: Duration = Duration::from_secs(9);
+const MACHINES: usize = 10;
+const FROZEN: usize = 1;
 const REQUESTS: usize = 10;
 const BYTES: usize = 400_000;
 const PIECES: usize = 20;
@@ -33,9 +35,13 @@
     ];
     let document = route_document(1, &["files", "prices"], &routes);
     store.state().operator_put("op/config", document.as_bytes());
-    let mut machines: Vec<Machine> = [("front", "prices"), ("back", "files")]
-        .map(|(name, service)| case.machine(name, "dourbes-hall", service, &store))
-        .into();
+    // A freeze stops a tenth of the machines.
+    let mut machines: Vec<Machine> = (0..MACHINES)
+        .map(|n| {
+            let service = if n == FROZEN { "files" } else { "prices" };
+            case.machine(&format!("m-{n}"), "dourbes-hall", service, &store)
+        })
+        .collect();
     for machine in &mut machines {
         machine.start();
     }
@@ -61,12 +67,12 @@
     case.note("the downloads are sent");
     thread::sleep(Duration::from_millis(500));
     if case.trouble {
-        machines[1].signal("STOP");
+        machines[FROZEN].signal("STOP");
         case.note("the node beside the endpoint stands still");
     }
     thread::sleep(FREEZE);
     if case.trouble {
-        machines[1].signal("CONT");
+        machines[FROZEN].signal("CONT");
         case.note("it goes on");
     }
     let ends = downloads
