--- a/review/harness-2/play.sh
+++ b/review/harness-2/play.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# play.sh CASE FOLDER: plays a case of review-2 and writes FOLDER/record.txt. Exits with 1 if the rule
+# play.sh CASE RECORD: plays a case of review-2 and writes the file RECORD. Exits with 1 if the rule
 # was broken, with 0 if it held, and with 2 if the case couldn't run. TROUBLE=0 leaves the
 # disruption out.
 set -u
 name=$1
-record=$(cd "$2" && pwd)/record.txt
+record=$(cd "$(dirname "$2")" && pwd)/$(basename "$2")
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-2
 if [ ! -x "$program" ] || [ ! -x target/release/geranium-node ]; then
