--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -42,6 +42,10 @@
     pub store: SocketAddr,
     /// Bandwidth of the machine's link, in megabits per second.
     pub link_mbps: f64,
+    /// Memory of the machine, in megabytes.
+    pub memory_mb: u32,
+    /// Descriptors that each process may have open.
+    pub max_fds: u32,
     /// Whether the whole fleet starts for the first time (`Bootstrap`).
     pub first_start: bool,
     /// Whether operators order rollouts (a contract of the platform).
@@ -52,6 +56,11 @@
 }
 
 impl Machine {
+    /// Memory of a usual machine, in megabytes.
+    pub const MEMORY_MB: u32 = 260;
+    /// Descriptors that each process of a usual machine may have open.
+    pub const MAX_FDS: u32 = 4_100;
+
     /// Returns the name of the instance: `sidecar-` and its IP address.
     pub fn name(&self) -> String {
         format!("sidecar-{}", self.addrs.peer_addr.ip())
@@ -69,6 +78,7 @@
         let (name, ip) = (self.name(), peer_addr.ip());
         let (zone, service, store) = (&self.data_centre, &self.service, self.store);
         let (app, link_mbps) = (self.app_addr, self.link_mbps);
+        let (memory_mb, max_fds) = (self.memory_mb, self.max_fds);
         let first_start = self.first_start;
         let mut contracts = vec!["base"];
         if self.has_rollouts {
@@ -91,6 +101,8 @@
 Service = "{service}"
 Bootstrap = {first_start}
 [LocalNode.Limits]
+MemoryMb = {memory_mb}
+MaxFds = {max_fds}
 LinkMbps = {link_mbps:?}
 [Network.Listen]
 Inbound = "{peer_addr}"
