A body announced over the limit is refused unread

What callers saw: a request whose Content-Length is far over MaxBodyBytes got its 413 only when as many bytes as the limit had arrived, and none as long as the body didn't come. Cause: the limit was counted while the body was collected, and nothing looked at the length that the head announces. So up to MaxBodyBytes of each such body were held. Now the announced length is compared before the body is read. A chunked body announces nothing and is still read up to the limit.

--- a/crates/node/src/outbound/caller_input.rs
+++ b/crates/node/src/outbound/caller_input.rs
@@ -13,7 +13,7 @@
 /// Reads the whole body of a request.
 ///
 /// If the body exceeds the configured limit, can't be read, or isn't complete at `ends_at`,
-/// the error is the reply to the caller.
+/// the error is the reply to the caller. A body whose announced length exceeds the limit isn't read.
 pub(super) async fn read_body(
     body: Incoming,
     config: &MeshConfig,
@@ -22,13 +22,13 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    if body.size_hint().lower() > config.limits.max_body_bytes as u64 {
+        return Err(too_large());
+    }
     let limited = Limited::new(body, config.limits.max_body_bytes);
     match timeout_at(ends_at, limited.collect()).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(LocalReply::rejected(ResultCode::BodyTooLarge, status))
-        }
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
         Ok(Err(_)) => {
             let status = StatusCode::BAD_REQUEST;
             Err(LocalReply::rejected(ResultCode::BadRequest, status))
@@ -39,3 +39,8 @@
         }
     }
 }
+
+fn too_large() -> LocalReply {
+    let status = StatusCode::PAYLOAD_TOO_LARGE;
+    LocalReply::rejected(ResultCode::BodyTooLarge, status)
+}
