Bodies are copied as they arrive instead of collected

What callers saw: nothing, until the node was out of memory. Cause: the pieces of a body were kept as they came, each with its own bookkeeping and each keeping the read buffer that it is a part of; then a copy made them one. A body in one-byte chunks took some forty times its bytes, and every body twice its bytes for a moment, at the node that takes it and at the one beside the server. Evidence: one request of 4 MiB in one-byte chunks took 178 MB of 64, forty of 256 KiB 414 MB. Now each body is copied into segments of at most 64 KiB, which tries, retries and the fingerprint share; they are sent one after the other. Nothing else is kept of what was received. Segments of one size also leave no holes that a growing buffer would. The fingerprint of a request is the same as before, as nodes of both versions exchange it.

--- a/crates/node/src/inbound/endpoint_call.rs
+++ b/crates/node/src/inbound/endpoint_call.rs
@@ -1,8 +1,7 @@
 //! The call to the backend server, and the checks of its response.
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -18,6 +17,7 @@
     header_names::{header_text, set_header, strip_connection_headers, strip_peer_headers},
     member::EndpointStart,
     rate_limit::ExchangeTimes,
+    request_body::BodyStream,
     response_body::{ResponseBody, is_short},
     transport::{ExchangeError, PooledConnection},
 };
@@ -85,7 +85,7 @@
         deliver(response, slot, sender).await
     }
 
-    fn outgoing(&self, request: InboundRequest, instance: &str) -> Request<Full<Bytes>> {
+    fn outgoing(&self, request: InboundRequest, instance: &str) -> Request<BodyStream> {
         let mut headers = request.headers;
         strip_peer_headers(&mut headers);
         let remaining = request.ends_at.saturating_duration_since(Instant::now());
@@ -97,7 +97,7 @@
         if let Some(account) = &request.account {
             headers.insert(&self.headers.account, account.header_value.clone());
         }
-        let mut outgoing = Request::new(Full::new(request.body));
+        let mut outgoing = Request::new(request.body.stream());
         *outgoing.method_mut() = request.method;
         *outgoing.uri_mut() = request.uri;
         *outgoing.headers_mut() = headers;
--- a/crates/node/src/inbound/endpoint_health.rs
+++ b/crates/node/src/inbound/endpoint_health.rs
@@ -2,13 +2,12 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderValue, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use tokio::time::timeout;
 
 use super::{InboundProxy, inbound_proxy::IDLE_TIMEOUT_NON_IDEMPOTENT};
-use crate::{header_names::header_text, transport::ExchangeError};
+use crate::{header_names::header_text, request_body::BodyStream, transport::ExchangeError};
 
 /// Timeout of a health check, which takes a millisecond when a slot is free. The next heartbeat
 /// comes within a second and a half.
@@ -38,7 +37,7 @@
     ///
     /// Fails if no response arrives.
     pub async fn check_health(&self, path: &str) -> Result<HealthCheckResponse, ExchangeError> {
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(BodyStream::default());
         *request.uri_mut() = path.parse().unwrap_or_default();
         if let Ok(host) = HeaderValue::from_str(&self.settings.endpoint.to_string()) {
             request.headers_mut().insert(header::HOST, host);
--- a/crates/node/src/inbound/inbound_request.rs
+++ b/crates/node/src/inbound/inbound_request.rs
@@ -2,13 +2,12 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
 use crate::{
     accounts::AccountRule, crash::CompletionEvidence, rate_limit::RequestRate,
-    request_origin::RequestOrigin,
+    request_body::RequestBody, request_origin::RequestOrigin,
 };
 
 /// A request for the backend server beside this node.
@@ -23,7 +22,7 @@
     /// Headers without those that concern one connection only.
     pub headers: HeaderMap,
     /// Complete body of the request.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Account of the caller; none on anonymous routes and where there are no accounts.
     pub account: Option<Rc<AccountRule>>,
     /// Time on the boot clock until which the request may begin to run; none for no limit.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod quota;
 pub mod rate_limit;
 pub mod registration;
+pub mod request_body;
 pub mod request_origin;
 pub mod response_body;
 pub mod result_code;
--- a/crates/node/src/outbound/admission_query.rs
+++ b/crates/node/src/outbound/admission_query.rs
@@ -1,8 +1,7 @@
 //! Asks a member whether it would admit a request, before the request is sent.
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use tokio::time::Instant;
 
 use super::{TryFailure, TrySender};
@@ -13,6 +12,7 @@
     inbound::InboundRefusal,
     link::LinkTraffic,
     member::{MemberKey, MemberRecord},
+    request_body::BodyStream,
     transport::ExchangeError,
 };
 
@@ -59,7 +59,7 @@
         refusal.map_or(Ok(()), |refusal| Err(TryFailure::Refused(refusal)))
     }
 
-    fn admission_query(self, record: &MemberRecord) -> Request<Full<Bytes>> {
+    fn admission_query(self, record: &MemberRecord) -> Request<BodyStream> {
         let header_names = &self.core.headers;
         let now = Instant::now();
         let ends_at = self.core.bound_peer_response(self.request.ends_at);
@@ -80,7 +80,7 @@
             &PEER_ADMISSION_HEADER,
             &peer_header.to_string(),
         );
-        let mut query = Request::new(Full::default());
+        let mut query = Request::new(BodyStream::default());
         *query.uri_mut() = Uri::from_static(ADMISSION_PATH);
         *query.headers_mut() = headers;
         query
--- a/crates/node/src/outbound/caller_input.rs
+++ b/crates/node/src/outbound/caller_input.rs
@@ -1,38 +1,31 @@
 //! Reads the body of callers' requests.
 
-use crate::result_code::ResultCode;
-use bytes::Bytes;
 use http::StatusCode;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
 use super::LocalReply;
-use crate::config::MeshConfig;
+use crate::{
+    config::MeshConfig,
+    request_body::{BodyReadError, RequestBody, read_body},
+    result_code::ResultCode,
+};
 
 /// Reads the whole body of a request.
 ///
 /// If the body exceeds the configured limit, can't be read, or isn't complete at `ends_at`,
-/// the error is the reply to the caller. A body whose announced length exceeds the limit isn't read.
-pub(super) async fn read_body(
+/// the error is the reply to the caller.
+pub(super) async fn read_caller_body(
     body: Incoming,
     config: &MeshConfig,
     ends_at: Instant,
-) -> Result<Bytes, LocalReply> {
+) -> Result<RequestBody, LocalReply> {
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok(RequestBody::default());
     }
-    if body.size_hint().lower() > config.limits.max_body_bytes as u64 {
-        return Err(too_large());
-    }
-    let limited = Limited::new(body, config.limits.max_body_bytes);
-    match timeout_at(ends_at, limited.collect()).await {
-        Ok(Ok(whole)) => Ok(whole.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(too_large()),
-        Ok(Err(_)) => {
-            let status = StatusCode::BAD_REQUEST;
-            Err(LocalReply::rejected(ResultCode::BadRequest, status))
-        }
+    let max_bytes = config.limits.max_body_bytes as u64;
+    match timeout_at(ends_at, read_body(body, max_bytes)).await {
+        Ok(read) => read.map_err(|error| reply_to(&error)),
         Err(_elapsed) => {
             let status = StatusCode::REQUEST_TIMEOUT;
             Err(LocalReply::rejected(ResultCode::RequestTimeout, status))
@@ -40,7 +33,14 @@
     }
 }
 
-fn too_large() -> LocalReply {
-    let status = StatusCode::PAYLOAD_TOO_LARGE;
-    LocalReply::rejected(ResultCode::BodyTooLarge, status)
+/// Returns the reply to a request whose body wasn't read.
+const fn reply_to(error: &BodyReadError) -> LocalReply {
+    match error {
+        BodyReadError::TooLong => {
+            LocalReply::rejected(ResultCode::BodyTooLarge, StatusCode::PAYLOAD_TOO_LARGE)
+        }
+        BodyReadError::Broken { .. } => {
+            LocalReply::rejected(ResultCode::BadRequest, StatusCode::BAD_REQUEST)
+        }
+    }
 }
--- a/crates/node/src/outbound/outbound_proxy.rs
+++ b/crates/node/src/outbound/outbound_proxy.rs
@@ -12,7 +12,7 @@
 use super::{
     LocalReply, OutboundRequest,
     caller_admission::AdmittedCaller,
-    caller_input::read_body,
+    caller_input::read_caller_body,
     try_flow::TryFlow,
     try_record::{RETRY_AFTER_MIN, TryRecord, final_reply, timeout_reply},
     try_sender::path_only,
@@ -124,7 +124,7 @@
         let ends_at = self.core.bound_by_shutdown(ends_at);
         let admitted = async {
             let quota_pass = admit(&self.core, &head, identity.as_ref()).await?;
-            let body = read_body(body, &config, ends_at).await?;
+            let body = read_caller_body(body, &config, ends_at).await?;
             Ok((quota_pass, body))
         };
         let (quota_pass, body) = self.until_final_response(ends_at, admitted).await?;
--- a/crates/node/src/outbound/outbound_request.rs
+++ b/crates/node/src/outbound/outbound_request.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
@@ -10,6 +9,7 @@
     accounts::CallerIdentity,
     config::{ConfigVersion, RouteRule},
     quota::QuotaPass,
+    request_body::RequestBody,
 };
 
 /// A caller's request after it was read and routed.
@@ -24,7 +24,7 @@
     /// Headers to send to the backend server.
     pub headers: HeaderMap,
     /// Complete body.
-    pub body: Bytes,
+    pub body: RequestBody,
     /// Hash of the request, by which a repeated one is recognised.
     pub fingerprint: u64,
     /// Route that the host and path of the request matched.
--- a/crates/node/src/outbound/try_flow.rs
+++ b/crates/node/src/outbound/try_flow.rs
@@ -23,7 +23,7 @@
 
 /// Largest body in bytes that is sent to a member without asking whether it would be admitted. The
 /// question and its answer have about half of that.
-const UNASKED_BODY_MAX_BYTES: usize = 1_024;
+const UNASKED_BODY_MAX_BYTES: u64 = 1_024;
 /// Longest wait for a member's answer whether it would admit a request.
 const ADMISSION_TIMEOUT: Duration = Duration::from_millis(300);
 
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
@@ -25,6 +25,7 @@
     member::{LoadReport, MemberKey, MemberRecord},
     node_core::NodeCore,
     rate_limit::EndpointNotice,
+    request_body::BodyStream,
     response_body::{ResponseBody, is_short},
     result_code::ResultCode,
     shutdown::TransferProgress,
@@ -151,7 +152,7 @@
         record: &MemberRecord,
     ) -> TryResult {
         let peer_request = self.peer_request(record);
-        let bytes = head_bytes(peer_request.headers()) + self.request.body.len() as u64;
+        let bytes = head_bytes(peer_request.headers()) + self.request.body.len();
         let link = &self.core.link;
         link.record_sent(self.core.clock.now(), LinkTraffic::Request, bytes);
         let idle_timeout = self.core.settings.peer_idle_timeout;
@@ -238,7 +239,7 @@
         }
     }
 
-    fn peer_request(self, record: &MemberRecord) -> Request<Full<Bytes>> {
+    fn peer_request(self, record: &MemberRecord) -> Request<BodyStream> {
         let request = self.request;
         let header_names = &self.core.headers;
         let now = Instant::now();
@@ -273,7 +274,7 @@
                 &evidence.to_string(),
             );
         }
-        let mut peer_request = Request::new(Full::new(request.body.clone()));
+        let mut peer_request = Request::new(request.body.stream());
         *peer_request.method_mut() = request.method.clone();
         *peer_request.uri_mut() = path_only(&request.uri);
         *peer_request.headers_mut() = headers;
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -2,9 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -23,6 +21,7 @@
     outbound::ADMISSION_PATH,
     quota::{QUOTA_PATH, QuotaHandler},
     registration::{REGISTRATION_PATH, RegistrationHandler},
+    request_body::{RequestBody, read_body},
     response_body::{ResponseBody, empty_response},
     rollout::{ROLLOUT_PATH, RolloutHandler},
     shutdown::{STOP_NOTICE_PATH, StopNoticeHandler},
@@ -106,8 +105,8 @@
             Ok(caller) => caller,
             Err(refusal) => return refusal_response(&refusal),
         };
-        let body = match tokio::time::timeout(BODY_TIMEOUT, body.collect()).await {
-            Ok(Ok(whole)) => whole.to_bytes(),
+        let body = match tokio::time::timeout(BODY_TIMEOUT, read_body(body, u64::MAX)).await {
+            Ok(Ok(body)) => body,
             _ => return empty_response(StatusCode::BAD_REQUEST),
         };
         let request = self.inbound_request(head, body, &peer_header, caller, now);
@@ -168,7 +167,7 @@
     fn inbound_request(
         &self,
         head: http::request::Parts,
-        body: Bytes,
+        body: RequestBody,
         peer_header: &PeerRequestHeader,
         caller: PeerCaller,
         now: Instant,
--- a/crates/node/src/quota/admit.rs
+++ b/crates/node/src/quota/admit.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use http::{header, request::Parts};
 use rand::RngExt;
 
@@ -14,6 +15,7 @@
     crash::request_fingerprint,
     node_core::NodeCore,
     outbound::LocalReply,
+    request_body::RequestBody,
     result_code::ResultCode,
 };
 
@@ -71,7 +73,8 @@
 fn fingerprint(head: &Parts) -> u64 {
     let length = head.headers.get(header::CONTENT_LENGTH);
     let length = length.map_or(&b""[..], |length| length.as_bytes());
-    request_fingerprint(&head.method, &head.uri, &head.headers, length)
+    let length = RequestBody::from(Bytes::copy_from_slice(length));
+    request_fingerprint(&head.method, &head.uri, &head.headers, &length)
 }
 
 async fn take(
--- a/crates/node/src/transport/connection_pool.rs
+++ b/crates/node/src/transport/connection_pool.rs
@@ -2,9 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -16,6 +14,7 @@
 };
 
 use super::{ExchangeError, keep_alive::keep_alive_timeout, tune_socket};
+use crate::request_body::BodyStream;
 
 /// Largest read buffer of a connection: a few windows of a long response. More
 /// would only hold memory for callers that read slowly.
@@ -39,14 +38,14 @@
 #[derive(Debug)]
 pub struct PooledConnection {
     addr: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<BodyStream>,
     /// Idle time after which the server closes the connection; none if it states none.
     keep_alive: Option<Duration>,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<BodyStream>,
     idle_since: Instant,
     /// Longest idle time after which the connection is reused.
     reusable_for: Duration,
@@ -80,7 +79,7 @@
     pub async fn exchange(
         &self,
         addr: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<BodyStream>,
         idle_timeout: Duration,
     ) -> Result<(Response<Incoming>, PooledConnection), ExchangeError> {
         loop {
@@ -147,7 +146,7 @@
         &self,
         addr: SocketAddr,
         idle_timeout: Duration,
-    ) -> Option<SendRequest<Full<Bytes>>> {
+    ) -> Option<SendRequest<BodyStream>> {
         let longest = idle_timeout.min(self.settings.idle_timeout);
         let mut idle = self.idle.borrow_mut();
         let senders = idle.get_mut(&addr)?;
@@ -159,7 +158,7 @@
         Some(senders.remove(index).sender)
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<Full<Bytes>>, ExchangeError> {
+    async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<BodyStream>, ExchangeError> {
         let not_sent = |reason: String| ExchangeError::NotSent { reason };
         let socket = TcpSocket::new_v4().map_err(|error| not_sent(error.to_string()))?;
         tune_socket(&socket);
--- a/crates/node/src/transport/peer_call.rs
+++ b/crates/node/src/transport/peer_call.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use snafu::Snafu;
 use tokio::time::timeout;
 
 use super::{ConnectionPool, ExchangeError};
+use crate::request_body::BodyStream;
 
 /// Call from one node to another that carries no caller's request.
 #[derive(Debug, Clone)]
@@ -74,7 +75,7 @@
         peer_addr: SocketAddr,
         idle_timeout: Duration,
     ) -> Result<Bytes, PeerCallError> {
-        let mut request = Request::new(Full::new(self.body));
+        let mut request = Request::new(BodyStream::from(self.body));
         *request.method_mut() = self.method;
         *request.uri_mut() = Uri::try_from(self.path.as_ref()).unwrap_or_default();
         let (response, sender) = pool.exchange(peer_addr, request, idle_timeout).await?;
--- a/crates/node/tests/all/keep_alive.rs
+++ b/crates/node/tests/all/keep_alive.rs
@@ -10,9 +10,12 @@
     time::Duration,
 };
 
-use geranium_node::transport::{ConnectionPool, PoolSettings};
+use geranium_node::{
+    request_body::BodyStream,
+    transport::{ConnectionPool, PoolSettings},
+};
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use tokio::{task::LocalSet, time::sleep};
 
 /// Starts a server that states `keep_alive` in its responses, and counts its connections.
@@ -51,7 +54,7 @@
         idle_timeout: Duration::from_secs(10),
     });
     for _ in 0..2 {
-        let request = Request::new(Full::default());
+        let request = Request::new(BodyStream::default());
         let exchange = pool.exchange(addr, request, Duration::from_secs(10)).await;
         let (response, pooled) = exchange.expect("the server responds");
         response.into_body().collect().await.expect("no body");
--- a/crates/node/tests/all/poison.rs
+++ b/crates/node/tests/all/poison.rs
@@ -2,11 +2,13 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use geranium_node::{
     crash::{
         CompletionEvidence, CrashHistory, CrashRecord, PoisonLimits, PoisonRegistry, PoisonStatus,
         request_fingerprint,
     },
+    request_body::RequestBody,
     store::Revision,
 };
 use http::{HeaderMap, Method, Uri};
@@ -299,7 +301,8 @@
     fn fingerprints_tell_path_and_body_apart(text in "[a-z]{8}", first in 0..9usize, second in 0..9usize) {
         let cut = |at: usize| {
             let uri: Uri = format!("/{}", &text[..at]).parse().unwrap();
-            request_fingerprint(&Method::POST, &uri, &HeaderMap::new(), &text.as_bytes()[at..])
+            let body = RequestBody::from(Bytes::copy_from_slice(&text.as_bytes()[at..]));
+            request_fingerprint(&Method::POST, &uri, &HeaderMap::new(), &body)
         };
         prop_assert_eq!(cut(first) == cut(second), first == second);
     }
