The memory of all request bodies together has a bound

Cause: a node holds the body of each request until it ends, and nothing counted the bodies of all requests together; the memory that the settings name wasn't read. Bodies that stopped short of their end stayed until the route's timeout. Now a ledger counts the memory of all bodies, at the callers' port and at the port between nodes, against a share of the instance's memory. A body takes memory as it arrives, not as announced, so that announcements cost nothing. When none is left, an incomplete body that isn't smaller gives way, the one that has stood still for the longest time first; so an ordinary small request finds room as long as larger or older ones are incomplete, and an eighth of the memory is for small bodies only. Complete bodies are never dropped. The memory belongs to the arriving or complete body and is freed with it on every path. A refused request gets 503 (memory-full), which is true as it hasn't run; between nodes the refusal is one that earlier versions know, and the sender tries another node.

--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -52,6 +52,7 @@
     quota::QuotaState,
     rate_limit::NoticeReporter,
     registration::RegistrarState,
+    request_body::BodyMemory,
     request_origin::RequestOrigin,
     retry::RetryBudget,
     rollout::{DeciderContact, OrderBook, RolloutRegistry, TrafficSplit},
@@ -86,6 +87,8 @@
     pub fleet: RefCell<FleetView>,
     /// Proxy in front of the local backend server.
     pub inbound: InboundProxy,
+    /// Memory of the bodies of requests.
+    pub body_memory: BodyMemory,
     /// Crashes of backend servers in the whole fleet.
     pub crashes: Rc<RefCell<CrashHistory>>,
     /// Scheduler of the instance's outgoing network link.
@@ -220,6 +223,7 @@
         let caller_service = endpoint_reports::service_value(&settings.service);
         Ok(Rc::new(Self {
             metrics,
+            body_memory: BodyMemory::new(settings.body_memory),
             inbound,
             link,
             config: RefCell::default(),
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use crate::{accounts::AccountTerms, retry::RetryLimits};
+use crate::{accounts::AccountTerms, request_body::MemoryLimits, retry::RetryLimits};
 
 /// Addresses on which a node listens, by who connects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,6 +47,8 @@
     pub shutdown_timeout: Duration,
     /// Bandwidth of the instance's network link, in megabits per second.
     pub link_mbps: f64,
+    /// Limits on the memory of request bodies.
+    pub body_memory: MemoryLimits,
     /// Whether operators order rollouts. Versions without an order are held back then.
     pub has_rollouts: bool,
     /// Limits on the retries of all nodes together.
--- a/crates/node/src/outbound/mod.rs
+++ b/crates/node/src/outbound/mod.rs
@@ -26,6 +26,7 @@
 mod try_sender;
 
 pub use admission_query::ADMISSION_PATH;
+pub(crate) use caller_input::RETRY_AFTER_MEMORY_FULL;
 pub use deadline_tracker::DeadlineTracker;
 pub use in_flight_guard::InFlightGuard;
 pub use local_reply::LocalReply;
--- a/crates/node/src/outbound/outbound_proxy.rs
+++ b/crates/node/src/outbound/outbound_proxy.rs
@@ -102,7 +102,7 @@
         incoming: Request<Incoming>,
         arrived: Instant,
     ) -> Result<OutboundRequest, LocalReply> {
-        let (mut head, body) = incoming.into_parts();
+        let (mut head, mut body) = incoming.into_parts();
         if self.core.rejects_new_callers() && !self.continues_run(&head) {
             return Err(LocalReply::not_run(
                 ResultCode::Draining,
@@ -124,7 +124,8 @@
         let ends_at = self.core.bound_by_shutdown(ends_at);
         let admitted = async {
             let quota_pass = admit(&self.core, &head, identity.as_ref()).await?;
-            let body = read_caller_body(body, &config, ends_at).await?;
+            let body =
+                read_caller_body(&mut body, &config, &self.core.body_memory, ends_at).await?;
             Ok((quota_pass, body))
         };
         let (quota_pass, body) = self.until_final_response(ends_at, admitted).await?;
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -18,10 +18,10 @@
     },
     inbound::{AdmissionRequest, InboundError, InboundRefusal, InboundRequest, RefusalReason},
     node_core::{NodeCore, PeerCaller},
-    outbound::ADMISSION_PATH,
+    outbound::{ADMISSION_PATH, RETRY_AFTER_MEMORY_FULL},
     quota::{QUOTA_PATH, QuotaHandler},
     registration::{REGISTRATION_PATH, RegistrationHandler},
-    request_body::{RequestBody, read_body},
+    request_body::{BodyReadError, RequestBody, read_body},
     response_body::{ResponseBody, empty_response},
     rollout::{ROLLOUT_PATH, RolloutHandler},
     shutdown::{STOP_NOTICE_PATH, StopNoticeHandler},
@@ -86,7 +86,7 @@
     }
 
     async fn run(&self, incoming: Request<Incoming>) -> Response<ResponseBody> {
-        let (head, body) = incoming.into_parts();
+        let (head, mut body) = incoming.into_parts();
         let peer_header = header_text(&head.headers, &PEER_REQUEST_HEADER)
             .and_then(|text| text.parse::<PeerRequestHeader>().ok());
         let Some(peer_header) = peer_header else {
@@ -105,8 +105,10 @@
             Ok(caller) => caller,
             Err(refusal) => return refusal_response(&refusal),
         };
-        let body = match tokio::time::timeout(BODY_TIMEOUT, read_body(body, u64::MAX)).await {
+        let read = read_body(&mut body, u64::MAX, &self.core.body_memory);
+        let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
             Ok(Ok(body)) => body,
+            Ok(Err(BodyReadError::Shortage { .. })) => return memory_refusal(),
             _ => return empty_response(StatusCode::BAD_REQUEST),
         };
         let request = self.inbound_request(head, body, &peer_header, caller, now);
@@ -208,6 +210,16 @@
     }
 }
 
+/// Returns the refusal of a request whose body finds no memory.
+///
+/// Nodes of earlier versions know the reason, too.
+fn memory_refusal() -> Response<ResponseBody> {
+    refusal_response(&InboundRefusal {
+        reason: RefusalReason::Full,
+        retry_after: RETRY_AFTER_MEMORY_FULL,
+    })
+}
+
 fn refusal_response(refusal: &InboundRefusal) -> Response<ResponseBody> {
     let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
     set_header(
--- a/crates/node/src/request_body/request_body.rs
+++ b/crates/node/src/request_body/request_body.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use super::{BodySegments, BodyStream};
+use super::{BodySegments, BodyStream, body_memory::MemoryLease};
 
 /// Complete body of a request; clones share its bytes.
 ///
@@ -23,6 +23,8 @@
 pub struct RequestBody {
     segments: Rc<[Bytes]>,
     length: u64,
+    /// Memory of the segments; none for a body that isn't counted.
+    _lease: Option<Rc<MemoryLease>>,
 }
 
 impl RequestBody {
@@ -46,6 +48,14 @@
         BodyStream::new(self.clone())
     }
 
+    /// Creates a body from its bytes, whose memory the lease counts.
+    pub(super) fn with_lease(segments: BodySegments, lease: MemoryLease) -> Self {
+        Self {
+            _lease: Some(Rc::new(lease)),
+            ..Self::from(segments)
+        }
+    }
+
     /// Returns the segment at an index; none behind the last one.
     pub(super) fn segment(&self, index: usize) -> Option<&Bytes> {
         self.segments.get(index)
@@ -57,6 +67,7 @@
         Self {
             length: segments.len() as u64,
             segments: segments.into_segments().into(),
+            _lease: None,
         }
     }
 }
@@ -69,6 +80,7 @@
         Self {
             length: bytes.len() as u64,
             segments: Rc::new([bytes]),
+            _lease: None,
         }
     }
 }
--- a/crates/node/src/result_code.rs
+++ b/crates/node/src/result_code.rs
@@ -73,6 +73,8 @@
     KeyUnproven = 121,
     /// No node that grants the account's quota answers.
     QuotaUnknown = 122,
+    /// The node has no memory for the body of the request.
+    MemoryFull = 123,
 
     /// The deadline passed while a backend server may have been running the request.
     DeadlineWhileRunning = 130,
--- a/crates/node/tests/all/config.rs
+++ b/crates/node/tests/all/config.rs
@@ -12,6 +12,7 @@
     header_names::HeaderNames,
     node_core::NodeCore,
     node_settings::{ListenAddrs, NodeSettings},
+    request_body::MemoryLimits,
     retry::RetryLimits,
 };
 use http::HeaderName;
@@ -251,6 +252,7 @@
         peer_idle_timeout: Duration::from_secs(15),
         leaving_time: Duration::from_secs(2),
         shutdown_timeout: Duration::from_secs(6),
+        body_memory: MemoryLimits::of_instance(260),
         link_mbps: 100.0,
         has_rollouts: false,
         retries: RetryLimits {
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the node's decision logic, without network or wall clock.
 
 mod accounts;
+mod body_memory;
 mod budget;
 mod calls;
 mod config;
