The open connections of callers have a bound

What callers saw: a process whose descriptors are used up can't open connections to other nodes, its backend server or the store. Cause: every connection was accepted until the system refused one. Evidence: with 1,200 clients that stop short of their bodies' end a node held 1,221 descriptors of 600. Now the callers' port has a bound, by default half of the descriptors that the settings leave for sockets (1,950 of 4,100). Above it the connection that has been idle for the longest time closes for a new one; if all are busy, the body that has stood still for the longest time is refused, as for memory; if none is arriving, the new connection is closed unread, which callers may repeat. The port between nodes has no such bound.

--- a/crates/node/examples/pipeline_cost.rs
+++ b/crates/node/examples/pipeline_cost.rs
@@ -89,7 +89,7 @@
         }
         ServerKind::Lanes => {
             let handler = |request| async { respond(request).await.unwrap_or_default() };
-            serve_pipelined(stream, LIMITS, |_| true, || false, handler, closing).await;
+            serve_pipelined(stream, LIMITS, |_| true, || false, handler, None, closing).await;
         }
         ServerKind::Pipes => serve_pipes(stream).await,
     }
--- a/crates/node/src/http_listener.rs
+++ b/crates/node/src/http_listener.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     connection_limits::{BUFFER_MIN_BYTES, ConnectionLimits, FIRST_REQUEST_TIMEOUT},
+    connections::ConnectionSlots,
     node_core::NodeCore,
     pipeline::{RequestTarget, serve_pipelined},
     response_body::ResponseBody,
@@ -78,7 +79,8 @@
 ) where
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
-    let serve = |stream, closing| serve_connection(stream, limits(), handler.clone(), closing);
+    let serve =
+        |stream, closing| Some(serve_connection(stream, limits(), handler.clone(), closing));
     serve_connections(core, listener, serve).await;
 }
 
@@ -86,44 +88,59 @@
 ///
 /// Like [`serve_listener`], but idle connections hold no buffers, and a request may begin while
 /// earlier ones on its connection are unanswered, if `may_begin_early` returns true. Connections are
-/// closed as soon as their responses allow while `is_draining` returns true.
+/// closed as soon as their responses allow while `is_draining` returns true. If `slots` are given, a
+/// connection that gets none is closed at once; the body that has stood still for the longest time is
+/// refused for it when no connection is idle.
 pub async fn serve_pipelined_listener<F>(
     core: Rc<NodeCore>,
     listener: TcpListener,
     limits: impl Fn() -> ConnectionLimits,
     may_begin_early: impl Fn(&RequestTarget) -> bool + Clone + 'static,
     is_draining: impl Fn() -> bool + Clone + 'static,
+    slots: Option<ConnectionSlots>,
     handler: impl Fn(Request<Incoming>) -> F + Clone + 'static,
 ) where
     F: Future<Output = Response<ResponseBody>> + 'static,
 {
+    let memory = core.body_memory.clone();
     let serve = |stream, closing| {
+        let slot = match &slots {
+            Some(slots) => Some(slots.admit(|| memory.evict_longest_stalled())?),
+            None => None,
+        };
         let (may_begin_early, handler) = (may_begin_early.clone(), handler.clone());
         let is_draining = is_draining.clone();
-        serve_pipelined(
+        Some(serve_pipelined(
             stream,
             limits(),
             may_begin_early,
             is_draining,
             handler,
+            slot,
             closing,
-        )
+        ))
     };
     serve_connections(core, listener, serve).await;
 }
 
-/// Accepts connections until the node closes, and serves each with `serve` in a task.
+/// Accepts connections until the node closes, and serves each with `serve` in a task. A connection
+/// for which `serve` returns none is closed.
 async fn serve_connections<F: Future<Output = ()> + 'static>(
     core: Rc<NodeCore>,
     listener: TcpListener,
-    serve: impl Fn(TcpStream, watch::Receiver<bool>) -> F,
+    serve: impl Fn(TcpStream, watch::Receiver<bool>) -> Option<F>,
 ) {
     let mut closing = core.closing.subscribe();
     let _listener_guard = core.listener_guard();
     let serve = |stream: TcpStream| {
         tune_socket(&stream);
         let guard = core.connection_guard();
-        let connection = serve(stream, core.closing.subscribe());
+        let Some(connection) = serve(stream, core.closing.subscribe()) else {
+            if let Some(log) = core.log.for_request(core.clock.now(), "connection refused") {
+                warn!(log, "connection refused"; "cause" => "too many are open");
+            }
+            return;
+        };
         tokio::task::spawn_local(async move {
             connection.await;
             drop(guard);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod bounded_time;
 pub mod config;
 pub mod connection_limits;
+pub mod connections;
 pub mod crash;
 pub mod delegation;
 pub mod discovery;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,6 +10,7 @@
 use crate::{
     admin::AdminHandler,
     connection_limits::ConnectionLimits,
+    connections::ConnectionSlots,
     crash::watch_crashes,
     delegation::run_delegated_calls,
     discovery::{
@@ -195,6 +196,7 @@
         limits,
         may_begin_early,
         is_draining,
+        Some(ConnectionSlots::new(core.settings.max_connections)),
         handler,
     ));
 }
@@ -215,6 +217,7 @@
         internal_limits,
         |_| false,
         || false,
+        None,
         handler,
     ));
 }
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -49,6 +49,8 @@
     pub link_mbps: f64,
     /// Limits on the memory of request bodies.
     pub body_memory: MemoryLimits,
+    /// Largest number of open connections of callers.
+    pub max_connections: usize,
     /// Whether operators order rollouts. Versions without an order are held back then.
     pub has_rollouts: bool,
     /// Limits on the retries of all nodes together.
--- a/crates/node/src/pipeline/pipeline_connection.rs
+++ b/crates/node/src/pipeline/pipeline_connection.rs
@@ -23,7 +23,7 @@
     lane_key::LaneKey,
     lane_state::{LaneState, SocketShare},
 };
-use crate::connection_limits::ConnectionLimits;
+use crate::{connection_limits::ConnectionLimits, connections::ConnectionSlot};
 
 /// Bytes read from the socket at once. Most requests are far smaller.
 const READ_BYTES: usize = 16 * 1024;
@@ -83,6 +83,8 @@
     held: HeldBytes,
     make_lane: M,
     may_begin_early: P,
+    /// Place of the connection; none if the listener has no bound.
+    slot: Option<Rc<ConnectionSlot>>,
     idle_timeout: Duration,
     idle_since: Instant,
     idle_timer: Option<Pin<Box<Sleep>>>,
@@ -99,7 +101,13 @@
     ///
     /// `make_lane` creates the HTTP server of a lane. `may_begin_early` returns whether a request
     /// may begin while earlier ones are unanswered.
-    pub fn new(socket: S, limits: ConnectionLimits, make_lane: M, may_begin_early: P) -> Self {
+    pub fn new(
+        socket: S,
+        limits: ConnectionLimits,
+        slot: Option<Rc<ConnectionSlot>>,
+        make_lane: M,
+        may_begin_early: P,
+    ) -> Self {
         Self {
             socket: Rc::new(RefCell::new(socket)),
             reader: RequestReader::new(limits.max_head_bytes),
@@ -111,6 +119,7 @@
             held: HeldBytes::default(),
             make_lane,
             may_begin_early,
+            slot,
             idle_timeout: limits.idle_timeout,
             idle_since: Instant::now(),
             idle_timer: None,
@@ -207,6 +216,9 @@
             return;
         }
         self.idle_since = Instant::now();
+        if let Some(slot) = &self.slot {
+            slot.set_idle();
+        }
         self.reader_stage = ReaderStage::Reading;
         // The buffers of a lane take 16 KiB, and most connections are idle most of the time.
         self.lanes.clear();
@@ -263,7 +275,7 @@
             self.lanes[last.index()].state().record_later_request();
         }
         self.unanswered.push_back(key);
-        self.has_begun = true;
+        self.record_begin();
         if frame.is_last {
             self.reader_stage = ReaderStage::LastBegun;
         }
@@ -277,6 +289,13 @@
         lane.poll(cx, is_only);
     }
 
+    fn record_begin(&mut self) {
+        self.has_begun = true;
+        if let Some(slot) = &self.slot {
+            slot.set_busy();
+        }
+    }
+
     /// Returns the first lane without a request, which may be a new one.
     fn free_lane(&mut self) -> LaneKey {
         let keys = (0..self.lanes.len()).map(LaneKey::new);
@@ -310,7 +329,7 @@
         self.lanes = vec![lane];
         self.unanswered.push_back(LaneKey::FIRST);
         self.reader_stage = ReaderStage::HandedOver;
-        self.has_begun = true;
+        self.record_begin();
         self.lanes[LaneKey::FIRST.index()].poll(cx, true);
     }
 
--- a/crates/node/src/pipeline/serve_pipelined.rs
+++ b/crates/node/src/pipeline/serve_pipelined.rs
@@ -1,6 +1,10 @@
 //! Serves a connection of the callers' port.
 
-use std::{convert::Infallible, future::poll_fn, rc::Rc};
+use std::{
+    convert::Infallible,
+    future::{pending, poll_fn},
+    rc::Rc,
+};
 
 use http::{HeaderValue, Request, Response, header};
 use hyper::{
@@ -24,6 +28,7 @@
 };
 use crate::{
     connection_limits::{BUFFER_MIN_BYTES, ConnectionLimits, FIRST_REQUEST_TIMEOUT},
+    connections::ConnectionSlot,
     header_names::head_bytes,
 };
 
@@ -33,13 +38,15 @@
 /// unanswered. It is asked right before the request begins. Responses are sent in the order of the
 /// requests. While `is_draining` returns true, a response closes the connection if nothing behind
 /// it has begun. When `closing` becomes true, the connection ends as
-/// [`serve_listener`](crate::http_listener::serve_listener) says.
+/// [`serve_listener`](crate::http_listener::serve_listener) says. When `slot` is taken away, which is
+/// only done while the connection is idle, it ends at once.
 pub async fn serve_pipelined<F, B>(
     socket: impl AsyncRead + AsyncWrite + Unpin,
     limits: ConnectionLimits,
     may_begin_early: impl Fn(&RequestTarget) -> bool,
     is_draining: impl Fn() -> bool,
     handler: impl Fn(Request<Incoming>) -> F,
+    slot: Option<ConnectionSlot>,
     mut closing: watch::Receiver<bool>,
 ) where
     F: Future<Output = Response<B>>,
@@ -74,9 +81,19 @@
         });
         lane_builder(limits, lane_use).serve_connection(io, service)
     };
-    let mut connection = PipelineConnection::new(socket, limits, make_lane, may_begin_early);
+    let slot = slot.map(Rc::new);
+    let place = slot.clone();
+    let mut connection = PipelineConnection::new(socket, limits, place, make_lane, may_begin_early);
+    let slot_taken = async {
+        match &slot {
+            Some(slot) => slot.closed().await,
+            None => pending().await,
+        }
+    };
     select! {
         biased;
+        // Only idle connections lose their place. What has arrived since isn't read.
+        () = slot_taken => return,
         () = poll_fn(|cx| connection.poll(cx)) => return,
         _ = closing.wait_for(|closing| *closing) => {}
     }
--- a/crates/node/src/request_body/body_ledger.rs
+++ b/crates/node/src/request_body/body_ledger.rs
@@ -181,6 +181,22 @@
         self.complete -= bytes;
     }
 
+    /// Takes the memory away from the body that has received nothing for the longest time.
+    ///
+    /// Returns whether there is one.
+    pub fn evict_longest_stalled(&mut self) -> bool {
+        let reading = self
+            .intakes
+            .iter()
+            .filter(|(_, intake)| intake.is_reading());
+        let stalled = reading.min_by_key(|(_, intake)| intake.progress);
+        let Some(key) = stalled.map(|(key, _)| IntakeKey(key)) else {
+            return false;
+        };
+        self.evict(key);
+        true
+    }
+
     fn reading(&mut self, key: IntakeKey) -> Result<&mut BodyIntake, MemoryShortage> {
         let intake = &mut self.intakes[key.0];
         if intake.is_reading() {
--- a/crates/node/src/request_body/body_memory.rs
+++ b/crates/node/src/request_body/body_memory.rs
@@ -50,6 +50,13 @@
             key,
         })
     }
+
+    /// Takes the memory away from the body that has stood still for the longest time.
+    ///
+    /// Returns whether there is one.
+    pub fn evict_longest_stalled(&self) -> bool {
+        self.0.borrow_mut().evict_longest_stalled()
+    }
 }
 
 /// Body that is arriving. Its memory is freed when it is dropped.
--- a/crates/node/tests/all/config.rs
+++ b/crates/node/tests/all/config.rs
@@ -253,6 +253,7 @@
         leaving_time: Duration::from_secs(2),
         shutdown_timeout: Duration::from_secs(6),
         body_memory: MemoryLimits::of_instance(260),
+        max_connections: 1_950,
         link_mbps: 100.0,
         has_rollouts: false,
         retries: RetryLimits {
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod calls;
 mod config;
+mod connections;
 mod deadlines;
 mod eras;
 mod estimates;
--- a/crates/node/tests/all/pipeline_support.rs
+++ b/crates/node/tests/all/pipeline_support.rs
@@ -122,8 +122,15 @@
         let server = self.clone();
         let handler = move |request| server.clone().serve(request);
         let closing = self.closing.subscribe();
-        let connection =
-            serve_pipelined(socket, LIMITS, may_begin_early, || false, handler, closing);
+        let connection = serve_pipelined(
+            socket,
+            LIMITS,
+            may_begin_early,
+            || false,
+            handler,
+            None,
+            closing,
+        );
         (caller, spawn_local(connection))
     }
 
