Messages to the other ports are copied as they arrive

What callers saw: nothing yet; nodes and backend servers send no such messages. Cause: messages between nodes and heartbeats were collected piece by piece, as bodies of requests were, so that one in one-byte chunks took some forty times its bytes. All handlers of messages now read them by one function, which copies the bytes and refuses an announced length over the limit unread.

--- a/crates/node/src/crash/crash_handler.rs
+++ b/crates/node/src/crash/crash_handler.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Collected, Limited};
 use hyper::body::Incoming;
 use slog::warn;
 
 use super::CrashRecord;
 use crate::{
     node_core::NodeCore,
+    request_body::read_message,
     response_body::{ResponseBody, empty_response},
     store::Revision,
 };
@@ -36,10 +36,9 @@
     ///
     /// A body that is too long or can't be decoded gets status 400.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let body = Limited::new(request.into_body(), BODY_MAX_BYTES)
-            .collect()
-            .await;
-        let body = body.map(Collected::to_bytes).unwrap_or_default();
+        let body = read_message(request.into_body(), BODY_MAX_BYTES)
+            .await
+            .unwrap_or_default();
         match serde_json::from_slice::<Vec<CrashRecord>>(&body) {
             Ok(records) => {
                 for record in records {
--- a/crates/node/src/delegation/delegated_call_handler.rs
+++ b/crates/node/src/delegation/delegated_call_handler.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::{error, warn};
 
 use super::{DelegatedCall, DelegatedOutcome};
 use crate::{
     node_core::NodeCore,
+    request_body::read_message,
     response_body::{ResponseBody, empty_response, json_response},
 };
 
@@ -34,12 +34,10 @@
     ///
     /// A body that can't be decoded and a call that isn't allowed get status 400.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let body = Limited::new(request.into_body(), BODY_MAX_BYTES)
-            .collect()
-            .await;
+        let body = read_message(request.into_body(), BODY_MAX_BYTES).await;
         let call = body
             .ok()
-            .and_then(|body| serde_json::from_slice::<DelegatedCall>(&body.to_bytes()).ok());
+            .and_then(|body| serde_json::from_slice::<DelegatedCall>(&body).ok());
         let Some(call) = call.filter(DelegatedCall::is_allowed) else {
             warn!(self.core.log.logger(), "delegated call refused"; "cause" => "not one of a node");
             return empty_response(StatusCode::BAD_REQUEST);
--- a/crates/node/src/quota/quota_handler.rs
+++ b/crates/node/src/quota/quota_handler.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Collected, Limited};
 use hyper::body::Incoming;
 use slog::{error, warn};
 
@@ -12,6 +11,7 @@
     boot_clock::BootClock,
     config::ConfigVersion,
     node_core::NodeCore,
+    request_body::read_message,
     response_body::{ResponseBody, empty_response, json_response},
 };
 
@@ -40,10 +40,9 @@
         let Some(quota) = &self.core.quota else {
             return empty_response(StatusCode::NOT_FOUND);
         };
-        let body = Limited::new(request.into_body(), BODY_MAX_BYTES)
-            .collect()
-            .await;
-        let body = body.map(Collected::to_bytes).unwrap_or_default();
+        let body = read_message(request.into_body(), BODY_MAX_BYTES)
+            .await
+            .unwrap_or_default();
         let call = match serde_json::from_slice::<QuotaCall>(&body) {
             Ok(call) => call,
             Err(cause) => {
--- a/crates/node/src/registration/registration_handler.rs
+++ b/crates/node/src/registration/registration_handler.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Collected, Limited};
 use hyper::body::Incoming;
 use slog::{error, info, warn};
 
 use super::{RegistrationCall, RegistrationEntry, RegistrationReply};
 use crate::{
     node_core::NodeCore,
+    request_body::read_message,
     response_body::{ResponseBody, empty_response, json_response},
 };
 
@@ -34,10 +34,9 @@
     ///
     /// A body that can't be decoded and a call about another node's key get status 400.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let body = Limited::new(request.into_body(), BODY_MAX_BYTES)
-            .collect()
-            .await;
-        let body = body.map(Collected::to_bytes).unwrap_or_default();
+        let body = read_message(request.into_body(), BODY_MAX_BYTES)
+            .await
+            .unwrap_or_default();
         let call = match serde_json::from_slice::<RegistrationCall>(&body) {
             Ok(call) => call,
             Err(cause) => {
--- a/crates/node/src/rollout/rollout_handler.rs
+++ b/crates/node/src/rollout/rollout_handler.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Collected, Limited};
 use hyper::body::Incoming;
 use slog::{error, warn};
 
 use super::{RolloutProbe, RolloutRecord, RolloutReport, RolloutState};
 use crate::{
     node_core::NodeCore,
+    request_body::read_message,
     response_body::{ResponseBody, empty_response, json_response},
     store::Revision,
 };
@@ -35,10 +35,9 @@
     ///
     /// A body that is too long or can't be decoded gets status 400.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let body = Limited::new(request.into_body(), BODY_MAX_BYTES)
-            .collect()
-            .await;
-        let body = body.map(Collected::to_bytes).unwrap_or_default();
+        let body = read_message(request.into_body(), BODY_MAX_BYTES)
+            .await
+            .unwrap_or_default();
         let probe = match serde_json::from_slice::<RolloutProbe>(&body) {
             Ok(probe) => probe,
             Err(cause) => {
--- a/crates/node/src/shutdown/stop_notice_handler.rs
+++ b/crates/node/src/shutdown/stop_notice_handler.rs
@@ -3,13 +3,13 @@
 use std::rc::Rc;
 
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Collected, Limited};
 use hyper::body::Incoming;
 use slog::{info, warn};
 
 use super::StopNotice;
 use crate::{
     node_core::NodeCore,
+    request_body::read_message,
     response_body::{ResponseBody, empty_response},
 };
 
@@ -34,10 +34,9 @@
     ///
     /// A body that is too long or can't be decoded gets status 400.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let body = Limited::new(request.into_body(), BODY_MAX_BYTES)
-            .collect()
-            .await;
-        let body = body.map(Collected::to_bytes).unwrap_or_default();
+        let body = read_message(request.into_body(), BODY_MAX_BYTES)
+            .await
+            .unwrap_or_default();
         let core = &self.core;
         match serde_json::from_slice::<StopNotice>(&body) {
             Ok(notice) => {
