A switch of protocols isn't passed on as an answer

Tests with 13 malformed statuses (000, 099, one, two and four digits, letters, none) at the node beside the backend server and by way of two nodes pass before this change, as hyper's parser rejects them: callers get 502 without a signature. The same holds for the heads of another node's responses. What the tests did find: a response with 101 came through as an answer, with the signature, on the way through one node and through two, also if the other node gave it. Cause: 101 is the one status below 200 that hyper's client doesn't skip, and its head was checked for success and refusal only. Now a status that isn't final counts as a lost response: the request may have run, and callers get 502. a_switch_of_protocols_is_not_passed_on and a_malformed_status_of_another_node_is_not_passed_on fail before, with (101, signed), and pass now. Unusual final statuses (299, 599, 999) are passed on as before.

--- a/crates/node/src/inbound/endpoint_call.rs
+++ b/crates/node/src/inbound/endpoint_call.rs
@@ -120,6 +120,9 @@
             // The response belongs to an earlier request; it came late or twice.
             return response_lost("the answer names another request");
         }
+        if status.is_informational() {
+            return response_lost("the status isn't final");
+        }
         if status == StatusCode::MISDIRECTED_REQUEST {
             if let Some(actual) = header_text(headers, &self.headers.instance) {
                 let now = self.inner.clock.now();
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -168,6 +168,10 @@
             }
             Err(ExchangeError::ResponseLost { reason }) => return Err(undiagnosed(reason)),
         };
+        // Nodes of earlier versions pass on a switch of protocols.
+        if response.status().is_informational() {
+            return Err(undiagnosed("the status isn't final".to_owned()));
+        }
         guard.hold_connection(sender);
         self.record_peer_headers(key, record, response.headers());
         self.record_leaving(record, response.headers());
