A refusal of an unread body between nodes arrives

What callers saw: 502 for a request that the second node had refused unread, and that certainly hadn't run, so that one that must not run twice wasn't sent again. Cause: the refusing node closed the connection while the sender was still sending the body; the sender's client reports the write that fails, not the response. The bound on the memory of bodies made such refusals common; a node that stops, and one that doesn't know the caller's key, refused long bodies in the same way before. Evidence: beside eight complete bodies of 4 MiB at the second node, one more by way of the first got 502, 3 of 3 (a_body_without_room_at_a_second_node_is_refused). Now the refusing node reads the rest of the body, for 5 s at most, and keeps nothing of it. The sender gets the refusal at once, and the caller 503. The test passes, 5 of 5. Callers' own connections are closed as before: their clients got the 503 in the crowds' tests (34 of 40), and each connection kept open would hold a descriptor.

--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -3,9 +3,13 @@
 use std::rc::Rc;
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::{
+    task::spawn_local,
+    time::{Instant, timeout},
+};
 
 use crate::{
     crash::{BreakDiagnosis, CRASH_PATH, CrashHandler, request_fingerprint},
@@ -32,6 +36,12 @@
 /// received the whole body before it sends the request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Refusal of a request whose body finds no memory. Nodes of earlier versions know the reason, too.
+const MEMORY_FULL: InboundRefusal = InboundRefusal {
+    reason: RefusalReason::Full,
+    retry_after: RETRY_AFTER_MEMORY_FULL,
+};
+
 /// Handles the requests that other nodes send to this one.
 #[derive(Debug, Clone)]
 pub struct PeerHandler {
@@ -86,29 +96,31 @@
     }
 
     async fn run(&self, incoming: Request<Incoming>) -> Response<ResponseBody> {
-        let (head, mut body) = incoming.into_parts();
+        let (head, body) = incoming.into_parts();
         let peer_header = header_text(&head.headers, &PEER_REQUEST_HEADER)
             .and_then(|text| text.parse::<PeerRequestHeader>().ok());
         let Some(peer_header) = peer_header else {
             return empty_response(StatusCode::BAD_REQUEST);
         };
         if self.core.inbound.refuses_peers() {
-            return refusal_response(&InboundRefusal {
+            let refusal = InboundRefusal {
                 reason: RefusalReason::Stopping,
                 retry_after: Duration::ZERO,
-            });
+            };
+            return refuse_unread(body, &refusal);
         }
         self.core
             .record_peer_version(peer_header.version, peer_header.from);
         let now = Instant::now();
         let caller = match self.core.identify_peer_caller(&head, &peer_header).await {
             Ok(caller) => caller,
-            Err(refusal) => return refusal_response(&refusal),
+            Err(refusal) => return refuse_unread(body, &refusal),
         };
+        let mut body = body;
         let read = read_body(&mut body, u64::MAX, &self.core.body_memory);
-        let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        let body = match timeout(BODY_TIMEOUT, read).await {
             Ok(Ok(body)) => body,
-            Ok(Err(BodyReadError::Shortage { .. })) => return memory_refusal(),
+            Ok(Err(BodyReadError::Shortage { .. })) => return refuse_unread(body, &MEMORY_FULL),
             _ => return empty_response(StatusCode::BAD_REQUEST),
         };
         let request = self.inbound_request(head, body, &peer_header, caller, now);
@@ -210,14 +222,19 @@
     }
 }
 
-/// Returns the refusal of a request whose body finds no memory.
+/// Refuses a request whose body wasn't read to its end.
 ///
-/// Nodes of earlier versions know the reason, too.
-fn memory_refusal() -> Response<ResponseBody> {
-    refusal_response(&InboundRefusal {
-        reason: RefusalReason::Full,
-        retry_after: RETRY_AFTER_MEMORY_FULL,
-    })
+/// If the connection closed before the sender has sent the body, the refusal could be lost, and the
+/// sender would have to assume that the request ran.
+fn refuse_unread(body: Incoming, refusal: &InboundRefusal) -> Response<ResponseBody> {
+    spawn_local(discard_body(body));
+    refusal_response(refusal)
+}
+
+/// Reads a body without keeping it.
+async fn discard_body(mut body: Incoming) {
+    let discarded = async { while let Some(Ok(_)) = body.frame().await {} };
+    let _timed_out = timeout(BODY_TIMEOUT, discarded).await;
 }
 
 fn refusal_response(refusal: &InboundRefusal) -> Response<ResponseBody> {
