Only callers' bodies make room for callers' connections

A connection above the bound has the body refused that has stood still for the longest time. That could be one that another node was sending, whose end frees no connection of a caller. Found by reading the change of the bound; no caller has met it. Bodies now have their origin, and only those of callers count there (only_bodies_of_callers_make_room_for_connections). For memory all bodies count, as before.

--- a/crates/node/src/outbound/caller_input.rs
+++ b/crates/node/src/outbound/caller_input.rs
@@ -10,6 +10,7 @@
 use crate::{
     config::MeshConfig,
     request_body::{BodyMemory, BodyReadError, RequestBody, read_body},
+    request_origin::RequestOrigin,
     result_code::ResultCode,
 };
 
@@ -27,7 +28,12 @@
     ends_at: Instant,
 ) -> Result<RequestBody, LocalReply> {
     let max_bytes = config.limits.max_body_bytes as u64;
-    match timeout_at(ends_at, read_body(body, max_bytes, memory)).await {
+    match timeout_at(
+        ends_at,
+        read_body(body, RequestOrigin::Caller, max_bytes, memory),
+    )
+    .await
+    {
         Ok(read) => read.map_err(|error| reply_to(&error)),
         Err(_elapsed) => {
             let status = StatusCode::REQUEST_TIMEOUT;
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use std::time::Duration;
 use tokio::{
     task::spawn_local,
@@ -26,6 +26,7 @@
     quota::{QUOTA_PATH, QuotaHandler},
     registration::{REGISTRATION_PATH, RegistrationHandler},
     request_body::{BodyReadError, RequestBody, read_body},
+    request_origin::RequestOrigin,
     response_body::{ResponseBody, empty_response},
     rollout::{ROLLOUT_PATH, RolloutHandler},
     shutdown::{STOP_NOTICE_PATH, StopNoticeHandler},
@@ -117,7 +118,12 @@
             Err(refusal) => return refuse_unread(body, &refusal),
         };
         let mut body = body;
-        let read = read_body(&mut body, u64::MAX, &self.core.body_memory);
+        let read = read_body(
+            &mut body,
+            RequestOrigin::Node,
+            u64::MAX,
+            &self.core.body_memory,
+        );
         let body = match timeout(BODY_TIMEOUT, read).await {
             Ok(Ok(body)) => body,
             Ok(Err(BodyReadError::Shortage { .. })) => return refuse_unread(body, &MEMORY_FULL),
@@ -227,7 +233,9 @@
 /// If the connection closed before the sender has sent the body, the refusal could be lost, and the
 /// sender would have to assume that the request ran.
 fn refuse_unread(body: Incoming, refusal: &InboundRefusal) -> Response<ResponseBody> {
-    spawn_local(discard_body(body));
+    if !body.is_end_stream() {
+        spawn_local(discard_body(body));
+    }
     refusal_response(refusal)
 }
 
--- a/crates/node/src/request_body/body_ledger.rs
+++ b/crates/node/src/request_body/body_ledger.rs
@@ -5,6 +5,7 @@
 use slab::Slab;
 
 use super::{BodySegments, IntakeKey, MemoryLimits, MemoryShortage, SEGMENT_MAX_BYTES};
+use crate::request_origin::RequestOrigin;
 
 /// Memory that each arriving body takes beside its segments, in bytes: the read buffer of its
 /// connection and the state of its request.
@@ -25,6 +26,7 @@
 #[derive(Debug)]
 struct BodyIntake {
     stage: IntakeStage,
+    origin: RequestOrigin,
     segments: BodySegments,
     /// Number of the last receipt of bytes, of all bodies.
     progress: u64,
@@ -60,12 +62,15 @@
 /// # Examples
 ///
 /// ```
-/// use geranium_node::request_body::{BodyLedger, MemoryLimits};
+/// use geranium_node::{
+///     request_body::{BodyLedger, MemoryLimits},
+///     request_origin::RequestOrigin,
+/// };
 ///
 /// let mut ledger = BodyLedger::new(MemoryLimits::new(200_000));
-/// let large = ledger.begin(0)?;
+/// let large = ledger.begin(RequestOrigin::Caller, 0)?;
 /// ledger.append(large, &[0; 100_000])?;
-/// let small = ledger.begin(0)?;
+/// let small = ledger.begin(RequestOrigin::Caller, 0)?;
 /// ledger.append(small, &[0; 50_000])?;
 /// // The incomplete body that isn't smaller has made room.
 /// assert!(ledger.finish(large).is_err());
@@ -100,12 +105,16 @@
         self.used
     }
 
-    /// Begins a body that announces at least `announced` bytes.
+    /// Begins a body from `origin` that announces at least `announced` bytes.
     ///
     /// # Errors
     ///
     /// Returns an error if the body couldn't become complete beside those that are.
-    pub fn begin(&mut self, announced: u64) -> Result<IntakeKey, MemoryShortage> {
+    pub fn begin(
+        &mut self,
+        origin: RequestOrigin,
+        announced: u64,
+    ) -> Result<IntakeKey, MemoryShortage> {
         let bytes = announced.saturating_add(INTAKE_BYTES);
         if self.complete.saturating_add(bytes) > self.limit_of(announced) {
             return Err(MemoryShortage);
@@ -115,6 +124,7 @@
         self.receipts += 1;
         let key = self.intakes.insert(BodyIntake {
             stage: IntakeStage::Reading(None),
+            origin,
             segments: BodySegments::default(),
             progress: self.receipts,
         });
@@ -181,14 +191,14 @@
         self.complete -= bytes;
     }
 
-    /// Takes the memory away from the body that has received nothing for the longest time.
+    /// Takes the memory away from the caller's body that has received nothing for the longest time.
     ///
     /// Returns whether there is one.
     pub fn evict_longest_stalled(&mut self) -> bool {
         let reading = self
             .intakes
             .iter()
-            .filter(|(_, intake)| intake.is_reading());
+            .filter(|(_, intake)| intake.is_reading() && intake.origin == RequestOrigin::Caller);
         let stalled = reading.min_by_key(|(_, intake)| intake.progress);
         let Some(key) = stalled.map(|(key, _)| IntakeKey(key)) else {
             return false;
--- a/crates/node/src/request_body/body_memory.rs
+++ b/crates/node/src/request_body/body_memory.rs
@@ -7,6 +7,7 @@
 };
 
 use super::{BodyLedger, IntakeKey, MemoryLimits, MemoryShortage, RequestBody};
+use crate::request_origin::RequestOrigin;
 
 /// Memory of a node's request bodies; clones share it.
 #[derive(Debug, Clone)]
@@ -23,7 +24,7 @@
         self.0.borrow().used_bytes()
     }
 
-    /// Begins a body that announces at least `announced` bytes.
+    /// Begins a body from `origin` that announces at least `announced` bytes.
     ///
     /// # Errors
     ///
@@ -32,10 +33,13 @@
     /// # Examples
     ///
     /// ```
-    /// use geranium_node::request_body::{BodyMemory, MemoryLimits};
+    /// use geranium_node::{
+    ///     request_body::{BodyMemory, MemoryLimits},
+    ///     request_origin::RequestOrigin,
+    /// };
     ///
     /// let memory = BodyMemory::new(MemoryLimits::new(200_000));
-    /// let mut arriving = memory.begin(4)?;
+    /// let mut arriving = memory.begin(RequestOrigin::Caller, 4)?;
     /// arriving.append(b"fish")?;
     /// let body = arriving.finish()?;
     /// assert_eq!(memory.used_bytes(), 512);
@@ -43,15 +47,19 @@
     /// assert_eq!(memory.used_bytes(), 0);
     /// # Ok::<(), geranium_node::request_body::MemoryShortage>(())
     /// ```
-    pub fn begin(&self, announced: u64) -> Result<ArrivingBody, MemoryShortage> {
-        let key = self.0.borrow_mut().begin(announced)?;
+    pub fn begin(
+        &self,
+        origin: RequestOrigin,
+        announced: u64,
+    ) -> Result<ArrivingBody, MemoryShortage> {
+        let key = self.0.borrow_mut().begin(origin, announced)?;
         Ok(ArrivingBody {
             memory: self.clone(),
             key,
         })
     }
 
-    /// Takes the memory away from the body that has stood still for the longest time.
+    /// Takes the memory away from the caller's body that has stood still for the longest time.
     ///
     /// Returns whether there is one.
     pub fn evict_longest_stalled(&self) -> bool {
--- a/crates/node/src/request_body/read_body.rs
+++ b/crates/node/src/request_body/read_body.rs
@@ -11,6 +11,7 @@
 use snafu::Snafu;
 
 use super::{ArrivingBody, BodyMemory, MemoryShortage, RequestBody};
+use crate::request_origin::RequestOrigin;
 
 /// Why the body of a request wasn't read.
 #[derive(Debug, Snafu)]
@@ -32,7 +33,7 @@
     },
 }
 
-/// Reads the whole body of a request with at most `max_bytes` bytes. Trailers are dropped.
+/// Reads the whole body of a request from `origin` with at most `max_bytes` bytes. Trailers are dropped.
 ///
 /// # Errors
 ///
@@ -40,6 +41,7 @@
 /// announced length is too long or finds no memory isn't read.
 pub async fn read_body(
     body: &mut Incoming,
+    origin: RequestOrigin,
     max_bytes: u64,
     memory: &BodyMemory,
 ) -> Result<RequestBody, BodyReadError> {
@@ -50,7 +52,7 @@
     if announced > max_bytes {
         return Err(BodyReadError::TooLong);
     }
-    let mut arriving = memory.begin(announced)?;
+    let mut arriving = memory.begin(origin, announced)?;
     let mut length = 0;
     while let Some(frame) = poll_fn(|cx| poll_frame(body, &mut arriving, cx)).await? {
         let Ok(bytes) = frame.into_data() else {
--- a/crates/node/tests/all/body_memory.rs
+++ b/crates/node/tests/all/body_memory.rs
@@ -1,7 +1,11 @@
 //! Memory of request bodies.
 
-use geranium_node::request_body::{
-    ArrivingBody, BodyLedger, BodyMemory, IntakeKey, MemoryLimits, RequestBody, SEGMENT_MAX_BYTES,
+use geranium_node::{
+    request_body::{
+        ArrivingBody, BodyLedger, BodyMemory, IntakeKey, MemoryLimits, RequestBody,
+        SEGMENT_MAX_BYTES,
+    },
+    request_origin::RequestOrigin,
 };
 use proptest::prelude::*;
 
@@ -17,7 +21,7 @@
 }
 
 fn begin(ledger: &mut BodyLedger, bytes: usize) -> Option<IntakeKey> {
-    let key = ledger.begin(0).ok()?;
+    let key = ledger.begin(RequestOrigin::Caller, 0).ok()?;
     ledger.append(key, &vec![0; bytes]).ok().map(|()| key)
 }
 
@@ -65,7 +69,7 @@
 fn complete_bodies_leave_room_for_small_ones() {
     let memory = BodyMemory::new(MemoryLimits::new(MEMORY));
     let body = |bytes: usize| -> Option<RequestBody> {
-        let mut arriving = memory.begin(bytes as u64).ok()?;
+        let mut arriving = memory.begin(RequestOrigin::Caller, bytes as u64).ok()?;
         arriving.append(&vec![0; bytes]).ok()?;
         arriving.finish().ok()
     };
@@ -80,14 +84,36 @@
 #[test]
 fn a_body_that_cannot_fit_is_refused_unread() {
     let memory = BodyMemory::new(MemoryLimits::new(MEMORY));
-    assert!(memory.begin(MEMORY).is_err());
-    assert!(memory.begin(u64::MAX).is_err());
-    let mut arriving = memory.begin(0).expect("there is room");
+    assert!(memory.begin(RequestOrigin::Caller, MEMORY).is_err());
+    assert!(memory.begin(RequestOrigin::Caller, u64::MAX).is_err());
+    let mut arriving = memory
+        .begin(RequestOrigin::Caller, 0)
+        .expect("there is room");
     arriving.append(&vec![0; 2 * LARGE]).expect("there is room");
     let complete = arriving.finish().expect("the body is complete");
-    assert!(memory.begin(3 * LARGE as u64).is_err());
+    assert!(
+        memory
+            .begin(RequestOrigin::Caller, 3 * LARGE as u64)
+            .is_err()
+    );
     drop(complete);
-    assert!(memory.begin(3 * LARGE as u64).is_ok());
+    assert!(
+        memory
+            .begin(RequestOrigin::Caller, 3 * LARGE as u64)
+            .is_ok()
+    );
+}
+
+/// Guards against another node's body that is refused for a connection of a caller.
+#[test]
+fn only_bodies_of_callers_make_room_for_connections() {
+    let mut ledger = ledger();
+    let relayed = ledger.begin(RequestOrigin::Node, 0).expect("there is room");
+    assert!(!ledger.evict_longest_stalled());
+    let stalled = begin(&mut ledger, SMALL).expect("there is room");
+    assert!(ledger.evict_longest_stalled());
+    assert!(ledger.finish(stalled).is_err());
+    assert!(ledger.finish(relayed).is_ok());
 }
 
 /// Step of a body in a drawn history.
@@ -121,7 +147,7 @@
         let mut complete: Vec<RequestBody> = Vec::new();
         for step in steps {
             match step {
-                BodyStep::Begin => arriving.extend(memory.begin(0)),
+                BodyStep::Begin => arriving.extend(memory.begin(RequestOrigin::Caller, 0)),
                 BodyStep::Append(body, bytes) => {
                     if let Some(body) = arriving.get_mut(body) {
                         let _refused = body.append(&vec![0; bytes]);
