One body of the largest size fits on the smallest instances

Cause: the bound is a share of the instance's memory, whatever the configuration allows. Now the bound is raised to one body of the configuration's largest size and a megabyte for small ones, if that and the 19 MB that a process needs are within the instance's memory.

--- a/crates/node/src/node_core/mod.rs
+++ b/crates/node/src/node_core/mod.rs
@@ -327,6 +327,8 @@
         if let Some(quota) = &self.quota {
             quota.adopt(BootClock::now(), &config.accounts);
         }
+        let largest_body = config.limits.max_body_bytes as u64;
+        self.body_memory.set_largest_body(largest_body);
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.update_arrived.notify_waiters();
         true
--- a/crates/node/src/request_body/body_ledger.rs
+++ b/crates/node/src/request_body/body_ledger.rs
@@ -79,6 +79,8 @@
 /// ```
 #[derive(Debug)]
 pub struct BodyLedger {
+    /// Limits without regard to the largest size of a body.
+    base_limits: MemoryLimits,
     limits: MemoryLimits,
     intakes: Slab<BodyIntake>,
     /// Memory of all bodies in bytes.
@@ -92,6 +94,7 @@
     /// Creates a ledger without bodies.
     pub const fn new(limits: MemoryLimits) -> Self {
         Self {
+            base_limits: limits,
             limits,
             intakes: Slab::new(),
             used: 0,
@@ -105,6 +108,12 @@
         self.used
     }
 
+    /// Sets the largest size of a body in bytes, for one of which there is room if the process can
+    /// bear it.
+    pub fn set_largest_body(&mut self, bytes: u64) {
+        self.limits = self.base_limits.with_room_for(bytes);
+    }
+
     /// Begins a body from `origin` that announces at least `announced` bytes.
     ///
     /// # Errors
--- a/crates/node/src/request_body/body_memory.rs
+++ b/crates/node/src/request_body/body_memory.rs
@@ -24,6 +24,11 @@
         self.0.borrow().used_bytes()
     }
 
+    /// Sets the largest size of a body in bytes.
+    pub fn set_largest_body(&self, bytes: u64) {
+        self.0.borrow_mut().set_largest_body(bytes);
+    }
+
     /// Begins a body from `origin` that announces at least `announced` bytes.
     ///
     /// # Errors
