--- a/crates/node/tests/all/leaving_history.rs
+++ b/crates/node/tests/all/leaving_history.rs
@@ -402,3 +402,28 @@
         }
     }
 }
+
+/// Guards against late reports of two earlier starts after which a start that left is readmitted.
+#[test]
+fn reports_of_two_earlier_starts_readmit_none() {
+    use HistoryEvent::{Deregister, HeldReport, LateReport, Leave, NextStart, NodeRestart};
+    const SAME_INSTANCE: HistoryEvent = NextStart {
+        keeps_instance: true,
+        is_set_back: false,
+    };
+    let mut history = LeavingHistory::new();
+    for event in [
+        Leave,
+        HeldReport,
+        SAME_INSTANCE,
+        HeldReport,
+        SAME_INSTANCE,
+        Deregister { has_born: false },
+        NodeRestart,
+        LateReport(0),
+        LateReport(1),
+    ] {
+        history.play(event);
+        assert!(!history.is_readmitted(), "after {event:?}");
+    }
+}
