A change is in force in time beside a relay that hangs

Cause: a follower gave up its relay 2 s + 1.2 s after its last request, by constants that don't follow from ConfigS, and asked no one else meanwhile.

UpdateTiming derives the waits from ConfigS. When a response is overdue, the follower reads the configuration from the store beside the relay, and goes on waiting for it.

--- a/crates/node/src/accounts/account_terms.rs
+++ b/crates/node/src/accounts/account_terms.rs
@@ -9,8 +9,6 @@
     pub fails_closed: bool,
     /// Time after the acknowledgment of a revocation from which no request with the key may run.
     pub revoke_time: Duration,
-    /// Time after the acknowledgment of a configuration in which it comes into force everywhere.
-    pub config_time: Duration,
     /// Limits on quotas; none where quotas aren't in force.
     pub quota: Option<QuotaTerms>,
 }
--- a/crates/node/src/discovery/update_client.rs
+++ b/crates/node/src/discovery/update_client.rs
@@ -1,42 +1,30 @@
 //! Requests updates of the configuration and the members from other nodes.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, pin::pin, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::Method;
 use slog::warn;
 use snafu::Snafu;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    select,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
-use super::{UPDATE_PATH, apply_updates::apply_updates};
+use super::{ConfigSource, UPDATE_PATH, apply_updates::apply_updates, confirm_config::adopt};
 use crate::{
     boot_clock::BootClock,
-    distribution::{StoreReachability, UpdateRequest, UpdateResponse, UpdateSource},
+    distribution::{StoreReachability, UpdateRequest, UpdateResponse, UpdateSource, UpdateTiming},
     node_core::NodeCore,
+    store::{MetaStore, ReadConsistency},
     transport::{PeerCall, PeerCallError},
 };
 
-/// Longest time that a relay holds a request while it has no update. Its response tells the
-/// age of its last contact with the store, so a relay that is cut off from the store is
-/// noticed and skipped within a second or two.
-const UPDATE_WAIT: Duration = Duration::from_secs(2);
-/// Wait where proofs of freshness are needed. A relay that works has a new one each second, so a
-/// relay that hangs is noticed before the proof is too old.
-const PROOF_WAIT: Duration = Duration::from_millis(1_200);
-/// Shorter wait while this node has no configuration. It refuses callers meanwhile, so it
-/// must soon give up a relay that hangs and ask another node.
-const FIRST_UPDATE_WAIT: Duration = Duration::from_millis(400);
-/// Time after the wait within which the response has to arrive, even over the slowest
-/// links.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(1_200);
 /// Pause between requests in which further updates are collected.
 const UPDATE_PAUSE: Duration = Duration::from_millis(100);
 /// Time between checks for a relay while this node watches the store itself.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time that the relay has to send a newer configuration. After this time, the node that is
-/// known to hold that configuration is asked.
-const RELAY_HEAD_START: Duration = Duration::from_millis(700);
-
 /// Failure of a request for updates.
 #[derive(Debug, Snafu)]
 enum UpdateError {
@@ -61,7 +49,11 @@
 /// and the next one is asked, or the store itself when none is left. A relay whose calls
 /// the store refuses says so at once, so that a change is in force in time even where the
 /// store refuses every relay at the same moment.
-pub async fn follow_relay(core: Rc<NodeCore>) {
+///
+/// A relay may also hang just as the configuration changes. When its response is overdue, this node
+/// reads the configuration from the store itself, without giving up the relay.
+pub async fn follow_relay(core: Rc<NodeCore>, store: Rc<impl MetaStore>, source: ConfigSource) {
+    let timing = UpdateTiming::new(core.settings.config_time);
     let mut lost_relay: Option<SocketAddr> = None;
     loop {
         match core.update_source() {
@@ -69,8 +61,15 @@
                 let _idle = timeout(IDLE_CHECK_INTERVAL, core.watch_duty_changed.notified()).await;
             }
             UpdateSource::Node(peer_addr) => {
-                let relay_lost_store =
-                    request_from_relay(&core, peer_addr, lost_relay == Some(peer_addr)).await;
+                let knows_store_lost = lost_relay == Some(peer_addr);
+                let request = relay_request(&core, peer_addr, timing, knows_store_lost);
+                let response = request_from_relay(&core, peer_addr, request, timing);
+                let overdue_after = request.wait + timing.overdue_after;
+                let relay_lost_store = when_overdue(response, overdue_after, || {
+                    let (core, store) = (Rc::clone(&core), Rc::clone(&store));
+                    spawn_local(async move { read_config(&core, &*store, source).await });
+                })
+                .await;
                 lost_relay = relay_lost_store.then_some(peer_addr);
                 sleep(UPDATE_PAUSE).await;
             }
@@ -78,22 +77,63 @@
     }
 }
 
-/// Requests updates from the relay once, and returns whether it has lost the store.
-async fn request_from_relay(
+/// Awaits `response`, and calls `begin_other` once if it takes longer than `overdue_after`.
+async fn when_overdue<T>(
+    response: impl Future<Output = T>,
+    overdue_after: Duration,
+    begin_other: impl FnOnce(),
+) -> T {
+    let mut response = pin!(response);
+    select! {
+        response = &mut response => return response,
+        () = sleep(overdue_after) => begin_other(),
+    }
+    response.await
+}
+
+/// Reads the configuration from the store once, unless store calls are suspended.
+async fn read_config(core: &NodeCore, store: &impl MetaStore, source: ConfigSource) {
+    if !core.store_access.borrow().allows_calls() {
+        return;
+    }
+    core.metrics.record_store_call("check-config");
+    match store.read(source.key, ReadConsistency::Linearizable).await {
+        Ok(read) => {
+            core.record_store_response();
+            if let Some(item) = &read.item {
+                adopt(core, source, item);
+            }
+        }
+        Err(failure) => core.record_store_failure("configuration", &failure),
+    }
+}
+
+fn relay_request(
     core: &NodeCore,
     peer_addr: SocketAddr,
+    timing: UpdateTiming,
     knows_store_lost: bool,
-) -> bool {
+) -> UpdateRequest {
     let wait = if core.version().0 == 0 {
-        FIRST_UPDATE_WAIT
+        timing.first_wait
     } else if core.needs_proofs() {
-        PROOF_WAIT
+        timing.proof_wait
     } else {
-        UPDATE_WAIT
+        timing.poll_wait
     };
-    let request = update_request(core, peer_addr, wait, knows_store_lost);
+    update_request(core, peer_addr, wait, knows_store_lost)
+}
+
+/// Requests updates from the relay once, and returns whether it has lost the store.
+async fn request_from_relay(
+    core: &NodeCore,
+    peer_addr: SocketAddr,
+    request: UpdateRequest,
+    timing: UpdateTiming,
+) -> bool {
+    let knows_store_lost = request.knows_store_lost;
     let sent_at = BootClock::now();
-    let response = request_updates(core, peer_addr, request).await;
+    let response = request_updates(core, peer_addr, request, timing).await;
     let now = core.clock.now();
     let relay_lost_store = match response {
         Ok(response) => {
@@ -142,11 +182,12 @@
 /// When this node learns of a newer one and its relay doesn't send it soon, the node that
 /// named it is asked.
 pub async fn fetch_newer_config(core: Rc<NodeCore>) {
+    let timing = UpdateTiming::new(core.settings.config_time);
     loop {
         core.newer_config_known.notified().await;
         if core.version().0 > 0 {
             let wanted = core.key_checks.newer_config_wanted.notified();
-            let _wanted = timeout(RELAY_HEAD_START, wanted).await;
+            let _wanted = timeout(timing.head_start, wanted).await;
         }
         let Some((version, peer_addr)) = core.newer_config_at.borrow_mut().take() else {
             continue;
@@ -156,7 +197,7 @@
         }
         let request = update_request(&core, peer_addr, Duration::ZERO, true);
         let sent_at = BootClock::now();
-        match request_updates(&core, peer_addr, request).await {
+        match request_updates(&core, peer_addr, request, timing).await {
             Ok(response) => {
                 let proof = response.proof;
                 apply_updates(&core, peer_addr, response);
@@ -188,12 +229,13 @@
     core: &NodeCore,
     peer_addr: SocketAddr,
     request: UpdateRequest,
+    timing: UpdateTiming,
 ) -> Result<UpdateResponse, UpdateError> {
     let call = PeerCall {
         method: Method::GET,
         path: format!("{UPDATE_PATH}?{request}"),
         body: Bytes::new(),
-        timeout: request.wait + RESPONSE_MARGIN,
+        timeout: request.wait + timing.response_margin,
     };
     let response_body = call
         .send(
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -130,7 +130,11 @@
     }
     spawn_local(watch_config(Rc::clone(core), Rc::clone(&store), source));
     spawn_local(watch_members(Rc::clone(core), Rc::clone(&store)));
-    spawn_local(follow_relay(Rc::clone(core)));
+    spawn_local(follow_relay(
+        Rc::clone(core),
+        Rc::clone(&store),
+        source.config,
+    ));
     spawn_local(confirm_endpoint(Rc::clone(core)));
     spawn_local(probe_store(Rc::clone(core), Rc::clone(&store)));
     spawn_local(watch_eras(Rc::clone(core)));
--- a/crates/node/src/node_core/key_checks.rs
+++ b/crates/node/src/node_core/key_checks.rs
@@ -75,12 +75,12 @@
         if newest > self.version() && is_recent {
             return true;
         }
-        let Some(terms) = &self.settings.accounts else {
+        if self.settings.accounts.is_none() {
             return false;
-        };
+        }
         match self.key_validity() {
             KeyValidity::Unlimited => false,
-            KeyValidity::Valid { age, .. } => age > terms.config_time,
+            KeyValidity::Valid { age, .. } => age > self.settings.config_time,
             KeyValidity::Expired { .. } => true,
         }
     }
--- a/crates/node/src/node_settings.rs
+++ b/crates/node/src/node_settings.rs
@@ -43,6 +43,8 @@
     /// Time in which a leaving backend server may still get new requests. It counts from
     /// the acknowledgment of the leaving.
     pub leaving_time: Duration,
+    /// Time after the acknowledgment of a configuration in which it comes into force everywhere.
+    pub config_time: Duration,
     /// Time between the signal to stop and the kill of the process.
     pub shutdown_timeout: Duration,
     /// Bandwidth of the instance's network link, in megabits per second.
--- a/crates/node/tests/all/config.rs
+++ b/crates/node/tests/all/config.rs
@@ -252,6 +252,7 @@
         peer_idle_timeout: Duration::from_secs(15),
         leaving_time: Duration::from_secs(2),
         shutdown_timeout: Duration::from_secs(6),
+        config_time: Duration::from_secs(2),
         body_memory: MemoryLimits::of_instance(260),
         max_connections: 1_950,
         link_mbps: 100.0,
