A leaving outlives the announcement and the process that made it

Cause: what the others knew of the leaving was their view of the announcement, which was replaced by whatever had a higher revision; and nobody told the restarted node.

A start that left for good isn't followed by one whose clock may have been set back.

--- a/crates/node/src/discovery/mod.rs
+++ b/crates/node/src/discovery/mod.rs
@@ -11,7 +11,8 @@
 //! unavailable, every node keeps the data that it has, and only [`probe_store`] calls the
 //! store ([`StoreAccess`]). Relays probe often, and tell the nodes that use them when the
 //! store is available again. [`keep_fresh`] confirms the configuration where revocations of keys
-//! fail closed and the relay sends no proofs.
+//! fail closed and the relay sends no proofs. A node that has just started learns by
+//! [`query_leavings`] which starts have left.
 
 mod announce_at_registrar;
 mod announcement;
@@ -23,6 +24,8 @@
 mod config_watcher;
 mod confirm_config;
 mod era_watch;
+mod leaving_handler;
+mod leaving_query;
 mod member_log;
 mod member_watcher;
 mod proof_keeper;
@@ -40,6 +43,8 @@
 pub use config_source::ConfigSource;
 pub use config_watcher::{OperatorSource, watch_config};
 pub use era_watch::watch_eras;
+pub use leaving_handler::{LEAVING_PATH, LeavingHandler};
+pub use leaving_query::query_leavings;
 pub use member_watcher::watch_members;
 pub use proof_keeper::keep_fresh;
 pub use start_schedule::StartSchedule;
--- a/crates/node/src/inbound/current_start.rs
+++ b/crates/node/src/inbound/current_start.rs
@@ -63,8 +63,13 @@
     }
 
     /// Whether `start` began after one of the same identifier whose clock had been set back.
+    ///
+    /// Where this start has left for good, the two may as well be earlier starts whose reports are
+    /// late.
     pub(super) fn is_followed_by(&self, start: &EndpointStart) -> bool {
-        self.misdated.as_ref().is_some_and(|misdated| {
+        let misdated = self.misdated.as_ref();
+        let misdated = misdated.filter(|_| !self.has_left_for_good());
+        misdated.is_some_and(|misdated| {
             start.instance() == misdated.instance() && start.order(misdated) == StartOrder::Later
         })
     }
--- a/crates/node/src/inbound/endpoint_tracker.rs
+++ b/crates/node/src/inbound/endpoint_tracker.rs
@@ -204,6 +204,29 @@
         leaving.is_some() && leaving != leaving_before
     }
 
+    /// Learns of a leaving that another node has heard of, and returns whether that is news.
+    ///
+    /// An earlier process of this node acknowledged it, and its announcement may be lost.
+    pub fn learn_left(&mut self, now: Duration, record: &MemberRecord) -> bool {
+        let current = self.current.as_ref().map(|current| &current.report.start);
+        let known = current.or_else(|| self.announced.as_ref().map(|record| &record.start));
+        let is_other = |known: &EndpointStart| {
+            known.instance() != record.start.instance()
+                || known.order(&record.start) != StartOrder::Same
+        };
+        if known.is_some_and(is_other) {
+            if record.is_final {
+                self.ended.insert(record.start.clone(), true);
+            }
+            return false;
+        }
+        let is_news = self.restore(now, record);
+        if is_news {
+            self.end_grace_time();
+        }
+        is_news
+    }
+
     /// Ends the grace time of a leaving start, of whose leaving an earlier process may have been told.
     pub fn end_grace_time(&mut self) {
         if let Some(current) = &mut self.current
--- a/crates/node/src/member/fleet_view.rs
+++ b/crates/node/src/member/fleet_view.rs
@@ -133,8 +133,11 @@
     ///
     /// Announcements arrive from several sources, among them the node's own writes, so they
     /// may be out of order. One that is older than the known one is ignored.
+    ///
+    /// A start that said later that it leaves gets no requests, whatever is announced.
     pub fn announce(&mut self, now: Duration, record: MemberRecord, revision: Revision) -> bool {
         self.change_count += 1;
+        self.left_starts.observe(now, &record);
         let Some(&key) = self.keys_by_addr.get(&record.peer_addr) else {
             self.insert(now, record, revision);
             return true;
@@ -150,7 +153,7 @@
             member.changed_at = revision;
         }
         member.announce(now, record);
-        member.has_left = self.left_starts.contains(&member.record.start);
+        member.has_left = self.left_starts.contains(&member.record);
         if moved {
             self.index_services();
         }
@@ -190,6 +193,7 @@
 
     /// Drops and returns the members whose announcement has been missing for too long.
     pub fn sweep(&mut self, now: Duration) -> Vec<MemberRecord> {
+        self.left_starts.sweep(now);
         let expired = self.members.iter().filter(|(_, member)| {
             let in_grace_period = |at: Duration| now < at + LAPSE_GRACE;
             member.lapsed_at.is_some_and(|at| !in_grace_period(at))
@@ -402,16 +406,36 @@
     /// The start gets no new requests of this node, whatever is announced. Its announcement may have
     /// been dropped and come back while the request ran, so the member isn't looked up by the key to
     /// which the request was sent.
-    pub fn record_leaving(&mut self, start: &EndpointStart) -> bool {
-        let is_new = self.left_starts.insert(start);
+    pub fn record_leaving(&mut self, now: Duration, start: &EndpointStart) -> bool {
+        let is_new = self.left_starts.insert_by_response(now, start);
         if is_new {
-            for (_, member) in &mut self.members {
-                member.has_left = self.left_starts.contains(&member.record.start);
-            }
+            self.apply_left_starts();
         }
         is_new
     }
 
+    /// Records leavings that another node knows of.
+    pub fn record_left(&mut self, now: Duration, records: &[MemberRecord]) {
+        for record in records {
+            self.left_starts.observe(now, record);
+        }
+        self.apply_left_starts();
+    }
+
+    /// Returns the announcements of starts that have left, in the order in which they were last heard
+    /// of, for other nodes.
+    ///
+    /// They outlive the members: an announcement ends with its lease, or is lost with the store's data.
+    pub fn left_records(&self) -> Vec<&MemberRecord> {
+        self.left_starts.records()
+    }
+
+    fn apply_left_starts(&mut self) {
+        for (_, member) in &mut self.members {
+            member.has_left = self.left_starts.contains(&member.record);
+        }
+    }
+
     /// Counts a request at `key` as no longer outstanding.
     ///
     /// Each call of [`FleetView::record_request_sent`] needs one call of this method.
@@ -446,7 +470,7 @@
         let mut member = MemberView::new(now, record, distance, self.generation);
         member.revision = revision;
         member.changed_at = revision;
-        member.has_left = self.left_starts.contains(&member.record.start);
+        member.has_left = self.left_starts.contains(&member.record);
         let index = self.members.insert(member) as u32;
         let generation = self.generation;
         let key = MemberKey { index, generation };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
     delegation::run_delegated_calls,
     discovery::{
         OperatorSource, fetch_newer_config, follow_relay, keep_announced, keep_fresh, probe_store,
-        watch_config, watch_eras, watch_members,
+        query_leavings, watch_config, watch_eras, watch_members,
     },
     http_listener::{BindError, bind_listener, serve_listener, serve_pipelined_listener},
     inbound::confirm_endpoint,
@@ -137,6 +137,7 @@
     ));
     spawn_local(confirm_endpoint(Rc::clone(core)));
     spawn_local(probe_store(Rc::clone(core), Rc::clone(&store)));
+    spawn_local(query_leavings(Rc::clone(core)));
     spawn_local(watch_eras(Rc::clone(core)));
     spawn_local(watch_crashes(Rc::clone(core), Rc::clone(&store)));
     if let Some(rollouts) = source.rollouts {
--- a/crates/node/src/node_core/endpoint_reports.rs
+++ b/crates/node/src/node_core/endpoint_reports.rs
@@ -9,7 +9,7 @@
 use super::NodeCore;
 use crate::{
     inbound::{EndpointReport, ReportOutcome, ReportState},
-    member::EndpointStart,
+    member::{EndpointStart, MemberRecord},
     node_clock::NodeClock,
 };
 
@@ -85,6 +85,23 @@
         self.announcement_changed.notify_one();
     }
 
+    /// Records leavings that another node knows of, among them those of this node's earlier processes.
+    pub fn record_left(&self, records: &[MemberRecord]) {
+        let now = self.clock.now();
+        self.fleet.borrow_mut().record_left(now, records);
+        for record in records {
+            if record.peer_addr != self.settings.peer_addr {
+                continue;
+            }
+            let is_news = self.inbound.tracker().borrow_mut().learn_left(now, record);
+            if is_news {
+                info!(self.log.logger(), "leaving learned from another node";
+                    "instance" => %record.start, "final" => record.is_final);
+                self.announcement_changed.notify_one();
+            }
+        }
+    }
+
     /// Returns a report of leaving for a start of which only the deregistration is known.
     fn unreported_leaving(&self, start: EndpointStart, unix_ms: u64) -> EndpointReport {
         EndpointReport {
--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -314,7 +314,13 @@
         if !EndpointNotice::read(headers, &self.core.headers).is_leaving {
             return;
         }
-        let is_new = self.core.fleet.borrow_mut().record_leaving(&record.start);
+        let is_new = {
+            let now = self.core.clock.now();
+            self.core
+                .fleet
+                .borrow_mut()
+                .record_leaving(now, &record.start)
+        };
         if is_new {
             self.core.record_member_leaving(record);
         }
--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -14,7 +14,7 @@
 use crate::{
     crash::{BreakDiagnosis, CRASH_PATH, CrashHandler, request_fingerprint},
     delegation::{DELEGATED_CALL_PATH, DelegatedCallHandler},
-    discovery::{UPDATE_PATH, UpdateHandler},
+    discovery::{LEAVING_PATH, LeavingHandler, UPDATE_PATH, UpdateHandler},
     header_names::{
         PEER_ADMISSION_HEADER, PEER_COMPLETIONS_HEADER, PEER_DIAGNOSIS_HEADER, PEER_FAILURE_HEADER,
         PEER_LOAD_HEADER, PEER_REFUSAL_HEADER, PEER_REQUEST_HEADER, PEER_VERSION_HEADER,
@@ -65,6 +65,8 @@
         } else if incoming.uri().path() == UPDATE_PATH {
             let handler = UpdateHandler::new(Rc::clone(&self.core));
             handler.handle(incoming.uri()).await
+        } else if incoming.uri().path() == LEAVING_PATH {
+            LeavingHandler::new(Rc::clone(&self.core)).handle()
         } else if incoming.uri().path() == DELEGATED_CALL_PATH {
             let handler = DelegatedCallHandler::new(Rc::clone(&self.core));
             handler.handle(incoming).await
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -433,7 +433,7 @@
 #[test]
 fn a_start_that_said_it_leaves_is_not_picked_again() {
     let mut fleet = view(4, 0);
-    assert!(fleet.record_leaving(&support::record(1).start));
+    assert!(fleet.record_leaving(Duration::ZERO, &support::record(1).start));
     let is_picked = |fleet: &FleetView, now| {
         let key = fleet.key_of(peer_addr(1));
         key.is_some_and(|key| picks(fleet, now, &QUERY).contains_key(&key))
@@ -460,7 +460,7 @@
     fleet.remove(peer_addr(2), Revision(11));
     fleet.announce(at(5_001), record(1, "hofdi"), Revision(12));
     fleet.announce(at(5_002), record(2, "hofdi"), Revision(13));
-    assert!(fleet.record_leaving(&support::record(1).start));
+    assert!(fleet.record_leaving(Duration::ZERO, &support::record(1).start));
     let picked = picks(&fleet, at(5_003), &QUERY);
     let key_of = |number| fleet.key_of(peer_addr(number)).expect("it is announced");
     assert!(!picked.contains_key(&key_of(1)));
