A response of a node that stands still ends in time

Cause: once the head was passed on, only the node that sends the body bounded it.

The node that took the request asks for a sign of life once the body is silent after the request's end, and ends it as a broken one without. A node that works may be silent longer, while others have their turns on its link.

--- a/crates/node/src/outbound/try_sender.rs
+++ b/crates/node/src/outbound/try_sender.rs
@@ -8,7 +8,10 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
-use super::{InFlightGuard, OutboundRequest, RETRY_AFTER_KEY_UNPROVEN, body_start::BodyStart};
+use super::{
+    InFlightGuard, OutboundRequest, RETRY_AFTER_KEY_UNPROVEN, StandstillBound,
+    body_start::BodyStart,
+};
 use crate::{
     accounts::AccountHeader,
     boot_clock::BootClock,
@@ -184,7 +187,8 @@
         strip_peer_headers(&mut head.headers);
         if !is_short(&body) {
             let body = self.long_body(key, body, guard).await;
-            let body = body.map_err(undiagnosed)?;
+            let bound = StandstillBound::start(self.core, record.peer_addr, self.request.ends_at);
+            let body = body.map_err(undiagnosed)?.with_standstill_bound(bound);
             return Ok(Box::new(Response::from_parts(head, body)));
         }
         let whole = match whole(body, guard).await {
--- a/crates/node/src/response_body.rs
+++ b/crates/node/src/response_body.rs
@@ -12,8 +12,11 @@
 use snafu::Snafu;
 
 use crate::{
-    inbound::RunSlot, late_body::LateBody, link::LinkReservation, node_core::OpenRequestGuard,
-    outbound::InFlightGuard,
+    inbound::RunSlot,
+    late_body::LateBody,
+    link::LinkReservation,
+    node_core::OpenRequestGuard,
+    outbound::{InFlightGuard, StandstillBound},
 };
 
 #[derive(Debug)]
@@ -38,6 +41,9 @@
     /// The backend server goes on to send after the request's end.
     #[snafu(display("the response doesn't end"))]
     Endless,
+    /// The node from which the body arrives stands still after the request's end.
+    #[snafu(display("the node that sends the response stands still"))]
+    Standstill,
 }
 
 /// Body of a response, with the resources that are held until its end.
@@ -52,6 +58,7 @@
     open_request_guard: Option<OpenRequestGuard>,
     reservation: Option<LinkReservation>,
     late_body: Option<LateBody>,
+    standstill_bound: Option<StandstillBound>,
 }
 
 /// Largest body of a short response, in bytes.
@@ -157,6 +164,13 @@
         self
     }
 
+    /// Cuts a body whose node stands still.
+    #[must_use]
+    pub(crate) fn with_standstill_bound(mut self, bound: StandstillBound) -> Self {
+        self.standstill_bound = Some(bound);
+        self
+    }
+
     /// Counts the request as open until the end of the body.
     #[must_use]
     pub fn with_open_request_guard(mut self, guard: OpenRequestGuard) -> Self {
@@ -177,6 +191,7 @@
             open_request_guard: None,
             reservation: None,
             late_body: None,
+            standstill_bound: None,
         }
     }
 
@@ -207,6 +222,9 @@
             match Pin::new(incoming).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) => {
+                        if let Some(bound) = &self.standstill_bound {
+                            bound.record_bytes();
+                        }
                         if late_body.is_some_and(|late| late.record_bytes(data.len())) {
                             return Poll::Ready(Some(Err(BodyError::Endless)));
                         }
@@ -220,7 +238,13 @@
                 Poll::Pending if late_body.is_some_and(|late| late.poll_wait(cx)) => {
                     return Poll::Ready(Some(Err(BodyError::Endless)));
                 }
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => {
+                    let bound = self.standstill_bound.as_ref();
+                    if bound.is_some_and(|bound| bound.poll_cut(cx)) {
+                        return Poll::Ready(Some(Err(BodyError::Standstill)));
+                    }
+                    return Poll::Pending;
+                }
             }
         }
         let turn_bytes = match &mut self.reservation {
@@ -243,6 +267,7 @@
             reservation.complete();
         }
         self.open_request_guard = None;
+        self.standstill_bound = None;
     }
 }
 
