--- a/crates/standins/src/kv_server.rs
+++ b/crates/standins/src/kv_server.rs
@@ -16,7 +16,7 @@
 use crate::{
     http_server::{Reply, ServerThread, listen},
     kv_fault::KvFault,
-    kv_state::KvState,
+    kv_state::{KvState, with_raw_values},
 };
 
 /// Interval at which a waiting watch polls for events.
@@ -192,7 +192,7 @@
 }
 
 fn reply((status, body): (u16, Value)) -> Reply {
-    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    let mut response = Response::new(Full::new(Bytes::from(with_raw_values(body.to_string()))));
     *response.status_mut() = StatusCode::from_u16(status).expect("the status is valid");
     Reply::Response(response)
 }
--- a/crates/standins/src/kv_state.rs
+++ b/crates/standins/src/kv_state.rs
@@ -81,6 +81,24 @@
     }
 }
 
+/// Start of a value that stands for JSON text.
+const RAW_VALUE_PREFIX: &str = "RAW:";
+
+/// Puts JSON text into a response where its values stand for it.
+pub(crate) fn with_raw_values(response: String) -> String {
+    let marker = format!("\"{RAW_VALUE_PREFIX}");
+    let mut response = response;
+    while let Some(start) = response.find(&marker) {
+        let encoded_at = start + marker.len();
+        let length = response[encoded_at..].find('"').unwrap_or_default();
+        let encoded = &response[encoded_at..encoded_at + length];
+        let raw = BASE64_STANDARD.decode(encoded).unwrap_or_default();
+        let raw = String::from_utf8_lossy(&raw).into_owned();
+        response.replace_range(start..=encoded_at + length, &raw);
+    }
+    response
+}
+
 impl KvState {
     /// Writes a key without a lease, as an operator does. Returns the new revision.
     pub fn operator_put(&mut self, key: &str, value: &[u8]) -> u64 {
@@ -92,6 +110,12 @@
         self.write(key, "%%% no base64".to_owned(), 0);
     }
 
+    /// Writes a key with JSON text in place of its value, which responses contain as it is.
+    pub fn put_raw_value(&mut self, key: &str, json_text: &str) {
+        let value = format!("{RAW_VALUE_PREFIX}{}", BASE64_STANDARD.encode(json_text));
+        self.write(key, value, 0);
+    }
+
     /// Removes a key, which only watches report.
     pub fn remove_key(&mut self, key: &str) {
         self.delete(key);
