A bad version of a small service is rolled back in time

Cause: a trial asks for a probability of chance that so few servers can't reach, and what each server's own runs show wasn't used.

With at most four servers of either version, a failure since the first runs weighs more, and after 40 bad runs two failing servers are enough.

--- a/crates/node/src/rollout/version_comparison.rs
+++ b/crates/node/src/rollout/version_comparison.rs
@@ -33,6 +33,17 @@
 const BAD_FAILING_SHARE: f64 = 0.7;
 /// Largest probability that as many servers of a good version fail by chance, for a verdict.
 const CHANCE_MAX: f64 = 0.001;
+/// The same once the target version has [`MANY_BAD_RUNS`]. A service with few servers can't make
+/// chance as unlikely as one with many.
+const CHANCE_MAX_MANY_BAD: f64 = 0.07;
+/// Bad runs of the target version that are many. A version that is bad must be rolled back soon after
+/// its fiftieth.
+const MANY_BAD_RUNS: u64 = 40;
+/// Probability that the fault of a single server, which begins at any time, begins with the server's
+/// first runs. That of a version does as a rule.
+const FROM_START_CHANCE: f64 = 0.25;
+/// Runs before the first bad ones up to which a server has failed from its start.
+const FROM_START_RUNS: u64 = 12;
 /// Servers that the prior of the current version's failing share weighs, one of them failing.
 const PRIOR_SERVERS: f64 = 6.0;
 /// Runs on a route from which on a server counts as working there, if others fail on that route
@@ -46,6 +57,8 @@
 /// Number of failing servers that condemn a version, if there are as many. Fewer may have a fault of
 /// their own at the same time.
 const FAILING_SERVERS_MIN: usize = 4;
+/// The same in a small service once the target version has [`MANY_BAD_RUNS`].
+const SMALL_FAILING_MIN: usize = 2;
 /// Factor on the weight of the current version's earlier runs in each round.
 const BASELINE_DECAY: f64 = 0.85;
 /// Weight of the current version's runs below which they don't decay.
@@ -150,6 +163,8 @@
     slow: u64,
     /// Cumulative sum of log-likelihood ratios.
     score: f64,
+    /// Runs before the sum last began to grow.
+    runs_before: u64,
 }
 
 impl RunScore {
@@ -158,6 +173,15 @@
         self.failures += counts.failures;
         self.slow += slow;
         self.score = (self.score + ratio).clamp(0.0, SCORE_MAX);
+        if self.score == 0.0 {
+            self.runs_before = self.runs;
+        }
+    }
+
+    /// Whether the server has failed since its start, by the estimate of the change point that goes
+    /// with the cumulative sum.
+    const fn fails_from_start(&self) -> bool {
+        self.is_failing() && self.runs_before <= FROM_START_RUNS
     }
 
     const fn is_failing(&self) -> bool {
@@ -172,6 +196,7 @@
             failures,
             slow,
             score,
+            ..
         } = self;
         write!(f, "{failures}+{slow}/{runs} {score:.1}")
     }
@@ -198,6 +223,11 @@
         self.total.is_failing() || self.routes.values().any(RunScore::is_failing)
     }
 
+    fn fails_from_start(&self) -> bool {
+        let mut scores = self.routes.values().chain([&self.total]);
+        scores.any(RunScore::fails_from_start)
+    }
+
     /// Returns the only route on which the server fails; none if it fails on several, or not on a
     /// single one.
     fn failing_route(&self) -> Option<u64> {
@@ -307,13 +337,20 @@
         let current = ServerCount::of(self.current.values(), None);
         let on_trial = self.target.iter().filter(|(server, _)| is_on_trial(server));
         let on_trial = ServerCount::of(on_trial.map(|(_, score)| score), None);
-        let needed = servers.clamp(1, FAILING_SERVERS_MIN);
+        // The first servers of a large service's new version are few as well.
+        let is_small = servers.max(self.current.len()) <= FAILING_SERVERS_MIN;
+        let has_many_bad = is_small && self.target_bad >= MANY_BAD_RUNS;
+        let (needed, chance_max) = if has_many_bad {
+            (servers.clamp(1, SMALL_FAILING_MIN), CHANCE_MAX_MANY_BAD)
+        } else {
+            (servers.clamp(1, FAILING_SERVERS_MIN), CHANCE_MAX)
+        };
         let usual_share = current.failing_share();
         ComparisonVerdict {
             is_bad: usual_share < USUAL_FAILING_MAX
                 && target.failing >= needed
                 && target.exceeds(usual_share, BAD_FAILING_SHARE),
-            is_certain: target.chance(current) <= CHANCE_MAX,
+            is_certain: target.chance(current, is_small) <= chance_max,
             is_suspicious: on_trial.exceeds(usual_share, SUSPICIOUS_FAILING_SHARE),
             target_runs: self.target_runs,
             target_bad: self.target_bad,
@@ -347,6 +384,8 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct ServerCount {
     failing: usize,
+    /// Those of the failing servers that have failed since their start.
+    from_start: usize,
     judged: usize,
 }
 
@@ -354,6 +393,7 @@
     fn of<'a>(servers: impl Iterator<Item = &'a ServerScore>, failing_route: Option<u64>) -> Self {
         servers.fold(Self::default(), |count, server| Self {
             failing: count.failing + usize::from(server.is_failing()),
+            from_start: count.from_start + usize::from(server.fails_from_start()),
             judged: count.judged + usize::from(server.is_judged(failing_route)),
         })
     }
@@ -364,8 +404,8 @@
     }
 
     /// Returns the probability that at least as many of these servers fail by chance, if each fails as
-    /// often as those of the current version.
-    fn chance(self, current: Self) -> f64 {
+    /// often as those of the current version, and as many of them from their start.
+    fn chance(self, current: Self, is_small: bool) -> f64 {
         let usual = (current.failing as f64 + 1.0) / (current.judged as f64 + PRIOR_SERVERS);
         let odds = usual / (1.0 - usual);
         let mut exactly = (1.0 - usual).powf(self.judged as f64);
@@ -374,7 +414,8 @@
             fewer += exactly;
             exactly *= odds * (self.judged - failing) as f64 / (failing + 1) as f64;
         }
-        1.0 - fewer
+        let from_start = if is_small { self.from_start } else { 0 };
+        (1.0 - fewer) * FROM_START_CHANCE.powf(from_start as f64)
     }
 
     /// Whether a share of the servers fails, beyond the `usual` share of the current version.
--- a/crates/node/tests/all/rollout/drawn_rollout.rs
+++ b/crates/node/tests/all/rollout/drawn_rollout.rs
@@ -15,14 +15,10 @@
 pub(super) const ROUND: Duration = Duration::from_millis(400);
 /// Rounds until a change reaches the whole fleet.
 const CHANGE_ROUNDS: u32 = 2;
-/// Backend servers of each version.
-const SERVERS: usize = 22;
 /// Backend servers of the current version whose runs are compared.
 const BASELINE_SERVERS: usize = 12;
 /// Slots of each backend server.
 const SLOTS: u32 = 12;
-/// Requests per second of the whole service.
-const REQUESTS_PER_S: f64 = 900.0;
 /// Shares of the requests by route.
 const ROUTE_SHARES: [f64; 3] = [0.7, 0.25, 0.05];
 /// Mean of the run times, in milliseconds.
@@ -40,6 +36,15 @@
 /// When the first backend server of the target version is ready.
 const READY_AT: Duration = Duration::from_millis(1_600);
 
+/// Service whose rollouts are drawn.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct DrawnService {
+    /// Backend servers of each version.
+    pub servers: usize,
+    /// Requests per second of the whole service.
+    pub requests_per_s: f64,
+}
+
 /// What is wrong with the target version.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum VersionFault {
@@ -76,6 +81,8 @@
     /// Requests that reached the target version within the duration, and all that were sent.
     pub exposed: f64,
     pub requests: f64,
+    /// Whether a backend server of the target version had no fault of its own.
+    pub has_sound_server: bool,
     /// Time from the fiftieth bad response of the target version to its last request.
     pub after_fiftieth: Duration,
 }
@@ -87,8 +94,8 @@
     counts: [RunCounts; ROUTE_SHARES.len()],
 }
 
-fn servers(first: u8, faulty_share: f64, rng: &mut StdRng) -> Vec<DrawnServer> {
-    let servers = (0..SERVERS).map(|number| DrawnServer {
+fn servers(count: usize, first: u8, faulty_share: f64, rng: &mut StdRng) -> Vec<DrawnServer> {
+    let servers = (0..count).map(|number| DrawnServer {
         addr: peer_addr(first + number as u8),
         is_faulty: rng.random_bool(faulty_share),
         counts: Default::default(),
@@ -149,6 +156,7 @@
 
 /// A rollout that is being played.
 struct DrawnPlay<'a> {
+    service: DrawnService,
     fault: VersionFault,
     server_fault: ServerFault,
     fault_from: Duration,
@@ -172,7 +180,7 @@
 impl DrawnPlay<'_> {
     /// Plays the requests of one round.
     fn run_requests(&mut self) {
-        let requests = REQUESTS_PER_S * ROUND.as_secs_f64();
+        let requests = self.service.requests_per_s * ROUND.as_secs_f64();
         let share = if self.now < READY_AT {
             0.0
         } else {
@@ -200,15 +208,16 @@
         } else {
             &mut self.current
         });
-        let count = first_target_count(SERVERS, self.in_force.share).min(SERVERS);
+        let total = self.service.servers;
+        let count = first_target_count(total, self.in_force.share).min(total);
         for (number, server) in servers.iter_mut().enumerate() {
-            let on_trial = position(number, &self.in_force) < count;
+            let on_trial = position(number, total, &self.in_force) < count;
             let part = match (is_target, on_trial) {
-                (false, _) => 1.0 / SERVERS as f64,
-                (true, true) => 0.8 / count as f64 + 0.2 / SERVERS as f64,
-                (true, false) => 0.2 / SERVERS as f64,
+                (false, _) => 1.0 / total as f64,
+                (true, true) => 0.8 / count as f64 + 0.2 / total as f64,
+                (true, false) => 0.2 / total as f64,
             };
-            let usual = REQUESTS_PER_S * ROUND.as_secs_f64() / SERVERS as f64;
+            let usual = self.service.requests_per_s * ROUND.as_secs_f64() / total as f64;
             let busy = requests * part >= usual * BUSY_SHARE;
             for (route, route_share) in ROUTE_SHARES.into_iter().enumerate() {
                 for _ in 0..draw_count(requests * part * route_share, self.rng) {
@@ -264,17 +273,18 @@
     }
 
     fn inputs(&self) -> RolloutInputs {
-        let count = first_target_count(SERVERS, self.written.share).min(SERVERS);
+        let total = self.service.servers;
+        let count = first_target_count(total, self.written.share).min(total);
         let on_trial = |addr: &SocketAddr| {
             let number = self.target.iter().position(|server| server.addr == *addr);
-            number.is_some_and(|number| position(number, &self.written) < count)
+            number.is_some_and(|number| position(number, total, &self.written) < count)
         };
-        let ready = if self.now >= READY_AT { SERVERS } else { 0 };
+        let ready = if self.now >= READY_AT { total } else { 0 };
         RolloutInputs {
             target_slots: ready as u32 * SLOTS,
             warm_target_slots: ready as u32 * SLOTS,
             target_servers: ready,
-            current_slots: SERVERS as u32 * SLOTS,
+            current_slots: total as u32 * SLOTS,
             verdict: self.comparison.verdict(ready, on_trial),
             is_drained: self.in_force.phase == RolloutPhase::Drain,
             order: OrderState::Present,
@@ -283,12 +293,13 @@
 }
 
 /// Returns the position of a server of the target version from the first one on trial.
-fn position(number: usize, record: &RolloutRecord) -> usize {
-    (number + SERVERS - record.first as usize % SERVERS) % SERVERS
+fn position(number: usize, servers: usize, record: &RolloutRecord) -> usize {
+    (number + servers - record.first as usize % servers) % servers
 }
 
 /// Plays one rollout to its end, or for twice its duration.
 pub(super) fn play(
+    service: DrawnService,
     fault: VersionFault,
     server_fault: ServerFault,
     fault_from: Duration,
@@ -299,12 +310,13 @@
         ServerFault::Slow(share) | ServerFault::Grey(share) => share,
     };
     let mut play = DrawnPlay {
+        service,
         fault,
         server_fault,
         fault_from,
         now: Duration::ZERO,
-        current: servers(1, faulty_share, rng),
-        target: servers(100, faulty_share, rng),
+        current: servers(service.servers, 1, faulty_share, rng),
+        target: servers(service.servers, 100, faulty_share, rng),
         comparison: VersionComparison::default(),
         stage: RolloutStage::new(Duration::ZERO, DURATION),
         written: record(1, RolloutPhase::Ordered),
@@ -317,10 +329,12 @@
             ended_at: DURATION * 2,
             exposed: 0.0,
             requests: 0.0,
+            has_sound_server: false,
             after_fiftieth: Duration::ZERO,
         },
         rng,
     };
+    play.outcome.has_sound_server = play.target.iter().any(|server| !server.is_faulty);
     while play.now < DURATION * 2 {
         play.now += ROUND;
         if play.rounds_to_go > 0 {
