A stopped node's server is used again after a drill

A node that stops announces leaving with the number of the last report of readiness. After a drill that restores the store to before the stop, nodes that remember that announcement would have taken the server's for outdated until it left the memory. Only an announcement with a smaller number is outdated now.

fleet::a_start_whose_node_stopped_is_used_after_a_drill fails without it.

--- a/crates/node/src/member/left_starts.rs
+++ b/crates/node/src/member/left_starts.rs
@@ -115,7 +115,8 @@
             return false;
         };
         match record.state {
-            MemberState::Ready => left.is_final || left.sequence >= record.sequence,
+            // A node that stops announces leaving with the number of a report of readiness.
+            MemberState::Ready => left.is_final || left.sequence > record.sequence,
             MemberState::Leaving => {
                 let adds_final = record.is_final && !left.is_final;
                 left.record.is_some() && left.sequence >= record.sequence && !adds_final
--- a/crates/node/tests/all/fleet.rs
+++ b/crates/node/tests/all/fleet.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use geranium_node::{
+    distribution::UpdateTiming,
     member::{
         FleetView, LoadReport, MemberKey, MemberRecord, MemberState, PickQuery, TryOutcome,
         VersionFilter,
@@ -466,3 +467,63 @@
     assert!(!picked.contains_key(&key_of(1)));
     assert!(picked.contains_key(&key_of(2)));
 }
+
+/// Guards against new requests for a start whose announced leaving is replaced by an older announcement
+/// at a higher revision, as in a store that was restored from a copy.
+#[test]
+fn an_older_announcement_at_a_higher_revision_readmits_no_start_that_left() {
+    let ready = |sequence| MemberRecord {
+        sequence,
+        ..record(1, "hofdi")
+    };
+    let leaving = |sequence, is_final| MemberRecord {
+        state: MemberState::Leaving,
+        is_final,
+        ..ready(sequence)
+    };
+    let is_picked = |fleet: &FleetView| {
+        let key = fleet.key_of(peer_addr(1)).expect("it is announced");
+        picks(fleet, at(100), &QUERY).contains_key(&key)
+    };
+    let mut fleet = view(4, 0);
+    fleet.announce(at(10), leaving(7, false), Revision(20));
+    fleet.announce(at(20), ready(2), Revision(30));
+    assert!(!is_picked(&fleet));
+    assert_eq!(fleet.left_records(), [&leaving(7, false)]);
+    fleet.announce(at(30), ready(8), Revision(31));
+    assert!(is_picked(&fleet), "a later report readmits it");
+    assert!(fleet.left_records().is_empty());
+    fleet.announce(at(40), leaving(8, true), Revision(32));
+    fleet.announce(at(50), ready(9), Revision(33));
+    assert!(!is_picked(&fleet), "it has left for good");
+}
+
+/// Guards against a server that gets no requests after its node's stop, as the announcement of leaving
+/// has the number of the last report of readiness, and the store is restored to before the stop.
+#[test]
+fn a_start_whose_node_stopped_is_used_after_a_drill() {
+    let mut fleet = view(4, 0);
+    let stopping = MemberRecord {
+        state: MemberState::Leaving,
+        ..record(1, "hofdi")
+    };
+    fleet.announce(at(10), stopping, Revision(20));
+    fleet.announce(at(20), record(1, "hofdi"), Revision(30));
+    let key = fleet.key_of(peer_addr(1)).expect("it is announced");
+    assert!(picks(&fleet, at(100), &QUERY).contains_key(&key));
+}
+
+/// Guards against waits that are longer than the time in which a configuration has to be in force.
+#[test]
+fn update_times_stay_below_any_configuration_time() {
+    for millis in [50, 500, 2_000, 2_500, 4_000, 60_000] {
+        let config_time = Duration::from_millis(millis);
+        let timing = UpdateTiming::new(config_time);
+        let next_source_at = timing.poll_wait + timing.overdue_after;
+        assert!(next_source_at <= config_time.mul_f64(0.5));
+        let next_relay_at = timing.poll_wait.max(timing.proof_wait) + timing.response_margin;
+        assert!(next_relay_at <= config_time.mul_f64(0.6));
+        assert!(timing.head_start + timing.response_margin < config_time.mul_f64(0.5));
+        assert!(timing.first_wait <= timing.poll_wait);
+    }
+}
