A node that refuses connections doesn't stand still

A node that stops shuts its listeners while it goes on to send what it has. Its refusal was taken for a missing sign of life, and a late response of it would have been cut.

--- a/crates/node/src/outbound/standstill_bound.rs
+++ b/crates/node/src/outbound/standstill_bound.rs
@@ -19,7 +19,7 @@
 use crate::{
     discovery::UPDATE_PATH,
     node_core::NodeCore,
-    transport::{PeerCall, PeerCallError},
+    transport::{ExchangeError, PeerCall, PeerCallError},
 };
 
 /// Time without a byte after which the other node is asked for a sign of life.
@@ -111,6 +111,9 @@
 }
 
 /// Returns whether the node at `peer_addr` responds.
+///
+/// A refused connection is a response as well: the node stops, and goes on to send what it has, or
+/// its process has ended, and the body ends with it.
 async fn responds(core: &NodeCore, peer_addr: SocketAddr) -> bool {
     // Without a query the path gets status 400 at once.
     let call = PeerCall {
@@ -123,5 +126,9 @@
     let response = call
         .send(&core.peer_connections, peer_addr, idle_timeout)
         .await;
-    matches!(response, Ok(_) | Err(PeerCallError::Refused { .. }))
+    match response {
+        Ok(_) | Err(PeerCallError::Refused { .. } | PeerCallError::Body { .. }) => true,
+        Err(PeerCallError::Exchange { source }) => matches!(source, ExchangeError::Refused { .. }),
+        Err(PeerCallError::TimedOut) => false,
+    }
 }
