Test fleets use no address that is still in use

The addresses of test machines repeat after 500 in one process; the new tests pass that number, and six of their listeners last as long as the process.

Such an address is skipped now. No check or bound changes.

--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -1,7 +1,7 @@
 //! A machine of the platform, as described by a node's settings file.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     sync::atomic::{AtomicU32, Ordering},
 };
 
@@ -132,7 +132,15 @@
     /// range is wide enough for an IP address per machine, and the ports are below the
     /// range of outgoing connections.
     pub fn free() -> Self {
-        let number = MACHINE_COUNT.fetch_add(1, Ordering::Relaxed);
+        loop {
+            let addrs = Self::of_number(MACHINE_COUNT.fetch_add(1, Ordering::Relaxed));
+            if addrs.are_unused() {
+                return addrs;
+            }
+        }
+    }
+
+    fn of_number(number: u32) -> Self {
         let process = std::process::id();
         let ip = Ipv4Addr::new(
             127,
@@ -151,6 +159,19 @@
         }
     }
 
+    /// Returns whether nothing listens on these addresses: numbers come again after 500 machines.
+    fn are_unused(&self) -> bool {
+        let addrs = [
+            self.peer_addr,
+            self.callers,
+            self.readiness,
+            self.admin,
+            self.endpoint,
+            self.metrics,
+        ];
+        addrs.iter().all(|addr| TcpListener::bind(addr).is_ok())
+    }
+
     /// Returns an address with another port on the same machine.
     pub fn with_port(&self, port: u16) -> SocketAddr {
         SocketAddr::new(self.peer_addr.ip(), port)
