The stand-ins' interface that review/ builds against is as it was

Cause: gave geranium_standins::Machine two more public fields, and programs outside the workspace write it as a literal.

--- a/crates/rig/src/rig_node.rs
+++ b/crates/rig/src/rig_node.rs
@@ -111,8 +111,6 @@
             service: plan.service.to_owned(),
             store,
             link_mbps: 1_000.0,
-            memory_mb: Machine::MEMORY_MB,
-            max_fds: Machine::MAX_FDS,
             first_start: true,
             has_rollouts: false,
             revoke_s: None,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -29,6 +29,6 @@
 pub use kv_fault::KvFault;
 pub use kv_server::KvServer;
 pub use kv_state::{KvCopy, KvState};
-pub use machine::{Machine, MachineAddrs};
+pub use machine::{Machine, MachineAddrs, MachineLimits};
 pub use route_document::{AccountEntry, CONFIG_KEY, RouteEntry, account_document, route_document};
 pub use run_record::RunRecord;
--- a/crates/standins/src/machine.rs
+++ b/crates/standins/src/machine.rs
@@ -42,10 +42,6 @@
     pub store: SocketAddr,
     /// Bandwidth of the machine's link, in megabits per second.
     pub link_mbps: f64,
-    /// Memory of the machine, in megabytes.
-    pub memory_mb: u32,
-    /// Descriptors that each process may have open.
-    pub max_fds: u32,
     /// Whether the whole fleet starts for the first time (`Bootstrap`).
     pub first_start: bool,
     /// Whether operators order rollouts (a contract of the platform).
@@ -55,19 +51,38 @@
     pub revoke_s: Option<f64>,
 }
 
-impl Machine {
-    /// Memory of a usual machine, in megabytes.
-    pub const MEMORY_MB: u32 = 260;
-    /// Descriptors that each process of a usual machine may have open.
-    pub const MAX_FDS: u32 = 4_100;
+/// Limits of each process on a machine. They aren't fields of [`Machine`], whose literals programs
+/// outside the workspace write.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory, in megabytes.
+    pub memory_mb: u32,
+    /// Number of descriptors that may be open.
+    pub max_fds: u32,
+}
 
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 260,
+            max_fds: 4_100,
+        }
+    }
+}
+
+impl Machine {
     /// Returns the name of the instance: `sidecar-` and its IP address.
     pub fn name(&self) -> String {
         format!("sidecar-{}", self.addrs.peer_addr.ip())
     }
 
-    /// Returns the text of the node's settings file.
+    /// Returns the text of the node's settings file, with the default limits.
     pub fn settings_text(&self) -> String {
+        self.settings_text_within(MachineLimits::default())
+    }
+
+    /// Returns the text of the node's settings file, with the given limits.
+    pub fn settings_text_within(&self, limits: MachineLimits) -> String {
         let MachineAddrs {
             peer_addr,
             callers,
@@ -78,7 +93,7 @@
         let (name, ip) = (self.name(), peer_addr.ip());
         let (zone, service, store) = (&self.data_centre, &self.service, self.store);
         let (app, link_mbps) = (self.app_addr, self.link_mbps);
-        let (memory_mb, max_fds) = (self.memory_mb, self.max_fds);
+        let MachineLimits { memory_mb, max_fds } = limits;
         let first_start = self.first_start;
         let mut contracts = vec!["base"];
         if self.has_rollouts {
