A node that the store refuses as it starts follows another node

Callers of a node whose store calls were refused in the seconds after its start got 404 for an added route for as long as the refusal lasted (29 s in a test's run), beside a node that had it.

Cause: without the first updates of a relay, update_source chose the store, whether or not the node had lost it. Its fleet stayed at revision 0, so it never asked a relay again. A trial build that logged the choice showed it: revision 0 in each failed run, and a selection among the relays that named the other node. An excluded relay is ruled out by that.

A node that has lost the store now selects a relay also before its first updates.

--- a/crates/node/src/node_core/store_contact.rs
+++ b/crates/node/src/node_core/store_contact.rs
@@ -141,14 +141,17 @@
     }
 
     /// Returns where this node gets its configuration and member updates.
+    ///
+    /// Without the first updates of a relay it is the store, unless this node has lost it.
     pub fn update_source(&self) -> UpdateSource {
         let now = self.clock.now();
         let fleet = self.fleet.borrow();
+        let relay_selector = self.relay_selector.borrow();
         let has_first_updates = fleet.revision() != Revision(0) && self.config.borrow().is_some();
-        if !has_first_updates && !self.may_wait_for_relay(now) {
+        let reads_first_updates = !has_first_updates && !self.may_wait_for_relay(now);
+        if reads_first_updates && !relay_selector.has_lost_store() {
             return UpdateSource::Store;
         }
-        let relay_selector = self.relay_selector.borrow();
         let source = relay_selector.select(now, &fleet.relay_candidates());
         if source == UpdateSource::Store && relay_selector.has_lost_store() {
             // A store that lost its data may have taken the announcements of nodes that are alive.
