A response whose server falls silent ends in time

Cause: LateBody bounds the sum of all waits after the request's end, 2 s, and a single silence could use up all of it. A silence has a bound of its own now, 0.3 s; a server that goes on sending keeps the sum.

--- a/crates/node/src/late_body.rs
+++ b/crates/node/src/late_body.rs
@@ -15,6 +15,9 @@
 /// Time after the request's end for which a node waits for further bytes of a body, in all. The
 /// backend server has stopped work at the request's end; what is left is in its buffers.
 const LATE_WAIT_MAX: Duration = Duration::from_secs(2);
+/// Longest silence of the backend server after the request's end. Its caller gets the final response
+/// within half a second of that end, also by way of another node.
+const LATE_SILENCE_MAX: Duration = Duration::from_millis(300);
 /// Bytes of a body without a stated length that are read after the request's end.
 const LATE_BYTES_MAX: u64 = 4 * 1024 * 1024;
 /// Largest stated length of a body that is read to its end. A longer one is cut at the request's end:
@@ -100,13 +103,14 @@
     }
 
     /// Records that the node waits for the backend server, and returns whether it has waited too
-    /// long. Otherwise the task is woken when it has.
+    /// long, at once or in all. Otherwise the task is woken when it has.
     pub(crate) fn poll_wait(&mut self, cx: &mut Context<'_>) -> bool {
         if self.late_bytes_max == 0 {
             return false;
         }
         let since = *self.waiting_since.get_or_insert_with(Instant::now);
-        let until = since.max(self.ends_at) + LATE_WAIT_MAX.saturating_sub(self.late_wait);
+        let wait_max = LATE_WAIT_MAX.saturating_sub(self.late_wait);
+        let until = since.max(self.ends_at) + wait_max.min(LATE_SILENCE_MAX);
         self.timer.as_mut().reset(until);
         let waited = matches!(self.timer.as_mut().poll(cx), Poll::Ready(()));
         if waited {
