A node that has just started doesn't make others forget a limit

Cause: before the server's first heartbeat the new process refuses requests, and reported with each refusal a load without a limit. Load reports replace each other, so every node forgot the limit.

No load is reported before a start has reported to the process. Other nodes keep what they know and name it with the next request.

--- a/crates/node/src/peer_handler.rs
+++ b/crates/node/src/peer_handler.rs
@@ -139,8 +139,7 @@
                 failure_response(&reason, diagnosis.as_ref())
             }
         };
-        let load = self.core.inbound.load(peer_header.route_hash);
-        set_header(response.headers_mut(), &PEER_LOAD_HEADER, &load.to_string());
+        self.add_load(&mut response, peer_header.route_hash);
         response
     }
 
@@ -174,11 +173,22 @@
             Err(InboundError::Refused { refusal }) => refusal_response(&refusal),
             Ok(()) | Err(InboundError::ResponseLost { .. }) => empty_response(StatusCode::OK),
         };
-        let load = self.core.inbound.load(peer_header.route_hash);
-        set_header(response.headers_mut(), &PEER_LOAD_HEADER, &load.to_string());
+        self.add_load(&mut response, peer_header.route_hash);
         response
     }
 
+    /// Adds the load of the backend server to a response.
+    ///
+    /// Before the first report of a start this process knows no load and no limit. What the sender
+    /// knows of the limit must outlive such a response.
+    fn add_load(&self, response: &mut Response<ResponseBody>, route_hash: u64) {
+        if self.core.inbound.current_start().is_none() {
+            return;
+        }
+        let load = self.core.inbound.load(route_hash);
+        set_header(response.headers_mut(), &PEER_LOAD_HEADER, &load.to_string());
+    }
+
     /// Returns the time that a request has left; zero if it doesn't say.
     fn remaining(&self, headers: &HeaderMap) -> Duration {
         let remaining =
